--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Developer entry points. `make setup` once, then `make run` and `make test`.
+GO ?= go
+BIN := bin
+COMMANDS := wigeoncleat-node wigeonctl wigeon-load wigeon-standin
+
+.PHONY: setup build run test fmt lint bench soak measure clean
+
+setup:
+	$(GO) mod download
+
+build:
+	@mkdir -p $(BIN)
+	@for c in $(COMMANDS); do $(GO) build -o $(BIN)/$$c ./cmd/$$c || exit 1; done
+
+run: build
+	scripts/run-local.sh
+
+test:
+	scripts/test.sh
+
+fmt:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt differs: $$out"; exit 1; fi
+
+lint:
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+clean:
+	rm -rf $(BIN) .run
--- /dev/null
+++ b/internal/request/message/error.go
@@ -0,0 +1,40 @@
+package message
+
+import "fmt"
+
+// Step names the step of a request's path at which an error arose.
+type Step string
+
+// Steps of a request's path, in the order in which a request passes them.
+const (
+	StepAccept    Step = "accept"    // reading and checking the request
+	StepConfigure Step = "configure" // finding service and route in the policy
+	StepShed      Step = "shed"      // shedding by priority before any work is done
+	StepKey       Step = "key"       // resolving the idempotency key
+	StepPick      Step = "pick"      // choosing a target
+	StepDial      Step = "dial"      // opening a connection
+	StepSend      Step = "send"      // writing the request
+	StepAwait     Step = "await"     // waiting for the answer
+	StepAdmit     Step = "admit"     // admission at the target's node
+	StepRun       Step = "run"       // running at the target
+)
+
+// Error says at which step and peer a request failed.
+type Error struct {
+	Step   Step
+	Peer   string // address of the other side; empty for a step inside the node
+	Detail string
+}
+
+// Errorf returns an Error whose detail is formatted as by fmt.Sprintf.
+func Errorf(step Step, peer, format string, args ...any) *Error {
+	return &Error{Step: step, Peer: peer, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Peer == "" {
+		return fmt.Sprintf("%s: %s", e.Step, e.Detail)
+	}
+	return fmt.Sprintf("%s %s: %s", e.Step, e.Peer, e.Detail)
+}
--- /dev/null
+++ b/internal/request/message/header.go
@@ -0,0 +1,28 @@
+package message
+
+import "net/http"
+
+// Headers of the caller protocol. docs/callers.md describes them.
+const (
+	HeaderKey         = "Idempotency-Key"
+	HeaderRetryAfter  = "Retry-After"
+	HeaderTraceparent = "Traceparent"
+	HeaderRequestID   = "X-Request-Id"
+	HeaderOutcome     = "Wigeon-Outcome"
+	HeaderTimeout     = "Wigeon-Timeout-Ms"   // milliseconds that the caller waits
+	HeaderRetries     = "Wigeon-Retry-Budget" // retries left of the request's budget
+	HeaderReason      = "Wigeon-Reason"
+)
+
+// hopHeaders apply to one connection only and are never passed on (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// RemoveHopHeaders deletes the headers that apply to one connection only.
+func RemoveHopHeaders(h http.Header) {
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/internal/request/message/message.go
@@ -0,0 +1,153 @@
+// Package message defines the requests and responses that travel between the hops of a call chain, and the values
+// that every hop has to read the same way: outcomes, priorities and errors.
+//
+// Values of this package are not synchronised. A Request belongs to one hop at a time and must not be changed after it
+// was handed to another goroutine.
+package message
+
+import (
+	"net/http"
+	"time"
+)
+
+// Request is one call of one service.
+type Request struct {
+	ID   ID     // identifies the root request; the same on every hop and every retry
+	Span SpanID // identifies this call; the parent span of the calls that the target makes
+
+	Service string
+	Method  string
+	Path    string // path below the service, with the query
+	Header  http.Header
+	Body    []byte
+
+	Priority   Priority
+	Idempotent bool      // the route may be executed more than once
+	Hop        uint8     // 0 at the entry node
+	Deadline   time.Time // on the wire: the time left, because clocks of VMs differ
+	Retries    int       // retries that this hop may use or hand down
+
+	Key  string // idempotency key; empty on idempotent routes
+	Mode Mode
+}
+
+// Mode tells the receiving node what to do with a request from a peer.
+type Mode uint8
+
+const (
+	// ModeDeliver asks the node to run the request at its own target.
+	ModeDeliver Mode = iota
+	// ModeHome asks the node to act as the home node of the request's idempotency key.
+	ModeHome
+)
+
+// Response is the final answer of a hop.
+type Response struct {
+	Outcome Outcome
+	Status  int // HTTP status
+	Header  http.Header
+	Body    []byte
+
+	Err        *Error        // set unless Outcome is Answered
+	Reason     Reason        // why the request was not run
+	RetryAfter time.Duration // when to come back; zero when a retry is of no use
+
+	RetriesLeft int         // unused part of the retries that were handed down
+	Thresholds  []Threshold // shedding thresholds of the services below this hop
+	Load        Load        // load of the target that answered
+}
+
+// Load describes the target beside the answering node at the time of the answer.
+type Load struct {
+	InFlight int // requests running at the target or queued for it
+	Limit    int // present limit on requests in flight
+}
+
+// Threshold is the lowest priority that a service admits at present.
+type Threshold struct {
+	Service  string
+	Priority Priority
+}
+
+// Outcome says what is known about the execution of a request.
+type Outcome uint8
+
+const (
+	// Unknown means that the request may have been executed. It is the zero value, so that a response that was not
+	// filled in never claims more than is known.
+	Unknown Outcome = iota
+	// Answered means that a target answered and the answer is whole.
+	Answered
+	// NotRun means that the request was provably not executed and no copy of it can be executed later.
+	NotRun
+)
+
+// String returns the value of the Wigeon-Outcome header.
+func (o Outcome) String() string {
+	switch o {
+	case Answered:
+		return "answered"
+	case NotRun:
+		return "not-run"
+	default:
+		return "unknown"
+	}
+}
+
+// Reason is the machine-readable cause of a response other than Answered.
+type Reason uint8
+
+// Reasons of responses that carry no answer of a target.
+const (
+	ReasonNone        Reason = iota
+	ReasonInvalid            // the request breaks a rule of the caller protocol
+	ReasonNoService          // no such service or route in the policy
+	ReasonNoTarget           // the service has no ready target
+	ReasonOverload           // shed by priority or refused by a full queue
+	ReasonDeadline           // the deadline cannot be met any more
+	ReasonCancelled          // the caller left
+	ReasonLeaving            // the node or its target is leaving
+	ReasonUnconfirmed        // the node's configuration is not confirmed
+	ReasonConnection         // the connection failed
+	ReasonKeyConflict        // the idempotency key was used with another request
+	ReasonKeyExpired         // the idempotency key can no longer be executed
+	ReasonPlatform           // the platform is needed and not available
+	ReasonTooLarge           // a body or header exceeds its limit
+	ReasonInternal           // a fault of the node itself
+)
+
+var reasonNames = [...]string{
+	ReasonNone:        "none",
+	ReasonInvalid:     "invalid",
+	ReasonNoService:   "no-service",
+	ReasonNoTarget:    "no-target",
+	ReasonOverload:    "overload",
+	ReasonDeadline:    "deadline",
+	ReasonCancelled:   "cancelled",
+	ReasonLeaving:     "leaving",
+	ReasonUnconfirmed: "unconfirmed",
+	ReasonConnection:  "connection",
+	ReasonKeyConflict: "key-conflict",
+	ReasonKeyExpired:  "key-expired",
+	ReasonPlatform:    "platform",
+	ReasonTooLarge:    "too-large",
+	ReasonInternal:    "internal",
+}
+
+// String returns the name used in logs, metrics and error bodies.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return "invalid-reason"
+}
+
+// Refuse returns a response that says the request was not run.
+func Refuse(reason Reason, err *Error) *Response {
+	return &Response{Outcome: NotRun, Reason: reason, Err: err}
+}
+
+// Doubt returns a response that says the request may have been run.
+func Doubt(reason Reason, err *Error) *Response {
+	return &Response{Outcome: Unknown, Reason: reason, Err: err}
+}
--- /dev/null
+++ b/internal/request/message/priority.go
@@ -0,0 +1,25 @@
+package message
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// Priority orders requests for shedding: the class rank in the high byte, a stable hash of the root request's ID in the
+// low byte. A request keeps one priority on its whole chain, so that all hops shed the same requests and no hop wastes the
+// work of the hops before it. Higher values are shed later.
+type Priority uint16
+
+// MaxRank is the highest class rank.
+const MaxRank = 255
+
+const hashBits = 8
+
+// NewPriority returns the priority of the request with the given ID in a class of the given rank.
+func NewPriority(rank uint8, id ID) Priority {
+	return Priority(rank)<<hashBits | Priority(xxhash.Sum64(id[:])&(1<<hashBits-1))
+}
+
+// Rank returns the class rank.
+func (p Priority) Rank() uint8 {
+	return uint8(p >> hashBits)
+}
--- /dev/null
+++ b/internal/request/retry/retry_test.go
@@ -0,0 +1,66 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against retries that multiply along a chain: whatever hops take, hand down, return or lose, and however they fan
+// out, the attempts of one root request stay within its bound.
+func TestLedgerBoundsRetriesOverChain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := rapid.IntRange(0, 8).Draw(t, "bound")
+		used := 0
+		var hop func(l *Ledger, depth int)
+		hop = func(l *Ledger, depth int) {
+			for range rapid.IntRange(0, 3).Draw(t, "calls") {
+				if l.Take() {
+					used++
+				}
+				share := l.HandDown()
+				below := NewLedger(share.Size())
+				if depth < 4 {
+					hop(below, depth+1)
+				}
+				if rapid.Bool().Draw(t, "lost") {
+					share.Lose()
+				} else {
+					share.Return(below.Close())
+				}
+				share.Return(share.Size()) // settling twice has no effect
+				require.NoError(t, l.Check())
+			}
+		}
+		root := NewLedger(bound)
+		hop(root, 0)
+		require.NoError(t, root.Check())
+		require.LessOrEqual(t, used, bound)
+	})
+}
+
+// Guards against a faulty peer that returns more retries than it was handed.
+func TestLedgerClampsReturnedShare(t *testing.T) {
+	l := NewLedger(4)
+	share := l.HandDown()
+	share.Return(100)
+	require.Equal(t, 4, l.Left())
+	l.HandDown().Return(-1)
+	require.Equal(t, 2, l.Left())
+	require.NoError(t, l.Check())
+}
+
+// Guards against a retry storm: with every first attempt failing, retries stay at the ratio plus the initial burst.
+func TestBucketCapsRetryRatio(t *testing.T) {
+	b := NewBucket(0.1)
+	retries := 0
+	for range 1000 {
+		b.Earn()
+		for b.Take() {
+			retries++
+		}
+	}
+	require.LessOrEqual(t, retries, 1000/10+maxBucketRetries)
+	require.GreaterOrEqual(t, retries, 1000/10)
+}
