--- /dev/null
+++ b/internal/version/policy/policy.go
@@ -0,0 +1,111 @@
+// Package policy holds the effective policy of a site: one base file for every site with the site's overlay applied.
+//
+// A Policy is immutable after it was built. Readers load it from an atomic pointer and may keep it for the time of one
+// request.
+package policy
+
+import (
+	"strings"
+	"time"
+)
+
+// Policy is one version of the effective policy of a site.
+type Policy struct {
+	Version  uint64
+	Site     string
+	Services map[string]*Service
+	Retry    Retry
+	Queue    Queue
+	Limits   Limits
+	Balance  Balance
+	Once     Once
+}
+
+// Service describes the targets of one service.
+type Service struct {
+	Name        string
+	Slots       int     // requests that one target runs at once
+	Connections int     // connections that one target accepts
+	Routes      []Route // longest prefix first
+}
+
+// Route describes the requests of one method and path prefix of a service.
+type Route struct {
+	Name       string
+	Method     string // empty: every method
+	Prefix     string
+	Class      string
+	Rank       uint8 // of the class; a higher rank is shed later
+	Idempotent bool  // may be executed more than once
+	Timeout    time.Duration
+}
+
+// Retry bounds retries.
+type Retry struct {
+	Budget int     // retries of one root request over its whole call chain
+	Ratio  float64 // retries of a service as a share of its first attempts
+}
+
+// Queue bounds the queue in front of a target.
+type Queue struct {
+	Length  float64       // requests, as a multiple of the target's slots
+	MaxWait time.Duration // longest wait that admission accepts
+}
+
+// Limits bounds what one request may take.
+type Limits struct {
+	RequestBody  int // bytes
+	ResponseBody int // bytes
+	Header       int // bytes
+}
+
+// Balance tunes the choice of a target.
+type Balance struct {
+	EjectFailures int           // consecutive failures that eject a target
+	EjectTime     time.Duration // how long a target stays ejected at first
+	EjectShare    float64       // largest share of a service's targets that may be ejected
+}
+
+// Once tunes idempotency keys.
+type Once struct {
+	KeyValidity time.Duration // how long a minted key may be used
+}
+
+// Match returns the route for a request of a service.
+func (s *Service) Match(method, path string) (*Route, bool) {
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		if (r.Method == "" || r.Method == method) && strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Defaults of settings that policy files may leave out.
+const (
+	DefaultRetryBudget   = 3
+	DefaultRetryRatio    = 0.1
+	DefaultQueueLength   = 1.0
+	DefaultQueueMaxWait  = 200 * time.Millisecond
+	DefaultTimeout       = 2 * time.Second
+	DefaultRequestBody   = 1 << 20
+	DefaultResponseBody  = 4 << 20
+	DefaultHeader        = 16 << 10
+	DefaultEjectFailures = 5
+	DefaultEjectTime     = time.Second
+	DefaultEjectShare    = 0.5
+	DefaultKeyValidity   = 10 * time.Minute
+)
+
+// New returns a policy without services that holds the defaults.
+func New() *Policy {
+	return &Policy{
+		Services: map[string]*Service{},
+		Retry:    Retry{Budget: DefaultRetryBudget, Ratio: DefaultRetryRatio},
+		Queue:    Queue{Length: DefaultQueueLength, MaxWait: DefaultQueueMaxWait},
+		Limits:   Limits{RequestBody: DefaultRequestBody, ResponseBody: DefaultResponseBody, Header: DefaultHeader},
+		Balance:  Balance{EjectFailures: DefaultEjectFailures, EjectTime: DefaultEjectTime, EjectShare: DefaultEjectShare},
+		Once:     Once{KeyValidity: DefaultKeyValidity},
+	}
+}
