--- /dev/null
+++ b/internal/standin/memory/memory.go
@@ -0,0 +1,202 @@
+// Package memory is an in-memory platform for tests and for the platform stand-in. Its faults can be switched on and off:
+// outages, slow answers, and answers that are lost after the write took effect.
+//
+// All methods are safe for concurrent use.
+package memory
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
+)
+
+// Faults are the faults in force.
+type Faults struct {
+	Down       bool          // every call fails with ErrUnavailable
+	Hang       bool          // every call waits until its context ends
+	Delay      time.Duration // added to every call
+	LoseAnswer bool          // writes take effect, but their answers are lost
+}
+
+// Counts are the calls since the platform was made.
+type Counts struct {
+	Reads  int
+	Writes int
+}
+
+// Platform implements platform.Table; its Objects method returns the object store.
+type Platform struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	next    uint64
+	faults  Faults
+	counts  Counts
+}
+
+// New returns an empty platform without faults.
+func New() *Platform {
+	return &Platform{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+}
+
+// SetFaults replaces the faults in force.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// Counts returns the number of calls so far.
+func (p *Platform) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// Objects returns the object store.
+func (p *Platform) Objects() platform.Objects { return objects{p} }
+
+// begin applies the faults before a call and returns those in force.
+func (p *Platform) begin(ctx context.Context, write bool) (Faults, error) {
+	p.mu.Lock()
+	f := p.faults
+	if write {
+		p.counts.Writes++
+	} else {
+		p.counts.Reads++
+	}
+	p.mu.Unlock()
+	if f.Hang {
+		<-ctx.Done()
+		return f, fmt.Errorf("%w: %w", inDoubt(write), ctx.Err())
+	}
+	if f.Delay > 0 {
+		timer := time.NewTimer(f.Delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return f, fmt.Errorf("%w: %w", inDoubt(write), ctx.Err())
+		}
+	}
+	if f.Down {
+		return f, platform.ErrUnavailable
+	}
+	return f, nil
+}
+
+func inDoubt(write bool) error {
+	if write {
+		return platform.ErrInDoubt
+	}
+	return platform.ErrUnavailable
+}
+
+// Get implements platform.Table.
+func (p *Platform) Get(ctx context.Context, key string) (platform.Row, error) {
+	if _, err := p.begin(ctx, false); err != nil {
+		return platform.Row{}, fmt.Errorf("get %q: %w", key, err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row, ok := p.rows[key]
+	if !ok {
+		return platform.Row{}, fmt.Errorf("get %q: %w", key, platform.ErrNotFound)
+	}
+	row.Value = slices.Clone(row.Value)
+	return row, nil
+}
+
+// Put implements platform.Table.
+func (p *Platform) Put(ctx context.Context, key string, value []byte, c platform.Condition) (platform.Version, error) {
+	versions, err := p.Commit(ctx, []platform.Write{{Key: key, Value: value, Cond: c}})
+	if err != nil {
+		return "", err
+	}
+	return versions[0], nil
+}
+
+// List implements platform.Table.
+func (p *Platform) List(ctx context.Context, prefix string, limit int) ([]platform.Row, error) {
+	if _, err := p.begin(ctx, false); err != nil {
+		return nil, fmt.Errorf("list %q: %w", prefix, err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []platform.Row
+	for key, row := range p.rows {
+		if strings.HasPrefix(key, prefix) {
+			row.Value = slices.Clone(row.Value)
+			out = append(out, row)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return out[:min(limit, len(out))], nil
+}
+
+// Commit implements platform.Table.
+func (p *Platform) Commit(ctx context.Context, writes []platform.Write) ([]platform.Version, error) {
+	f, err := p.begin(ctx, true)
+	if err != nil {
+		return nil, fmt.Errorf("commit: %w", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range writes {
+		row, ok := p.rows[w.Key]
+		if (w.Cond.Absent && ok) || (w.Cond.Version != "" && row.Version != w.Cond.Version) {
+			return nil, fmt.Errorf("commit %q: %w", w.Key, platform.ErrConflict)
+		}
+	}
+	versions := make([]platform.Version, len(writes))
+	for i, w := range writes {
+		p.next++
+		versions[i] = platform.Version(strconv.FormatUint(p.next, 10))
+		p.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: versions[i]}
+	}
+	if f.LoseAnswer {
+		return nil, fmt.Errorf("commit: %w", platform.ErrInDoubt)
+	}
+	return versions, nil
+}
+
+type objects struct{ p *Platform }
+
+// Put implements platform.Objects.
+func (o objects) Put(ctx context.Context, body []byte) (string, error) {
+	f, err := o.p.begin(ctx, true)
+	if err != nil {
+		return "", fmt.Errorf("put object: %w", err)
+	}
+	sum := sha256.Sum256(body)
+	hash := hex.EncodeToString(sum[:])
+	o.p.mu.Lock()
+	defer o.p.mu.Unlock()
+	o.p.objects[hash] = slices.Clone(body)
+	if f.LoseAnswer {
+		return "", fmt.Errorf("put object: %w", platform.ErrInDoubt)
+	}
+	return hash, nil
+}
+
+// Get implements platform.Objects.
+func (o objects) Get(ctx context.Context, hash string) ([]byte, error) {
+	if _, err := o.p.begin(ctx, false); err != nil {
+		return nil, fmt.Errorf("get object %s: %w", hash, err)
+	}
+	o.p.mu.Lock()
+	defer o.p.mu.Unlock()
+	body, ok := o.p.objects[hash]
+	if !ok {
+		return nil, fmt.Errorf("get object %s: %w", hash, platform.ErrNotFound)
+	}
+	return slices.Clone(body), nil
+}
