Add the peer protocol's frames and multiplexed links

A link settles every request exactly once: not run if its frames were withdrawn before the first byte was written, else unknown or its whole response. Silent links are found by pings that are sent only while requests wait, so that idle links cost nothing.

--- /dev/null
+++ b/internal/connection/link/inbound.go
@@ -0,0 +1,214 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// inbound is a link that a peer dialed. Requests come in on it and responses go back.
+type inbound struct {
+	cfg     Config
+	peer    Peer
+	conn    Conn
+	writer  *writer
+	handler Handler
+	log     *slog.Logger
+
+	lastHeard atomic.Int64 // UnixNano of the last frame
+	running   sync.WaitGroup
+
+	mu         sync.Mutex
+	streams    map[uint64]*stream
+	lastStream uint64 // highest stream that was taken
+	leaving    bool
+}
+
+// stream is a request of the peer that was not answered yet.
+type stream struct {
+	cancel context.CancelFunc
+	req    *message.Request
+	body   *wire.Assembly
+}
+
+// serve handles the link until the connection ends, then cancels what still runs and waits for it.
+func (in *inbound) serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	in.lastHeard.Store(time.Now().UnixNano())
+	var parts sync.WaitGroup
+	parts.Go(func() { cancel(in.writer.run(ctx)) })
+	parts.Go(func() { cancel(in.watch(ctx)) })
+	parts.Go(func() { cancel(in.read(ctx)) })
+	<-ctx.Done()
+	in.conn.Close()
+	parts.Wait()
+	in.running.Wait()
+	return context.Cause(ctx)
+}
+
+// watch ends the link when requests run for a peer that has gone silent, so that they free their slots.
+func (in *inbound) watch(ctx context.Context) error {
+	ticker := time.NewTicker(in.cfg.HeartbeatInterval)
+	defer ticker.Stop()
+	// A peer pings after one interval of silence, so a working connection is never silent for an interval and the timeout.
+	limit := in.cfg.HeartbeatInterval + in.cfg.HeartbeatTimeout
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			if in.active() > 0 && now.Sub(time.Unix(0, in.lastHeard.Load())) >= limit {
+				return errSilent
+			}
+		}
+	}
+}
+
+func (in *inbound) active() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return len(in.streams)
+}
+
+func (in *inbound) read(ctx context.Context) error {
+	for {
+		b, err := in.conn.Read(ctx)
+		if err != nil {
+			return err
+		}
+		in.lastHeard.Store(time.Now().UnixNano())
+		f, err := wire.Decode(b)
+		if err != nil {
+			event.Log(in.log, event.FrameInvalid, slog.String("peer", in.peer.Address), slog.String("error", err.Error()))
+			return err
+		}
+		if err := in.handle(ctx, f); err != nil {
+			return err
+		}
+	}
+}
+
+func (in *inbound) handle(ctx context.Context, f wire.Frame) error {
+	switch f := f.(type) {
+	case *wire.Request:
+		return in.handleRequest(ctx, f)
+	case *wire.Body:
+		in.handleBody(ctx, f)
+	case *wire.Cancel:
+		in.handleCancel(f)
+	case *wire.Ping:
+		in.post(&wire.Pong{Sequence: f.Sequence})
+	case *wire.Control:
+		in.handler.HandleControl(in.peer, f.Channel, f.Payload)
+	}
+	return nil
+}
+
+func (in *inbound) handleRequest(ctx context.Context, f *wire.Request) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if f.Stream <= in.lastStream {
+		return fmt.Errorf("%w: stream %d after %d", errProtocol, f.Stream, in.lastStream)
+	}
+	if in.leaving {
+		return nil // the go-away that was sent has refused it
+	}
+	in.lastStream = f.Stream
+	req := f.Message(time.Now())
+	body, err := wire.NewAssembly(f.BodySize, f.Part, in.cfg.MaxBody)
+	if err != nil {
+		in.respond(f.Stream, req.ID, message.Refuse(message.ReasonTooLarge, message.Errorf(message.StepAccept, in.cfg.Self.Address, "%v", err)))
+		return nil
+	}
+	s := &stream{req: req, body: body, cancel: func() {}}
+	in.streams[f.Stream] = s
+	in.startIfWhole(ctx, f.Stream, s)
+	return nil
+}
+
+func (in *inbound) handleBody(ctx context.Context, f *wire.Body) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	s, ok := in.streams[f.Stream]
+	if !ok {
+		return
+	}
+	if err := s.body.Add(f.Offset, f.Part); err != nil {
+		delete(in.streams, f.Stream)
+		in.respond(f.Stream, s.req.ID, message.Refuse(message.ReasonInvalid, message.Errorf(message.StepAccept, in.cfg.Self.Address, "%v", err)))
+		return
+	}
+	in.startIfWhole(ctx, f.Stream, s)
+}
+
+// startIfWhole runs the request once its body is whole. The caller holds the mutex.
+func (in *inbound) startIfWhole(ctx context.Context, id uint64, s *stream) {
+	body, whole := s.body.Body()
+	if !whole {
+		return
+	}
+	s.req.Body = body
+	ctx, s.cancel = context.WithDeadline(ctx, s.req.Deadline)
+	in.running.Go(func() {
+		r := in.handler.HandleRequest(ctx, in.peer, s.req)
+		in.mu.Lock()
+		delete(in.streams, id)
+		in.mu.Unlock()
+		s.cancel()
+		in.respond(id, s.req.ID, r)
+	})
+}
+
+func (in *inbound) handleCancel(f *wire.Cancel) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	s, ok := in.streams[f.Stream]
+	if !ok {
+		return
+	}
+	if _, whole := s.body.Body(); !whole {
+		delete(in.streams, f.Stream) // never started
+		return
+	}
+	s.cancel()
+}
+
+// respond queues the response of a stream.
+func (in *inbound) respond(stream uint64, id message.ID, r *message.Response) {
+	frames, err := wire.EncodeResponse(stream, id, r)
+	if err != nil {
+		// Only the headers of the target can make a response too large for its first frame.
+		doubt := message.Doubt(message.ReasonTooLarge, message.Errorf(message.StepRun, in.cfg.Self.Address, "%v", err))
+		doubt.RetriesLeft = r.RetriesLeft
+		if frames, err = wire.EncodeResponse(stream, id, doubt); err != nil {
+			return
+		}
+	}
+	in.writer.enqueue(&outgoing{frames: frames})
+}
+
+func (in *inbound) post(f wire.Frame) {
+	b, err := wire.Encode(f)
+	if err != nil {
+		return
+	}
+	in.writer.enqueue(&outgoing{frames: [][]byte{b}})
+}
+
+// goAway refuses every stream from now on and tells the peer.
+func (in *inbound) goAway() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.leaving {
+		return
+	}
+	in.leaving = true
+	in.post(&wire.GoAway{LastStream: in.lastStream})
+}
--- /dev/null
+++ b/internal/connection/link/link.go
@@ -0,0 +1,107 @@
+// Package link multiplexes requests between two nodes over one WebSocket connection.
+//
+// A node dials one link to every peer that it sends requests to. The Pool keeps these links, replaces those that went
+// silent, and serves the links that peers dialed. All exported methods are safe for concurrent use.
+package link
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// Conn carries whole messages. Read is called by one goroutine, Write by one other.
+type Conn interface {
+	Read(ctx context.Context) ([]byte, error)
+	Write(ctx context.Context, b []byte) error
+	// Close ends the connection at once, without waiting for the other side.
+	Close()
+}
+
+// Dialer opens a connection to the peer interface of a node.
+type Dialer func(ctx context.Context, address string) (Conn, error)
+
+// Handler receives what peers send on links that they dialed.
+type Handler interface {
+	// HandleRequest returns the response of a request. Its context ends when the peer cancels the request or is lost.
+	HandleRequest(ctx context.Context, from Peer, req *message.Request) *message.Response
+	// HandleControl receives a one-way message. It must not block.
+	HandleControl(from Peer, channel wire.Channel, payload []byte)
+}
+
+// Peer describes the other side of a link.
+type Peer struct {
+	Address     string // of its peer interface
+	Incarnation uint64
+	Zone        string // availability zone
+}
+
+// Config configures links.
+type Config struct {
+	Self Peer
+	// HeartbeatInterval is the time without any frame after which a side that waits for responses sends a ping. Shorter
+	// finds silent connections sooner and costs more messages. Default 250 ms.
+	HeartbeatInterval time.Duration
+	// HeartbeatTimeout is the time without any frame after which a link is given up. It bounds how long a request waits
+	// on a silent connection. A peer that pauses for longer loses its requests. Default 1 s.
+	HeartbeatTimeout time.Duration
+	// IdleTimeout is the time without requests after which a link is closed, to free memory on both sides. Default 5 min.
+	IdleTimeout time.Duration
+	// DialTimeout bounds the opening of a link. Default 500 ms.
+	DialTimeout time.Duration
+	// DialBackoff is the time after a failed dial in which further requests to the peer fail at once. Default 100 ms.
+	DialBackoff time.Duration
+	// MaxBody bounds the body of a request or response, in bytes. Default 16 MiB.
+	MaxBody int
+}
+
+// withDefaults fills in the defaults.
+func (c Config) withDefaults() Config {
+	setDefault(&c.HeartbeatInterval, 250*time.Millisecond)
+	setDefault(&c.HeartbeatTimeout, time.Second)
+	setDefault(&c.IdleTimeout, 5*time.Minute)
+	setDefault(&c.DialTimeout, 500*time.Millisecond)
+	setDefault(&c.DialBackoff, 100*time.Millisecond)
+	if c.MaxBody == 0 {
+		c.MaxBody = 16 << 20
+	}
+	return c
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+var (
+	errSilent   = errors.New("no frame within the heartbeat timeout")
+	errIdle     = errors.New("idle")
+	errClosed   = errors.New("link closed")
+	errProtocol = errors.New("peer broke the protocol")
+)
+
+// webSocket adapts a WebSocket connection to Conn.
+type webSocket struct{ c *websocket.Conn }
+
+// NewWebSocket returns a Conn over a WebSocket connection.
+func NewWebSocket(c *websocket.Conn) Conn {
+	c.SetReadLimit(wire.MaxFrame)
+	return webSocket{c}
+}
+
+func (w webSocket) Read(ctx context.Context) ([]byte, error) {
+	_, b, err := w.c.Read(ctx)
+	return b, err
+}
+
+func (w webSocket) Write(ctx context.Context, b []byte) error {
+	return w.c.Write(ctx, websocket.MessageBinary, b)
+}
+
+func (w webSocket) Close() { _ = w.c.CloseNow() }
--- /dev/null
+++ b/internal/connection/link/outbound.go
@@ -0,0 +1,384 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// outbound is a link that this node dialed. Requests go out on it and responses come back.
+type outbound struct {
+	cfg        Config
+	peer       Peer
+	generation uint64
+	conn       Conn
+	writer     *writer
+	log        *slog.Logger
+	cancel     context.CancelCauseFunc
+	done       chan struct{} // closed when the link is closed and every call is settled
+	lastHeard  atomic.Int64  // UnixNano of the last frame
+	leaving    atomic.Bool   // the peer sent a go-away
+
+	mu         sync.Mutex
+	calls      map[uint64]*call
+	nextStream uint64
+	waitSince  time.Time // when the first of the present calls began
+	lastUse    time.Time
+	closed     bool
+}
+
+// call is a request that waits for its response.
+type call struct {
+	id       message.ID
+	out      *outgoing
+	response chan *message.Response // capacity 1
+	head     *message.Response      // response whose body is not whole yet
+	body     *wire.Assembly
+}
+
+// handshake exchanges the hello frames on a new connection.
+func handshake(ctx context.Context, conn Conn, cfg Config, generation uint64) (Peer, error) {
+	if err := writeHello(ctx, conn, cfg.Self, generation); err != nil {
+		return Peer{}, fmt.Errorf("write hello: %w", err)
+	}
+	hello, err := readHello(ctx, conn)
+	if err != nil {
+		return Peer{}, fmt.Errorf("read hello: %w", err)
+	}
+	return Peer{Address: hello.Address, Incarnation: hello.Incarnation, Zone: hello.Zone}, nil
+}
+
+func writeHello(ctx context.Context, conn Conn, self Peer, generation uint64) error {
+	b, err := wire.Encode(&wire.Hello{
+		Version:     wire.ProtocolVersion,
+		Address:     self.Address,
+		Incarnation: self.Incarnation,
+		Zone:        self.Zone,
+		Generation:  generation,
+	})
+	if err != nil {
+		return err
+	}
+	return conn.Write(ctx, b)
+}
+
+func readHello(ctx context.Context, conn Conn) (*wire.Hello, error) {
+	b, err := conn.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	f, err := wire.Decode(b)
+	if err != nil {
+		return nil, err
+	}
+	hello, ok := f.(*wire.Hello)
+	if !ok {
+		return nil, fmt.Errorf("%w: first frame is no hello", errProtocol)
+	}
+	if hello.Version != wire.ProtocolVersion {
+		return nil, fmt.Errorf("%w: protocol version %d, want %d", errProtocol, hello.Version, wire.ProtocolVersion)
+	}
+	return hello, nil
+}
+
+// newOutbound starts a link on a connection whose handshake is done.
+func newOutbound(ctx context.Context, conn Conn, cfg Config, peer Peer, generation uint64, log *slog.Logger) *outbound {
+	ctx, cancel := context.WithCancelCause(ctx)
+	now := time.Now()
+	o := &outbound{
+		cfg:        cfg,
+		peer:       peer,
+		generation: generation,
+		conn:       conn,
+		writer:     newWriter(conn, cfg.HeartbeatTimeout),
+		log:        log,
+		cancel:     cancel,
+		done:       make(chan struct{}),
+		calls:      map[uint64]*call{},
+		lastUse:    now,
+	}
+	o.lastHeard.Store(now.UnixNano())
+	var parts sync.WaitGroup
+	parts.Go(func() { o.stop(o.read(ctx)) })
+	parts.Go(func() { o.stop(o.writer.run(ctx)) })
+	parts.Go(func() { o.stop(o.heartbeat(ctx)) })
+	go func() {
+		<-ctx.Done()
+		conn.Close()
+		o.settleAll(context.Cause(ctx))
+		parts.Wait()
+		o.logClosed(context.Cause(ctx))
+		close(o.done)
+	}()
+	return o
+}
+
+// stop closes the link because of err. The first cause is kept.
+func (o *outbound) stop(err error) {
+	if err == nil {
+		err = errClosed
+	}
+	o.cancel(err)
+}
+
+func (o *outbound) logClosed(cause error) {
+	e := event.LinkClosed
+	if errors.Is(cause, errSilent) {
+		e = event.LinkSilent
+	}
+	event.Log(o.log, e, slog.String("peer", o.peer.Address), slog.Uint64("generation", o.generation),
+		slog.String("cause", cause.Error()))
+}
+
+// usable reports whether new requests may be sent on the link.
+func (o *outbound) usable() bool {
+	if o.leaving.Load() {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.closed
+}
+
+// send sends the request and waits for its response. It reports false, with no response, if the link was closed before
+// the request was queued; the request can then be sent on another link.
+func (o *outbound) send(ctx context.Context, req *message.Request) (*message.Response, bool) {
+	stream, c, err := o.open(req)
+	if err != nil {
+		return message.Refuse(message.ReasonInvalid, message.Errorf(message.StepSend, o.peer.Address, "%v", err)), true
+	}
+	if c == nil {
+		return nil, false
+	}
+	select {
+	case r := <-c.response:
+		return r, true
+	case <-ctx.Done():
+		return o.abandon(ctx, stream, c), true
+	}
+}
+
+// open registers a call and queues its frames.
+func (o *outbound) open(req *message.Request) (uint64, *call, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return 0, nil, nil
+	}
+	stream := o.nextStream + 1
+	now := time.Now()
+	frames, err := wire.EncodeRequest(stream, req, now)
+	if err != nil {
+		return 0, nil, err
+	}
+	c := &call{id: req.ID, out: &outgoing{frames: frames}, response: make(chan *message.Response, 1)}
+	if !o.writer.enqueue(c.out) {
+		return 0, nil, nil
+	}
+	o.nextStream = stream
+	if len(o.calls) == 0 {
+		o.waitSince = now
+	}
+	o.calls[stream] = c
+	return stream, c, nil
+}
+
+// take removes a call, so that exactly one party settles it.
+func (o *outbound) take(stream uint64) (*call, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c, ok := o.calls[stream]
+	if ok {
+		delete(o.calls, stream)
+		o.lastUse = time.Now()
+	}
+	return c, ok
+}
+
+// abandon settles a call whose context has ended.
+func (o *outbound) abandon(ctx context.Context, stream uint64, c *call) *message.Response {
+	if _, ok := o.take(stream); !ok {
+		return <-c.response // settled meanwhile
+	}
+	reason := message.ReasonCancelled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = message.ReasonDeadline
+	}
+	if c.out.withdraw() {
+		return message.Refuse(reason, message.Errorf(message.StepSend, o.peer.Address, "%v before the request was written", ctx.Err()))
+	}
+	o.post(&wire.Cancel{Stream: stream})
+	return message.Doubt(reason, message.Errorf(message.StepAwait, o.peer.Address, "%v", ctx.Err()))
+}
+
+// post queues a frame that needs no answer.
+func (o *outbound) post(f wire.Frame) {
+	b, err := wire.Encode(f)
+	if err != nil {
+		return
+	}
+	o.writer.enqueue(&outgoing{frames: [][]byte{b}})
+}
+
+// settleAll ends all calls of a closed link.
+func (o *outbound) settleAll(cause error) {
+	o.mu.Lock()
+	o.closed = true
+	calls := o.calls
+	o.calls = nil
+	o.mu.Unlock()
+	for _, c := range calls {
+		if c.out.withdraw() {
+			c.response <- message.Refuse(message.ReasonConnection,
+				message.Errorf(message.StepSend, o.peer.Address, "link closed before the request was written: %v", cause))
+			continue
+		}
+		c.response <- message.Doubt(message.ReasonConnection,
+			message.Errorf(message.StepAwait, o.peer.Address, "link closed before the response: %v", cause))
+	}
+}
+
+// read handles the frames of the peer until the link closes.
+func (o *outbound) read(ctx context.Context) error {
+	for {
+		b, err := o.conn.Read(ctx)
+		if err != nil {
+			return err
+		}
+		o.lastHeard.Store(time.Now().UnixNano())
+		f, err := wire.Decode(b)
+		if err != nil {
+			event.Log(o.log, event.FrameInvalid, slog.String("peer", o.peer.Address), slog.String("error", err.Error()))
+			return err
+		}
+		o.handle(f)
+	}
+}
+
+func (o *outbound) handle(f wire.Frame) {
+	switch f := f.(type) {
+	case *wire.Response:
+		o.handleResponse(f)
+	case *wire.Body:
+		o.handleBody(f)
+	case *wire.GoAway:
+		o.handleGoAway(f)
+	}
+}
+
+func (o *outbound) handleResponse(f *wire.Response) {
+	o.mu.Lock()
+	c, ok := o.calls[f.Stream]
+	o.mu.Unlock()
+	if !ok {
+		return // abandoned or settled before: a late response reaches nobody
+	}
+	if c.id != f.ID {
+		o.refuse(f.Stream, fmt.Errorf("%w: response for request %s on the stream of %s", errProtocol, message.ID(f.ID), c.id))
+		return
+	}
+	body, err := wire.NewAssembly(f.BodySize, f.Part, o.cfg.MaxBody)
+	if err != nil {
+		o.refuse(f.Stream, err)
+		return
+	}
+	c.head, c.body = f.Message(), body
+	o.finish(f.Stream, c)
+}
+
+func (o *outbound) handleBody(f *wire.Body) {
+	o.mu.Lock()
+	c, ok := o.calls[f.Stream]
+	o.mu.Unlock()
+	if !ok || c.head == nil {
+		return
+	}
+	if err := c.body.Add(f.Offset, f.Part); err != nil {
+		o.refuse(f.Stream, err)
+		return
+	}
+	o.finish(f.Stream, c)
+}
+
+// finish settles the call once its response is whole.
+func (o *outbound) finish(stream uint64, c *call) {
+	body, whole := c.body.Body()
+	if !whole {
+		return
+	}
+	if _, ok := o.take(stream); !ok {
+		return
+	}
+	c.head.Body = body
+	invariant.Check(invariant.AnswerMatches, c.out.state.Load() == stateWriting,
+		"response on stream %d, whose request was never written", stream)
+	c.response <- c.head
+}
+
+// refuse settles a call whose response cannot be used.
+func (o *outbound) refuse(stream uint64, err error) {
+	event.Log(o.log, event.FrameInvalid, slog.String("peer", o.peer.Address), slog.String("error", err.Error()))
+	if c, ok := o.take(stream); ok {
+		c.response <- message.Doubt(message.ReasonConnection, message.Errorf(message.StepAwait, o.peer.Address, "%v", err))
+	}
+}
+
+func (o *outbound) handleGoAway(f *wire.GoAway) {
+	o.leaving.Store(true)
+	o.mu.Lock()
+	var refused []*call
+	for stream, c := range o.calls {
+		if stream > f.LastStream {
+			delete(o.calls, stream)
+			refused = append(refused, c)
+		}
+	}
+	o.mu.Unlock()
+	for _, c := range refused {
+		c.response <- message.Refuse(message.ReasonLeaving, message.Errorf(message.StepAwait, o.peer.Address, "node is leaving"))
+	}
+}
+
+// heartbeat pings the peer while calls wait and nothing is heard, and ends the link when it is silent or idle.
+func (o *outbound) heartbeat(ctx context.Context) error {
+	ticker := time.NewTicker(o.cfg.HeartbeatInterval)
+	defer ticker.Stop()
+	var sequence uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			silent, waiting, idle := o.quiet(now)
+			switch {
+			case waiting && silent >= o.cfg.HeartbeatTimeout:
+				return errSilent
+			case waiting && silent >= o.cfg.HeartbeatInterval:
+				sequence++
+				o.post(&wire.Ping{Sequence: sequence})
+			case !waiting && (idle >= o.cfg.IdleTimeout || o.leaving.Load()):
+				return errIdle
+			}
+		}
+	}
+}
+
+// quiet returns how long the peer has been silent while calls waited, whether calls wait, and how long none did.
+func (o *outbound) quiet(now time.Time) (silent time.Duration, waiting bool, idle time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	since := time.Unix(0, o.lastHeard.Load())
+	if o.waitSince.After(since) {
+		since = o.waitSince
+	}
+	return now.Sub(since), len(o.calls) > 0, now.Sub(o.lastUse)
+}
--- /dev/null
+++ b/internal/connection/link/pool.go
@@ -0,0 +1,285 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// Pool keeps the links of a node: those it dialed, one per peer, and those that peers dialed.
+type Pool struct {
+	cfg     Config
+	dial    Dialer
+	handler Handler
+	log     *slog.Logger
+	ctx     context.Context
+	stop    context.CancelCauseFunc
+
+	generation atomic.Uint64
+	slots      sync.Map // peer address to *slot
+
+	mu       sync.Mutex
+	accepted map[*inbound]struct{}
+	leaving  bool
+	serving  sync.WaitGroup
+}
+
+// slot holds the link to one peer.
+type slot struct {
+	link atomic.Pointer[outbound]
+
+	mu       sync.Mutex
+	dialing  chan struct{} // closed when the present dial ends; nil when there is none
+	failedAt time.Time
+	failure  error // of the last dial
+}
+
+// NewPool returns a pool. Close ends it.
+func NewPool(cfg Config, dial Dialer, handler Handler, log *slog.Logger) *Pool {
+	ctx, stop := context.WithCancelCause(context.Background())
+	return &Pool{
+		cfg:      cfg.withDefaults(),
+		dial:     dial,
+		handler:  handler,
+		log:      log,
+		ctx:      ctx,
+		stop:     stop,
+		accepted: map[*inbound]struct{}{},
+	}
+}
+
+// Send sends the request to the node at the address and returns its response. The outcome is NotRun only if the request
+// cannot have reached the node's target and cannot reach it later.
+func (p *Pool) Send(ctx context.Context, address string, req *message.Request) *message.Response {
+	// A link can close between being found and being used, which is seen before anything is written.
+	const tries = 3
+	for range tries {
+		l, err := p.link(ctx, address)
+		if err != nil {
+			return message.Refuse(message.ReasonConnection, message.Errorf(message.StepDial, address, "%v", err))
+		}
+		if r, sent := l.send(ctx, req); sent {
+			return r
+		}
+	}
+	return message.Refuse(message.ReasonConnection, message.Errorf(message.StepDial, address, "links close as soon as they open"))
+}
+
+// SendControl sends a one-way message to a module of the node at the address. A nil error does not mean that it arrived.
+func (p *Pool) SendControl(ctx context.Context, address string, channel wire.Channel, payload []byte) error {
+	b, err := wire.Encode(&wire.Control{Channel: channel, Payload: payload})
+	if err != nil {
+		return fmt.Errorf("send control to %s: %w", address, err)
+	}
+	l, err := p.link(ctx, address)
+	if err != nil {
+		return fmt.Errorf("send control to %s: %w", address, err)
+	}
+	l.touch()
+	if !l.writer.enqueue(&outgoing{frames: [][]byte{b}}) {
+		return fmt.Errorf("send control to %s: %w", address, errClosed)
+	}
+	return nil
+}
+
+// touch keeps the link from being closed as idle.
+func (o *outbound) touch() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lastUse = time.Now()
+}
+
+// link returns a usable link to the peer and dials one if there is none. Concurrent callers wait for the same dial.
+func (p *Pool) link(ctx context.Context, address string) (*outbound, error) {
+	v, ok := p.slots.Load(address)
+	if !ok {
+		v, _ = p.slots.LoadOrStore(address, new(slot))
+	}
+	s := v.(*slot)
+	for {
+		if l := s.link.Load(); l != nil && l.usable() {
+			return l, nil
+		}
+		dialing, err := p.startDial(s, address)
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case <-dialing:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// startDial starts a dial unless one is under way, and returns the channel that is closed at its end. It fails at once
+// for a while after a failed dial.
+func (p *Pool) startDial(s *slot, address string) (<-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dialing != nil {
+		return s.dialing, nil
+	}
+	if s.failure != nil && time.Since(s.failedAt) < p.cfg.DialBackoff {
+		return nil, s.failure
+	}
+	if err := p.ctx.Err(); err != nil {
+		return nil, context.Cause(p.ctx)
+	}
+	done := make(chan struct{})
+	s.dialing = done
+	p.serving.Go(func() {
+		defer close(done)
+		l, err := p.open(address)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.dialing, s.failure, s.failedAt = nil, err, time.Now()
+		if err == nil {
+			s.link.Store(l)
+		}
+	})
+	return done, nil
+}
+
+// open dials a link. It does not use the context of the request that asked for it, because others wait for the link too.
+func (p *Pool) open(address string) (*outbound, error) {
+	ctx, cancel := context.WithTimeout(p.ctx, p.cfg.DialTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	generation := p.generation.Add(1)
+	peer, err := handshake(ctx, conn, p.cfg, generation)
+	if err == nil && peer.Address != address {
+		err = fmt.Errorf("%w: node at %s calls itself %s", errProtocol, address, peer.Address)
+	}
+	if err != nil {
+		conn.Close()
+		event.Log(p.log, event.LinkRefused, slog.String("peer", address), slog.String("error", err.Error()))
+		return nil, err
+	}
+	event.Log(p.log, event.LinkOpened, slog.String("peer", address), slog.Uint64("generation", generation))
+	return newOutbound(p.ctx, conn, p.cfg, peer, generation, p.log), nil
+}
+
+// Accept serves a connection that a peer dialed until it ends.
+func (p *Pool) Accept(ctx context.Context, conn Conn) error {
+	peer, err := p.greet(ctx, conn)
+	if err != nil {
+		conn.Close()
+		event.Log(p.log, event.LinkRefused, slog.String("error", err.Error()))
+		return fmt.Errorf("accept link: %w", err)
+	}
+	in := &inbound{
+		cfg:     p.cfg,
+		peer:    peer,
+		conn:    conn,
+		writer:  newWriter(conn, p.cfg.HeartbeatTimeout),
+		handler: p.handler,
+		log:     p.log,
+		streams: map[uint64]*stream{},
+	}
+	if !p.register(in) {
+		conn.Close()
+		return errClosed
+	}
+	defer p.unregister(in)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(p.ctx, func() { cancel(context.Cause(p.ctx)) })()
+	err = in.serve(ctx)
+	if errors.Is(err, errSilent) {
+		event.Log(p.log, event.LinkSilent, slog.String("peer", peer.Address), slog.String("cause", err.Error()))
+	}
+	return err
+}
+
+// greet exchanges the hello frames on a connection that a peer dialed.
+func (p *Pool) greet(ctx context.Context, conn Conn) (Peer, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
+	defer cancel()
+	hello, err := readHello(ctx, conn)
+	if err != nil {
+		return Peer{}, fmt.Errorf("read hello: %w", err)
+	}
+	if err := writeHello(ctx, conn, p.cfg.Self, hello.Generation); err != nil {
+		return Peer{}, fmt.Errorf("write hello to %s: %w", hello.Address, err)
+	}
+	return Peer{Address: hello.Address, Incarnation: hello.Incarnation, Zone: hello.Zone}, nil
+}
+
+func (p *Pool) register(in *inbound) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return false
+	}
+	p.accepted[in] = struct{}{}
+	p.serving.Add(1)
+	if p.leaving {
+		in.goAway()
+	}
+	return true
+}
+
+func (p *Pool) unregister(in *inbound) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.accepted, in)
+	p.serving.Done()
+}
+
+// GoAway tells every peer to send no more requests. Requests that were taken before go on.
+func (p *Pool) GoAway() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = true
+	for in := range p.accepted {
+		in.goAway()
+	}
+}
+
+// Active returns the number of requests of peers that have not been answered.
+func (p *Pool) Active() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for in := range p.accepted {
+		n += in.active()
+	}
+	return n
+}
+
+// Links returns the number of open links that this node dialed and that peers dialed.
+func (p *Pool) Links() (dialed, accepted int) {
+	p.slots.Range(func(_, v any) bool {
+		if l := v.(*slot).link.Load(); l != nil && l.usable() {
+			dialed++
+		}
+		return true
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return dialed, len(p.accepted)
+}
+
+// Close ends all links at once and waits for their goroutines. Requests that still wait are settled.
+func (p *Pool) Close() {
+	p.stop(errClosed)
+	p.serving.Wait()
+	p.slots.Range(func(_, v any) bool {
+		if l := v.(*slot).link.Load(); l != nil {
+			<-l.done
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/connection/link/writer.go
@@ -0,0 +1,107 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// States of a queued message. A message leaves stateQueued once, either to be written or to be withdrawn, so that a sender
+// that gives up knows for certain whether any byte of it can have reached the peer.
+const (
+	stateQueued int32 = iota
+	stateWriting
+	stateWithdrawn
+)
+
+// outgoing is a message of one or more frames that must follow each other.
+type outgoing struct {
+	frames [][]byte
+	state  atomic.Int32
+}
+
+// withdraw reports whether the message was taken back before any byte of it was written.
+func (o *outgoing) withdraw() bool {
+	return o.state.CompareAndSwap(stateQueued, stateWithdrawn)
+}
+
+// writer writes messages in the order in which they were queued.
+type writer struct {
+	conn    Conn
+	timeout time.Duration // of one frame; a longer block means that the connection is dead
+
+	mu     sync.Mutex
+	queue  []*outgoing
+	wake   chan struct{} // capacity 1
+	closed bool
+}
+
+func newWriter(conn Conn, timeout time.Duration) *writer {
+	return &writer{conn: conn, timeout: timeout, wake: make(chan struct{}, 1)}
+}
+
+// enqueue queues a message and reports false if the writer is closed, in which case nothing is written.
+func (w *writer) enqueue(o *outgoing) bool {
+	w.mu.Lock()
+	if w.closed {
+		w.mu.Unlock()
+		return false
+	}
+	w.queue = append(w.queue, o)
+	w.mu.Unlock()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// run writes until the context ends or a write fails.
+func (w *writer) run(ctx context.Context) error {
+	defer w.close()
+	for {
+		batch := w.take()
+		if len(batch) == 0 {
+			select {
+			case <-w.wake:
+				continue
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		for _, o := range batch {
+			if !o.state.CompareAndSwap(stateQueued, stateWriting) {
+				continue
+			}
+			if err := w.write(ctx, o); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (w *writer) take() []*outgoing {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	batch := w.queue
+	w.queue = nil
+	return batch
+}
+
+func (w *writer) write(ctx context.Context, o *outgoing) error {
+	ctx, cancel := context.WithTimeout(ctx, w.timeout)
+	defer cancel()
+	for _, b := range o.frames {
+		if err := w.conn.Write(ctx, b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *writer) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+}
--- /dev/null
+++ b/internal/connection/wire/convert.go
@@ -0,0 +1,154 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// ErrBody reports body parts that do not add up to the stated size.
+var ErrBody = errors.New("body parts do not fit the stated size")
+
+// EncodeRequest returns the frames of a request. The time left is taken at now.
+func EncodeRequest(stream uint64, r *message.Request, now time.Time) ([][]byte, error) {
+	f := &Request{
+		Stream:     stream,
+		ID:         r.ID,
+		Span:       r.Span,
+		Hop:        r.Hop,
+		Service:    r.Service,
+		Method:     r.Method,
+		Path:       r.Path,
+		Header:     r.Header,
+		Priority:   uint16(r.Priority),
+		Idempotent: r.Idempotent,
+		TimeLeft:   uint64(max(r.Deadline.Sub(now).Microseconds(), 0)),
+		Retries:    r.Retries,
+		Key:        r.Key,
+		Mode:       uint8(r.Mode),
+		BodySize:   uint64(len(r.Body)),
+		Part:       firstPart(r.Body),
+	}
+	return encodeWithBody(f, stream, r.Body)
+}
+
+// EncodeResponse returns the frames of a response to the request with the given ID.
+func EncodeResponse(stream uint64, id message.ID, r *message.Response) ([][]byte, error) {
+	f := &Response{
+		Stream:      stream,
+		ID:          id,
+		Outcome:     uint8(r.Outcome),
+		Reason:      uint8(r.Reason),
+		Status:      r.Status,
+		Header:      r.Header,
+		RetryAfter:  uint64(max(r.RetryAfter.Milliseconds(), 0)),
+		RetriesLeft: r.RetriesLeft,
+		InFlight:    r.Load.InFlight,
+		Limit:       r.Load.Limit,
+		BodySize:    uint64(len(r.Body)),
+		Part:        firstPart(r.Body),
+	}
+	if r.Err != nil {
+		f.ErrStep, f.ErrPeer, f.ErrDetail = string(r.Err.Step), r.Err.Peer, r.Err.Detail
+	}
+	for _, t := range r.Thresholds {
+		f.Thresholds = append(f.Thresholds, Threshold{Service: t.Service, Priority: uint16(t.Priority)})
+	}
+	return encodeWithBody(f, stream, r.Body)
+}
+
+func firstPart(body []byte) []byte { return body[:min(len(body), MaxPart)] }
+
+func encodeWithBody(head Frame, stream uint64, body []byte) ([][]byte, error) {
+	b, err := Encode(head)
+	if err != nil {
+		return nil, err
+	}
+	frames := [][]byte{b}
+	for offset := MaxPart; offset < len(body); offset += MaxPart {
+		part := body[offset:min(offset+MaxPart, len(body))]
+		if b, err = Encode(&Body{Stream: stream, Offset: uint64(offset), Part: part}); err != nil {
+			return nil, err
+		}
+		frames = append(frames, b)
+	}
+	return frames, nil
+}
+
+// Message returns the request without its body. The deadline counts from now.
+func (f *Request) Message(now time.Time) *message.Request {
+	return &message.Request{
+		ID:         f.ID,
+		Span:       f.Span,
+		Service:    f.Service,
+		Method:     f.Method,
+		Path:       f.Path,
+		Header:     f.Header,
+		Priority:   message.Priority(f.Priority),
+		Idempotent: f.Idempotent,
+		Hop:        f.Hop,
+		Deadline:   now.Add(time.Duration(min(f.TimeLeft, uint64(maxTimeLeft.Microseconds()))) * time.Microsecond),
+		Retries:    f.Retries,
+		Key:        f.Key,
+		Mode:       message.Mode(f.Mode),
+	}
+}
+
+// maxTimeLeft bounds the deadline that a peer can ask for, so that a faulty peer cannot pin a slot for ever.
+const maxTimeLeft = 10 * time.Minute
+
+// Message returns the response without its body.
+func (f *Response) Message() *message.Response {
+	r := &message.Response{
+		Outcome:     message.Outcome(f.Outcome),
+		Reason:      message.Reason(f.Reason),
+		Status:      f.Status,
+		Header:      f.Header,
+		RetryAfter:  time.Duration(f.RetryAfter) * time.Millisecond,
+		RetriesLeft: f.RetriesLeft,
+		Load:        message.Load{InFlight: f.InFlight, Limit: f.Limit},
+	}
+	if f.ErrStep != "" {
+		r.Err = &message.Error{Step: message.Step(f.ErrStep), Peer: f.ErrPeer, Detail: f.ErrDetail}
+	}
+	for _, t := range f.Thresholds {
+		r.Thresholds = append(r.Thresholds, message.Threshold{Service: t.Service, Priority: message.Priority(t.Priority)})
+	}
+	return r
+}
+
+// Assembly puts the parts of one body together. A body is complete only when exactly its stated size has arrived in order.
+type Assembly struct {
+	size uint64
+	body []byte
+}
+
+// NewAssembly starts a body of the given size with its first part.
+func NewAssembly(size uint64, first []byte, limit int) (*Assembly, error) {
+	if size > uint64(limit) {
+		return nil, fmt.Errorf("%w: body of %d bytes exceeds %d", ErrTooLarge, size, limit)
+	}
+	a := &Assembly{size: size}
+	if uint64(len(first)) == size {
+		a.body = first
+		return a, nil
+	}
+	a.body = make([]byte, 0, size)
+	return a, a.Add(0, first)
+}
+
+// Add appends a part.
+func (a *Assembly) Add(offset uint64, part []byte) error {
+	if offset != uint64(len(a.body)) || offset+uint64(len(part)) > a.size {
+		return fmt.Errorf("%w: part of %d bytes at %d, have %d of %d", ErrBody, len(part), offset, len(a.body), a.size)
+	}
+	a.body = append(a.body, part...)
+	return nil
+}
+
+// Body returns the body and whether it is complete.
+func (a *Assembly) Body() ([]byte, bool) {
+	return a.body, uint64(len(a.body)) == a.size
+}
--- /dev/null
+++ b/internal/connection/wire/frame.go
@@ -0,0 +1,226 @@
+// Package wire defines the frames that nodes exchange: one binary WebSocket message per frame, a type byte followed by
+// the CBOR encoding of the frame's struct.
+//
+// All functions are safe for concurrent use.
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// ProtocolVersion is the version of the peer protocol. Nodes with different versions refuse each other's links.
+const ProtocolVersion = 1
+
+// Sizes of the peer protocol.
+const (
+	MaxPart  = 64 << 10  // bytes of a body in one frame
+	MaxFrame = 256 << 10 // bytes of an encoded frame
+)
+
+// Errors that callers distinguish with errors.Is.
+var (
+	ErrTooLarge = errors.New("frame exceeds its size limit")
+	ErrFrame    = errors.New("malformed frame")
+)
+
+// Type is the type byte of a frame.
+type Type byte
+
+// Types of frames.
+const (
+	TypeHello    Type = 1
+	TypeRequest  Type = 2
+	TypeBody     Type = 3
+	TypeResponse Type = 4
+	TypeCancel   Type = 5
+	TypePing     Type = 6
+	TypePong     Type = 7
+	TypeGoAway   Type = 8
+	TypeControl  Type = 9
+)
+
+// Channel names the receiver of a control frame inside a node.
+type Channel uint8
+
+// Channels of control frames.
+const (
+	ChannelGossip Channel = 1
+	ChannelConfig Channel = 2
+)
+
+// Hello is the first frame in both directions.
+type Hello struct {
+	Version     uint16 `cbor:"1,keyasint"`
+	Address     string `cbor:"2,keyasint"` // of the sender's peer interface
+	Incarnation uint64 `cbor:"3,keyasint"`
+	Zone        string `cbor:"4,keyasint"` // availability zone
+	Generation  uint64 `cbor:"5,keyasint"` // of the link, given by the node that dialed it
+}
+
+// Request starts a request on a new stream.
+type Request struct {
+	Stream     uint64      `cbor:"1,keyasint"`
+	ID         [16]byte    `cbor:"2,keyasint"`
+	Span       [8]byte     `cbor:"3,keyasint"`
+	Hop        uint8       `cbor:"4,keyasint,omitempty"`
+	Service    string      `cbor:"5,keyasint"`
+	Method     string      `cbor:"6,keyasint"`
+	Path       string      `cbor:"7,keyasint"`
+	Header     http.Header `cbor:"8,keyasint,omitempty"`
+	Priority   uint16      `cbor:"9,keyasint,omitempty"`
+	Idempotent bool        `cbor:"10,keyasint,omitempty"`
+	TimeLeft   uint64      `cbor:"11,keyasint"` // microseconds
+	Retries    int         `cbor:"12,keyasint,omitempty"`
+	Key        string      `cbor:"13,keyasint,omitempty"`
+	Mode       uint8       `cbor:"14,keyasint,omitempty"`
+	BodySize   uint64      `cbor:"15,keyasint,omitempty"` // bytes of the whole body
+	Part       []byte      `cbor:"16,keyasint,omitempty"` // first part of the body
+}
+
+// Body carries a further part of the body of a request or response.
+type Body struct {
+	Stream uint64 `cbor:"1,keyasint"`
+	Offset uint64 `cbor:"2,keyasint"` // bytes before this part
+	Part   []byte `cbor:"3,keyasint"`
+}
+
+// Threshold is a service's shedding threshold.
+type Threshold struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Priority uint16
+}
+
+// Response ends a request.
+type Response struct {
+	Stream      uint64      `cbor:"1,keyasint"`
+	ID          [16]byte    `cbor:"2,keyasint"`
+	Outcome     uint8       `cbor:"3,keyasint"`
+	Reason      uint8       `cbor:"4,keyasint,omitempty"`
+	Status      int         `cbor:"5,keyasint,omitempty"`
+	Header      http.Header `cbor:"6,keyasint,omitempty"`
+	ErrStep     string      `cbor:"7,keyasint,omitempty"`
+	ErrPeer     string      `cbor:"8,keyasint,omitempty"`
+	ErrDetail   string      `cbor:"9,keyasint,omitempty"`
+	RetryAfter  uint64      `cbor:"10,keyasint,omitempty"` // milliseconds
+	RetriesLeft int         `cbor:"11,keyasint,omitempty"`
+	Thresholds  []Threshold `cbor:"12,keyasint,omitempty"`
+	InFlight    int         `cbor:"13,keyasint,omitempty"`
+	Limit       int         `cbor:"14,keyasint,omitempty"`
+	BodySize    uint64      `cbor:"15,keyasint,omitempty"` // bytes of the whole body
+	Part        []byte      `cbor:"16,keyasint,omitempty"` // first part of the body
+}
+
+// Cancel says that nobody waits for the response of a stream any more.
+type Cancel struct {
+	Stream uint64 `cbor:"1,keyasint"`
+}
+
+// Ping asks for a Pong with the same sequence number.
+type Ping struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+}
+
+// Pong answers a Ping.
+type Pong struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+}
+
+// GoAway says that the sender takes no stream above LastStream on this link. Streams above it were not run.
+type GoAway struct {
+	LastStream uint64 `cbor:"1,keyasint"`
+}
+
+// Control carries a one-way message to a module of the other node.
+type Control struct {
+	Channel Channel `cbor:"1,keyasint"`
+	Payload []byte  `cbor:"2,keyasint"`
+}
+
+var (
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+func mustEncoder() cbor.UserBufferEncMode {
+	m, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return m
+}
+
+func mustDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  8,
+		MaxArrayElements: 1 << 12,
+		MaxMapPairs:      1 << 10,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return m
+}
+
+// Frame is one of the frame structs of this package, by pointer.
+type Frame interface{ frameType() Type }
+
+func (*Hello) frameType() Type    { return TypeHello }
+func (*Request) frameType() Type  { return TypeRequest }
+func (*Body) frameType() Type     { return TypeBody }
+func (*Response) frameType() Type { return TypeResponse }
+func (*Cancel) frameType() Type   { return TypeCancel }
+func (*Ping) frameType() Type     { return TypePing }
+func (*Pong) frameType() Type     { return TypePong }
+func (*GoAway) frameType() Type   { return TypeGoAway }
+func (*Control) frameType() Type  { return TypeControl }
+
+// Decode reads one frame.
+func Decode(b []byte) (Frame, error) {
+	if len(b) == 0 {
+		return nil, fmt.Errorf("%w: empty message", ErrFrame)
+	}
+	if len(b) > MaxFrame {
+		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(b))
+	}
+	f := newFrame(Type(b[0]))
+	if f == nil {
+		return nil, fmt.Errorf("%w: unknown type %d", ErrFrame, b[0])
+	}
+	if err := decoder.Unmarshal(b[1:], f); err != nil {
+		return nil, fmt.Errorf("%w: type %d: %v", ErrFrame, b[0], err)
+	}
+	return f, nil
+}
+
+func newFrame(t Type) Frame {
+	switch t {
+	case TypeHello:
+		return new(Hello)
+	case TypeRequest:
+		return new(Request)
+	case TypeBody:
+		return new(Body)
+	case TypeResponse:
+		return new(Response)
+	case TypeCancel:
+		return new(Cancel)
+	case TypePing:
+		return new(Ping)
+	case TypePong:
+		return new(Pong)
+	case TypeGoAway:
+		return new(GoAway)
+	case TypeControl:
+		return new(Control)
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/connection/wire/wire_test.go
@@ -0,0 +1,118 @@
+package wire
+
+import (
+	"bytes"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+func request(body []byte, now time.Time) *message.Request {
+	return &message.Request{
+		ID: message.ID{1, 2}, Span: message.SpanID{3}, Service: "menu", Method: "GET", Path: "/boards/1?x=1",
+		Header: http.Header{"Accept": {"text/plain"}}, Body: body, Priority: 513, Idempotent: true, Hop: 2,
+		Deadline: now.Add(time.Second), Retries: 2, Key: "k", Mode: message.ModeHome,
+	}
+}
+
+// Guards against fields that get lost between two hops, and against bodies that change when they are split.
+func TestRequestSurvivesEncoding(t *testing.T) {
+	now := time.Now()
+	for _, size := range []int{0, 1, MaxPart, MaxPart + 1, 3*MaxPart + 5} {
+		want := request(bytes.Repeat([]byte{7}, size), now)
+		frames, err := EncodeRequest(9, want, now)
+		require.NoError(t, err)
+		f, err := Decode(frames[0])
+		require.NoError(t, err)
+		head := f.(*Request)
+		a, err := NewAssembly(head.BodySize, head.Part, 1<<20)
+		require.NoError(t, err)
+		for _, b := range frames[1:] {
+			f, err := Decode(b)
+			require.NoError(t, err)
+			require.NoError(t, a.Add(f.(*Body).Offset, f.(*Body).Part))
+		}
+		got := head.Message(now)
+		body, whole := a.Body()
+		require.True(t, whole)
+		got.Body = body
+		require.Equal(t, len(want.Body), len(got.Body))
+		want.Body, got.Body = nil, nil
+		require.Equal(t, want, got)
+	}
+}
+
+// Guards against a cut, repeated or reordered body that is taken as whole.
+func TestAssemblyRefusesWrongParts(t *testing.T) {
+	a, err := NewAssembly(10, []byte("12345"), 100)
+	require.NoError(t, err)
+	_, whole := a.Body()
+	require.False(t, whole)
+	require.ErrorIs(t, a.Add(0, []byte("12345")), ErrBody)
+	require.ErrorIs(t, a.Add(6, []byte("7")), ErrBody)
+	require.ErrorIs(t, a.Add(5, []byte("6789012")), ErrBody)
+	require.NoError(t, a.Add(5, []byte("67890")))
+	_, whole = a.Body()
+	require.True(t, whole)
+	_, err = NewAssembly(101, nil, 100)
+	require.ErrorIs(t, err, ErrTooLarge)
+}
+
+// Guards against input of a peer that crashes the decoder or that decodes to something else when encoded again.
+func FuzzDecode(f *testing.F) {
+	now := time.Now()
+	frames, err := EncodeRequest(1, request([]byte("body"), now), now)
+	require.NoError(f, err)
+	f.Add(frames[0])
+	resp, err := EncodeResponse(1, message.ID{1}, &message.Response{
+		Outcome: message.Answered, Status: 200, Body: []byte("x"), Thresholds: []message.Threshold{{Service: "a", Priority: 3}},
+		Err: message.Errorf(message.StepRun, "p", "d"),
+	})
+	require.NoError(f, err)
+	f.Add(resp[0])
+	for _, fr := range []Frame{&Hello{Version: 1}, &Cancel{1}, &Ping{2}, &Pong{3}, &GoAway{4}, &Control{1, []byte("p")}, &Body{1, 2, nil}} {
+		b, err := Encode(fr)
+		require.NoError(f, err)
+		f.Add(b)
+	}
+	f.Add([]byte{})
+	f.Add([]byte{2, 0xbf})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		frame, err := Decode(b)
+		if err != nil {
+			return
+		}
+		again, err := Encode(frame)
+		require.NoError(t, err)
+		back, err := Decode(again)
+		require.NoError(t, err)
+		once, err := Encode(back)
+		require.NoError(t, err)
+		require.Equal(t, len(again), len(once))
+		switch fr := frame.(type) {
+		case *Request:
+			_ = fr.Message(time.Now())
+		case *Response:
+			_ = fr.Message()
+		}
+	})
+}
+
+func BenchmarkRequestRoundTrip(b *testing.B) {
+	now := time.Now()
+	r := request([]byte("hello"), now)
+	b.ReportAllocs()
+	for b.Loop() {
+		frames, err := EncodeRequest(1, r, now)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := Decode(frames[0]); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
