Add admission control for the target beside a node

The Controller limits the requests in flight, keeps a bounded queue ordered by rank and deadline, and publishes a shedding threshold. The limit goes below the slots of the policy only when a trial that alternates between two limits shows the same throughput at both. Latency was ruled out as the signal: a slot-bound target at quarter speed looks the same as one with fewer slots than stated.

--- /dev/null
+++ b/internal/process/admission/admission.go
@@ -0,0 +1,472 @@
+// Package admission protects the one target beside a node from more work than it can complete.
+//
+// A Controller limits the requests in flight, keeps a short queue in front of the target and publishes the lowest priority
+// that it admits. It relies on its own counts and the outcomes of requests, not on what the target reports about itself.
+//
+// A Controller is safe for concurrent use. Acquire and Release take the Controller's mutex for a bounded number of steps;
+// Threshold and Load read atomics except when an interval of the measurement has ended.
+package admission
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
+
+// Limits bounds the work in front of a target.
+type Limits struct {
+	Slots        int           // requests that the target runs at once
+	Connections  int           // connections that the target accepts
+	QueueLength  int           // requests that may wait
+	QueueMaxWait time.Duration // longest wait in the queue
+	RampTime     time.Duration // time from a cold start to the full limit; zero: no ramp
+}
+
+// LimitsOf returns the limits that a policy sets for the targets of a service.
+func LimitsOf(s *policy.Service, q policy.Queue, ramp time.Duration) Limits {
+	return Limits{
+		Slots:        s.Slots,
+		Connections:  s.Connections,
+		QueueLength:  int(math.Ceil(q.Length * float64(s.Slots))),
+		QueueMaxWait: q.MaxWait,
+		RampTime:     ramp,
+	}
+}
+
+// ceiling returns the number of requests that may ever be in flight. It is at least one: a target without a slot would
+// never be measured.
+func (l Limits) ceiling() int { return max(1, min(l.Slots, l.Connections)) }
+
+// Work describes a request that asks for a slot.
+type Work struct {
+	Priority message.Priority
+	Deadline time.Time // zero: none
+}
+
+// Result describes how a request ended at the target.
+type Result struct {
+	Latency   time.Duration // time at the target
+	Failed    bool          // no answer, or an answer that reports a failure of the target
+	Cancelled bool          // ended before its answer because the caller left or the deadline passed
+}
+
+// Refusal is the error of work that was not admitted. The work was not run.
+type Refusal struct {
+	Reason     message.Reason
+	RetryAfter time.Duration // spread at random, so that refused callers do not return together
+	Threshold  message.Priority
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return fmt.Sprintf("not admitted: %s", r.Reason) }
+
+// Response returns the response for the refused request.
+func (r *Refusal) Response() *message.Response {
+	resp := message.Refuse(r.Reason, message.Errorf(message.StepAdmit, "", "%s", r.Reason))
+	resp.RetryAfter = r.RetryAfter
+	return resp
+}
+
+const (
+	// minRetryAfter is the shortest time after which refused work is told to return, before the random spread.
+	minRetryAfter = 100 * time.Millisecond
+	// maxRetryAfter bounds the same time: a recovered target should not stay idle for long.
+	maxRetryAfter = 5 * time.Second
+	// rampStart is the share of the limit that a cold target gets at first.
+	rampStart = 0.1
+	// rampSteps is the number of steps in which the limit rises to the full value.
+	rampSteps = 50
+	// idleShare is the share of slots that must be idle before work below the threshold may use them.
+	idleShare = 0.1
+)
+
+// Controller is the admission control of one target.
+type Controller struct {
+	origin time.Time // times below are durations since origin
+
+	threshold atomic.Uint32 // copy of gate.threshold
+	load      atomic.Uint64 // in-flight and queued requests in the high half, limit in the low half
+	nextTick  atomic.Int64
+
+	mu        sync.Mutex
+	limits    Limits
+	leaving   bool
+	inFlight  int
+	limit     int // present limit on requests in flight
+	queue     queue
+	hold      estimate
+	meter     meter
+	gate      gate
+	trial     trial
+	rampFrom  time.Duration // start of the ramp; negative: no ramp
+	rampTimer *time.Timer
+}
+
+// New returns a Controller that admits at the full limit. StartRamp makes it start slowly.
+func New(l Limits) *Controller {
+	c := &Controller{origin: time.Now(), limits: l, rampFrom: -1}
+	c.trial.reset(l.ceiling(), 0)
+	c.limit = c.present(0)
+	c.nextTick.Store(int64(tickInterval))
+	c.publish()
+	return c
+}
+
+// Permit is the right to run one request at the target. It must be released once.
+type Permit struct {
+	c        *Controller
+	released atomic.Bool
+}
+
+// Acquire waits for a slot. The error is a *Refusal, and the work was not run. The permit must be released when the
+// request has ended.
+func (c *Controller) Acquire(ctx context.Context, w Work) (*Permit, error) {
+	if reason := contextReason(ctx); reason != message.ReasonNone {
+		return nil, &Refusal{Reason: reason}
+	}
+	c.mu.Lock()
+	now := c.advance()
+	c.meter.arrive(w.Priority, c.gate.threshold)
+	c.gate.see(w.Priority.Rank(), now)
+	if reason := c.check(now, w); reason != message.ReasonNone {
+		return nil, c.refuseLocked(now, reason)
+	}
+	if c.queue.len() == 0 && c.inFlight < c.limit {
+		p := c.grant()
+		c.publish()
+		c.mu.Unlock()
+		return p, nil
+	}
+	wt, reason := c.enqueue(ctx, now, w)
+	if reason != message.ReasonNone {
+		return nil, c.refuseLocked(now, reason)
+	}
+	wait := c.limits.QueueMaxWait
+	c.publish()
+	c.mu.Unlock()
+	return c.await(ctx, wt, wait)
+}
+
+// refuseLocked builds a refusal and unlocks.
+func (c *Controller) refuseLocked(now time.Duration, reason message.Reason) error {
+	r := c.refusal(now, reason)
+	c.publish()
+	c.mu.Unlock()
+	return r
+}
+
+// check returns the reason for which work is refused on arrival without a look at the queue.
+func (c *Controller) check(now time.Duration, w Work) message.Reason {
+	switch {
+	case c.leaving:
+		return message.ReasonLeaving
+	case !c.meets(now, 0, w):
+		return message.ReasonDeadline
+	case w.Priority < c.gate.threshold && !c.idle():
+		return message.ReasonOverload
+	}
+	return message.ReasonNone
+}
+
+// idle reports whether enough slots are free for work below the threshold. The threshold is an estimate for callers; it
+// must not leave slots idle.
+func (c *Controller) idle() bool {
+	return c.queue.len() == 0 && float64(c.inFlight) < (1-idleShare)*float64(c.limit)
+}
+
+// meets reports whether the work can end before its deadline after a wait. With nothing in flight the service time is
+// ignored: a measured time that refuses everything would never be corrected.
+func (c *Controller) meets(now, wait time.Duration, w Work) bool {
+	if w.Deadline.IsZero() {
+		return true
+	}
+	left := w.Deadline.Sub(c.origin) - now
+	if left <= 0 {
+		return false
+	}
+	return c.inFlight == 0 || wait+c.hold.low <= left
+}
+
+// enqueue adds work to the queue, where necessary in place of the work of lowest priority.
+func (c *Controller) enqueue(ctx context.Context, now time.Duration, w Work) (*waiter, message.Reason) {
+	wt := &waiter{ctx: ctx, work: w, since: now, ready: make(chan struct{})}
+	at := c.queue.position(wt)
+	wait := time.Duration(at+1) * c.hold.mean / time.Duration(c.limit)
+	if wait > c.limits.QueueMaxWait {
+		c.meter.turnedAway++
+		return nil, message.ReasonOverload
+	}
+	if !c.meets(now, wait, w) {
+		c.meter.turnedAway++
+		return nil, message.ReasonDeadline
+	}
+	if c.queue.len() >= c.limits.QueueLength {
+		c.meter.turnedAway++
+		lowest := c.queue.lowest()
+		if lowest < 0 || c.queue.items[lowest].work.Priority >= w.Priority {
+			return nil, message.ReasonOverload
+		}
+		c.refuseWaiter(now, c.queue.remove(lowest), message.ReasonOverload)
+		at = c.queue.position(wt)
+	}
+	c.queue.insert(at, wt)
+	return wt, message.ReasonNone
+}
+
+// await blocks until the waiter is granted a permit or refused, its context ends or the longest wait has passed.
+func (c *Controller) await(ctx context.Context, wt *waiter, wait time.Duration) (*Permit, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-wt.ready:
+	case <-ctx.Done():
+		c.abandon(wt, contextReason(ctx))
+	case <-timer.C:
+		c.abandon(wt, message.ReasonOverload)
+	}
+	if wt.refusal != nil {
+		return nil, wt.refusal
+	}
+	return wt.permit, nil
+}
+
+// abandon takes a waiter out of the queue. A permit that was granted at the same moment is returned if the caller has
+// left, because nobody would run the work.
+func (c *Controller) abandon(wt *waiter, reason message.Reason) {
+	c.mu.Lock()
+	now := c.advance()
+	if at := c.queue.index(wt); at >= 0 {
+		if reason == message.ReasonOverload {
+			c.meter.turnedAway++
+		}
+		c.refuseWaiter(now, c.queue.remove(at), reason)
+	} else if wt.permit != nil && reason != message.ReasonOverload {
+		wt.permit.released.Store(true)
+		wt.permit, wt.refusal = nil, c.refusal(now, reason)
+		c.inFlight--
+		c.dispatch(now)
+	}
+	c.publish()
+	c.mu.Unlock()
+}
+
+func (c *Controller) refuseWaiter(now time.Duration, wt *waiter, reason message.Reason) {
+	wt.refusal = c.refusal(now, reason)
+	close(wt.ready)
+}
+
+// grant takes a slot.
+func (c *Controller) grant() *Permit {
+	c.inFlight++
+	invariant.Check(invariant.InFlightBounded, c.inFlight <= c.limits.ceiling(),
+		"%d requests in flight, %d allowed", c.inFlight, c.limits.ceiling())
+	invariant.Check(invariant.LeavingRefuses, !c.leaving, "work admitted after leaving")
+	return &Permit{c: c}
+}
+
+// dispatch gives free slots to the queue.
+func (c *Controller) dispatch(now time.Duration) {
+	for c.inFlight < c.limit && c.queue.len() > 0 {
+		wt := c.queue.remove(0)
+		if reason := contextReason(wt.ctx); reason != message.ReasonNone {
+			c.refuseWaiter(now, wt, reason)
+			continue
+		}
+		if !c.meets(now, 0, wt.work) {
+			c.meter.turnedAway++
+			c.refuseWaiter(now, wt, message.ReasonDeadline)
+			continue
+		}
+		wt.permit = c.grant()
+		close(wt.ready)
+	}
+}
+
+// Release ends the request of the permit. Further calls have no effect.
+func (p *Permit) Release(r Result) {
+	if p.released.Swap(true) {
+		return
+	}
+	c := p.c
+	c.mu.Lock()
+	now := c.advance()
+	c.inFlight--
+	c.meter.depart(r)
+	c.hold.add(r)
+	c.dispatch(now)
+	c.publish()
+	c.mu.Unlock()
+}
+
+// Threshold returns the lowest priority that is admitted now.
+func (c *Controller) Threshold() message.Priority {
+	if int64(time.Since(c.origin)) >= c.nextTick.Load() {
+		c.refresh()
+	}
+	return message.Priority(c.threshold.Load())
+}
+
+// Load returns the requests in flight or queued and the present limit.
+func (c *Controller) Load() message.Load {
+	if int64(time.Since(c.origin)) >= c.nextTick.Load() {
+		c.refresh()
+	}
+	v := c.load.Load()
+	return message.Load{InFlight: int(v >> 32), Limit: int(uint32(v))}
+}
+
+func (c *Controller) refresh() {
+	c.mu.Lock()
+	c.advance()
+	c.publish()
+	c.mu.Unlock()
+}
+
+// SetLimits replaces the limits. Requests in flight above a lower limit run to their end. What was measured is forgotten
+// if the number of slots or connections changes.
+func (c *Controller) SetLimits(l Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.advance()
+	changed := l.ceiling() != c.limits.ceiling()
+	c.limits = l
+	if changed {
+		c.trial.reset(l.ceiling(), now)
+	}
+	for c.queue.len() > l.QueueLength {
+		c.refuseWaiter(now, c.queue.remove(c.queue.lowest()), message.ReasonOverload)
+	}
+	c.limit = c.present(now)
+	c.dispatch(now)
+	c.publish()
+}
+
+// StartRamp starts the slow increase of the limit for a target that starts cold. What was measured before is forgotten.
+func (c *Controller) StartRamp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.advance()
+	c.trial.reset(c.limits.ceiling(), now)
+	c.hold = estimate{}
+	if c.limits.RampTime <= 0 {
+		return
+	}
+	c.rampFrom = now
+	c.limit = c.present(now)
+	if c.rampTimer == nil {
+		c.rampTimer = time.AfterFunc(c.limits.RampTime/rampSteps, c.ramp)
+	} else {
+		c.rampTimer.Reset(c.limits.RampTime / rampSteps)
+	}
+	c.publish()
+}
+
+// ramp is one step of the slow start. A timer drives it because the queue must move even if nothing arrives or ends.
+func (c *Controller) ramp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.advance()
+	if c.rampFrom >= 0 && !c.leaving {
+		c.rampTimer.Reset(c.limits.RampTime / rampSteps)
+	}
+	c.dispatch(now)
+	c.publish()
+}
+
+// StopAdmitting refuses all queued and all new work as leaving. It is final; requests in flight run to their end.
+func (c *Controller) StopAdmitting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.advance()
+	c.leaving = true
+	if c.rampTimer != nil {
+		c.rampTimer.Stop()
+	}
+	for c.queue.len() > 0 {
+		c.refuseWaiter(now, c.queue.remove(0), message.ReasonLeaving)
+	}
+	c.publish()
+}
+
+// advance accounts for the time since the last call, ends the interval of measurement if it is over, and returns the
+// present time. It is called with the mutex held, before the state changes.
+func (c *Controller) advance() time.Duration {
+	now := time.Since(c.origin)
+	c.meter.integrate(now, c.inFlight, c.limit, c.queue.len())
+	if now >= time.Duration(c.nextTick.Load()) {
+		c.tick(now)
+	}
+	if limit := c.present(now); limit != c.limit {
+		c.limit = limit
+		c.dispatch(now)
+	}
+	return now
+}
+
+// tick ends an interval of measurement.
+func (c *Controller) tick(now time.Duration) {
+	m := &c.meter
+	c.gate.adjust(now, m, &c.queue, c.limits.QueueLength)
+	if c.rampFrom < 0 {
+		c.trial.observe(now, m, &c.hold)
+	}
+	m.restart(now)
+	c.nextTick.Store(int64(now + tickInterval))
+}
+
+// present returns the limit on requests in flight at the given time.
+func (c *Controller) present(now time.Duration) int {
+	limit := c.trial.limit()
+	if c.rampFrom < 0 {
+		return limit
+	}
+	share := rampStart + (1-rampStart)*float64(now-c.rampFrom)/float64(c.limits.RampTime)
+	if c.limits.RampTime <= 0 || share >= 1 {
+		c.rampFrom = -1
+		return limit
+	}
+	return max(1, int(share*float64(limit)))
+}
+
+// publish copies the state that is read without the mutex.
+func (c *Controller) publish() {
+	c.threshold.Store(uint32(c.gate.threshold))
+	c.load.Store(uint64(c.inFlight+c.queue.len())<<32 | uint64(uint32(c.limit)))
+}
+
+// refusal builds the error for refused work. The time to return grows with the time that the backlog needs and with the
+// share of work that is refused.
+func (c *Controller) refusal(now time.Duration, reason message.Reason) *Refusal {
+	r := &Refusal{Reason: reason, Threshold: c.gate.threshold}
+	switch reason {
+	case message.ReasonOverload, message.ReasonDeadline:
+		backlog := time.Duration(c.inFlight+c.queue.len()) * c.hold.mean / time.Duration(c.limit)
+		after := float64(minRetryAfter+backlog) * (1 + c.gate.pressure)
+		r.RetryAfter = time.Duration(min(after, float64(maxRetryAfter)) * (0.5 + rand.Float64()))
+	case message.ReasonLeaving:
+		r.RetryAfter = time.Duration(float64(minRetryAfter) * (0.5 + rand.Float64()))
+	}
+	return r
+}
+
+// contextReason returns the reason for which work with an ended context is refused.
+func contextReason(ctx context.Context) message.Reason {
+	err := ctx.Err()
+	switch {
+	case err == nil:
+		return message.ReasonNone
+	case errors.Is(err, context.DeadlineExceeded):
+		return message.ReasonDeadline
+	default:
+		return message.ReasonCancelled
+	}
+}
--- /dev/null
+++ b/internal/process/admission/admission_test.go
@@ -0,0 +1,291 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+const (
+	rankOrder = 30
+	rankRead  = 10
+)
+
+// target is a fake target: requests above its slots wait inside it.
+type target struct {
+	slots   chan struct{}
+	service time.Duration
+	spread  bool // exponential instead of constant service times
+}
+
+func newTarget(slots int, service time.Duration, spread bool) *target {
+	return &target{slots: make(chan struct{}, slots), service: service, spread: spread}
+}
+
+func (tg *target) run(rng *rand.Rand) time.Duration {
+	start := time.Now()
+	d := tg.service
+	if tg.spread {
+		d = time.Duration(rng.ExpFloat64() * float64(d))
+	}
+	tg.slots <- struct{}{}
+	time.Sleep(d)
+	<-tg.slots
+	return time.Since(start)
+}
+
+// load sends requests of several ranks at fixed rates, with exponential gaps from a fixed seed.
+type load struct {
+	c       *Controller
+	target  *target
+	rates   map[uint8]float64 // requests a second per rank
+	timeout time.Duration
+
+	mu   sync.Mutex
+	sent map[uint8]int
+	good map[uint8]int // answered before the deadline
+	late int           // answered after the deadline
+}
+
+// run sends for the given time and waits for all answers.
+func (l *load) run(d time.Duration) {
+	l.sent, l.good, l.late = map[uint8]int{}, map[uint8]int{}, 0
+	var wg sync.WaitGroup
+	for rank, rate := range l.rates {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(rank), 1))
+			end := time.Now().Add(d)
+			for {
+				time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+				if time.Now().After(end) {
+					return
+				}
+				seed := rng.Uint64()
+				wg.Go(func() { l.one(rank, rand.New(rand.NewPCG(seed, 2))) })
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (l *load) one(rank uint8, rng *rand.Rand) {
+	ctx, cancel := context.WithTimeout(context.Background(), l.timeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	p, err := l.c.Acquire(ctx, Work{Priority: message.Priority(rank)<<8 | message.Priority(rng.IntN(256)), Deadline: deadline})
+	ok := err == nil
+	if ok {
+		p.Release(Result{Latency: l.target.run(rng)})
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[rank]++
+	switch {
+	case ok && time.Now().After(deadline):
+		l.late++
+	case ok:
+		l.good[rank]++
+	}
+}
+
+func (l *load) goodTotal() int {
+	n := 0
+	for _, g := range l.good {
+		n += g
+	}
+	return n
+}
+
+func testLimits(slots int) Limits {
+	return Limits{Slots: slots, Connections: 300, QueueLength: slots, QueueMaxWait: 200 * time.Millisecond, RampTime: 5 * time.Second}
+}
+
+// Guards against overload that takes orders down with reads, that leaves slots idle, or that outlasts its trigger.
+func TestOverloadKeepsHighRankAndRecovers(t *testing.T) {
+	for _, spread := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := New(testLimits(40))
+			l := &load{c: c, target: newTarget(40, 50*time.Millisecond, spread), timeout: time.Second,
+				rates: map[uint8]float64{rankOrder: 200, 20: 200, rankRead: 1600}}
+			l.run(10 * time.Second) // 2.5 times the capacity of 800 a second
+			require.GreaterOrEqual(t, float64(l.good[rankOrder]), 0.999*float64(l.sent[rankOrder]))
+			require.GreaterOrEqual(t, float64(l.goodTotal()), 0.97*8000)
+			require.Zero(t, l.late)
+			require.Positive(t, c.Threshold())
+			t.Logf("spread %v: orders %d of %d, middle %d of %d, total %d of 8000", spread,
+				l.good[rankOrder], l.sent[rankOrder], l.good[20], l.sent[20], l.goodTotal())
+
+			l.rates = map[uint8]float64{rankOrder: 100, rankRead: 100}
+			l.run(2 * time.Second)
+			require.Zero(t, c.Threshold())
+			l.run(2 * time.Second)
+			require.Equal(t, l.sent, l.good)
+		})
+	}
+}
+
+// Guards against a limit that shrinks because a target with all its slots became slower.
+func TestSlowTargetKeepsItsSlots(t *testing.T) {
+	for _, spread := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := New(testLimits(40))
+			l := &load{c: c, target: newTarget(40, 50*time.Millisecond, spread), timeout: 2 * time.Second,
+				rates: map[uint8]float64{rankOrder: 400, rankRead: 600}}
+			l.run(5 * time.Second)
+			l.target.service *= 4
+			l.run(30 * time.Second)
+			t.Logf("spread %v: %d of 6000 at quarter speed, limit %d", spread, l.goodTotal(), c.Load().Limit)
+			require.GreaterOrEqual(t, float64(l.goodTotal()), 0.95*6000)
+			require.GreaterOrEqual(t, c.trial.learned, 40)
+		})
+	}
+}
+
+// Guards against work that waits inside a target with fewer slots than stated, where it cannot be ordered or refused.
+func TestFewerSlotsThanStated(t *testing.T) {
+	for _, spread := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := New(testLimits(40))
+			l := &load{c: c, target: newTarget(10, 50*time.Millisecond, spread), timeout: 2 * time.Second,
+				rates: map[uint8]float64{rankOrder: 100, rankRead: 400}}
+			l.run(30 * time.Second)
+			t.Logf("spread %v: %d of 6000, learned limit %d", spread, l.goodTotal(), c.trial.learned)
+			require.GreaterOrEqual(t, float64(l.goodTotal()), 0.95*6000)
+			require.GreaterOrEqual(t, float64(l.good[rankOrder]), 0.995*float64(l.sent[rankOrder]))
+			require.LessOrEqual(t, c.trial.learned, 20)
+			require.GreaterOrEqual(t, c.trial.learned, 9)
+		})
+	}
+}
+
+// Guards against full load on a target that has just started.
+func TestColdStartRampsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(testLimits(40))
+		c.StartRamp()
+		require.Equal(t, 4, c.Load().Limit)
+		time.Sleep(2500 * time.Millisecond)
+		require.InDelta(t, 22, c.Load().Limit, 1)
+		time.Sleep(2600 * time.Millisecond)
+		require.Equal(t, 40, c.Load().Limit)
+	})
+}
+
+// hold takes all slots, so that further work queues.
+func hold(t *testing.T, c *Controller) []*Permit {
+	t.Helper()
+	permits := make([]*Permit, c.Load().Limit)
+	for i := range permits {
+		var err error
+		permits[i], err = c.Acquire(t.Context(), Work{Priority: 0xffff})
+		require.NoError(t, err)
+	}
+	return permits
+}
+
+// outcome is the result of an Acquire in the background.
+type outcome struct {
+	permit *Permit
+	err    error
+}
+
+func (o *outcome) reason() message.Reason {
+	var r *Refusal
+	if errors.As(o.err, &r) {
+		return r.Reason
+	}
+	return message.ReasonNone
+}
+
+// queueUp starts an Acquire and waits until it is queued or refused.
+func queueUp(ctx context.Context, c *Controller, w Work) *outcome {
+	o := new(outcome)
+	go func() { o.permit, o.err = c.Acquire(ctx, w) }()
+	synctest.Wait()
+	return o
+}
+
+// Guards against a queue that runs work for callers that left, keeps low work in place of high, or forgets its order.
+func TestQueueDisplacesOrdersAndDropsAbandoned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := testLimits(1)
+		l.QueueLength = 3
+		c := New(l)
+		permits := hold(t, c)
+		ctx, leave := context.WithCancel(t.Context())
+		now := time.Now()
+		low := queueUp(t.Context(), c, Work{Priority: 0x0a10})
+		left := queueUp(ctx, c, Work{Priority: 0x1410})
+		late := queueUp(t.Context(), c, Work{Priority: 0x1e01, Deadline: now.Add(2 * time.Second)})
+		early := queueUp(t.Context(), c, Work{Priority: 0x1e00, Deadline: now.Add(time.Second)})
+		require.Equal(t, message.ReasonOverload, low.reason(), "the lowest priority gives its place to a higher one")
+		require.Equal(t, message.ReasonOverload, queueUp(t.Context(), c, Work{Priority: 0x0a20}).reason())
+		leave()
+		synctest.Wait()
+		require.Equal(t, message.ReasonCancelled, left.reason())
+		permits[0].Release(Result{Latency: time.Millisecond})
+		synctest.Wait()
+		require.NotNil(t, early.permit)
+		require.Nil(t, late.permit)
+		early.permit.Release(Result{Latency: time.Millisecond})
+		early.permit.Release(Result{Latency: time.Millisecond}) // a second release frees no second slot
+		synctest.Wait()
+		require.NotNil(t, late.permit)
+		require.Equal(t, message.Load{InFlight: 1, Limit: 1}, c.Load())
+		late.permit.Release(Result{})
+	})
+}
+
+// Guards against work that is run although its answer must come too late, and against a measured service time that
+// refuses everything for ever.
+func TestDeadlineThatCannotBeMet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(testLimits(2))
+		for _, p := range hold(t, c) {
+			time.Sleep(500 * time.Millisecond)
+			p.Release(Result{Latency: 500 * time.Millisecond})
+		}
+		first, err := c.Acquire(t.Context(), Work{Deadline: time.Now().Add(100 * time.Millisecond)})
+		require.NoError(t, err, "an idle target takes a request to measure again")
+		_, err = c.Acquire(t.Context(), Work{Deadline: time.Now().Add(100 * time.Millisecond)})
+		require.Equal(t, message.ReasonDeadline, (&outcome{err: err}).reason())
+		first.Release(Result{Latency: 10 * time.Millisecond})
+	})
+}
+
+// Guards against work that is admitted after the node told its peers that it leaves.
+func TestStopAdmittingRefusesQueuedAndNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(testLimits(1))
+		permits := hold(t, c)
+		queued := queueUp(t.Context(), c, Work{Priority: 0x1e00})
+		c.StopAdmitting()
+		synctest.Wait()
+		require.Equal(t, message.ReasonLeaving, queued.reason())
+		permits[0].Release(Result{})
+		_, err := c.Acquire(t.Context(), Work{Priority: 0xffff})
+		require.Equal(t, message.ReasonLeaving, (&outcome{err: err}).reason())
+		require.Equal(t, message.NotRun, err.(*Refusal).Response().Outcome)
+	})
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	c := New(testLimits(160))
+	w := Work{Priority: 0x1e00, Deadline: time.Now().Add(time.Hour)}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if p, err := c.Acquire(context.Background(), w); err == nil {
+				p.Release(Result{Latency: time.Millisecond})
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/process/admission/gate.go
@@ -0,0 +1,193 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+const (
+	// tickInterval is the time between changes of threshold and limit. It must hold a few dozen requests of a typical
+	// target and be a small part of the 2 s in which the system recovers.
+	tickInterval = 100 * time.Millisecond
+	// sampleSize is the number of arrivals per interval whose priorities are kept.
+	sampleSize = 512
+	// forgetAfter is the silence after which the threshold is dropped instead of lowered.
+	forgetAfter = time.Second
+	// rankMemory is the time for which a rank counts as in use after its last arrival.
+	rankMemory = time.Minute
+)
+
+// meter sums up one interval of measurement.
+type meter struct {
+	start, last time.Duration
+	arrivals    int // all
+	above       int // at or above the threshold
+	turnedAway  int // admitted by the threshold and refused by the queue
+	departures  int
+	bad         int // departures that failed or were cancelled
+
+	busy     float64 // requests in flight, integrated over time in seconds
+	capacity float64 // limit, integrated
+	backlog  float64 // queue length, integrated
+
+	sample [sampleSize]message.Priority // priorities of the latest arrivals
+}
+
+func (m *meter) arrive(p, threshold message.Priority) {
+	m.sample[m.arrivals%sampleSize] = p
+	m.arrivals++
+	if p >= threshold {
+		m.above++
+	}
+}
+
+func (m *meter) depart(r Result) {
+	m.departures++
+	if r.Failed || r.Cancelled {
+		m.bad++
+	}
+}
+
+func (m *meter) integrate(now time.Duration, inFlight, limit, queued int) {
+	dt := (now - m.last).Seconds()
+	m.last = now
+	m.busy += dt * float64(inFlight)
+	m.capacity += dt * float64(limit)
+	m.backlog += dt * float64(queued)
+}
+
+// utilisation returns the share of the limit that was in use. Requests above a limit that was just lowered count once.
+func (m *meter) utilisation() float64 {
+	if m.capacity == 0 {
+		return 0
+	}
+	return min(1, m.busy/m.capacity)
+}
+
+func (m *meter) restart(now time.Duration) {
+	m.start, m.last = now, now
+	m.arrivals, m.above, m.turnedAway, m.departures, m.bad = 0, 0, 0, 0, 0
+	m.busy, m.capacity, m.backlog = 0, 0, 0
+}
+
+const (
+	// raiseUtilisation is the utilisation below which refusals by the queue count as a burst, not as overload.
+	raiseUtilisation = 0.9
+	// lowerUtilisation is the utilisation below which the threshold is lowered.
+	lowerUtilisation = 0.97
+	// gain is the part of a measured excess or of spare capacity that one interval corrects. The full correction
+	// overshoots, because arrivals vary from interval to interval.
+	gain = 0.5
+	// queueGoal is the share of the queue that stays in use under overload, so that slots do not stand idle between
+	// arrivals.
+	queueGoal = 0.25
+	// drainShare is the part of a too long queue that one interval aims to remove.
+	drainShare = 0.2
+	// keepShare is the number of arrivals that a raised threshold admits at least, as a share of the departures of the
+	// same interval. Less would leave slots idle as soon as the queue is empty.
+	keepShare = 0.9
+	// firstStep is the first decrease of the threshold, as a number of priorities. The decrease doubles with each
+	// interval without pressure: from the top of four ranks to zero it takes 0.7 s.
+	firstStep = 8
+	// maxStep bounds the decrease of one interval to one rank.
+	maxStep = 256
+)
+
+// gate holds the threshold: the lowest priority that is admitted.
+type gate struct {
+	threshold message.Priority
+	step      int
+	pressure  float64            // refused requests per departure, smoothed
+	seen      [256]time.Duration // time of the last arrival per rank, plus one
+	scratch   [sampleSize]message.Priority
+}
+
+func (g *gate) see(rank uint8, now time.Duration) { g.seen[rank] = now + 1 }
+
+// adjust moves the threshold at the end of an interval.
+func (g *gate) adjust(now time.Duration, m *meter, q *queue, queueLength int) {
+	elapsed := now - m.start
+	if elapsed >= forgetAfter {
+		g.threshold, g.step, g.pressure = 0, 0, 0
+		return
+	}
+	refused := float64(m.arrivals - m.above + m.turnedAway)
+	g.pressure += (refused/float64(max(1, m.departures)) - g.pressure) * gain
+
+	use, backlog := m.utilisation(), m.backlog/elapsed.Seconds()
+	goal := queueGoal * float64(queueLength)
+	overload := m.turnedAway > 0 || backlog > 2*goal
+	switch {
+	case overload && use >= raiseUtilisation:
+		g.step = 0
+		next := g.raised(m, float64(m.turnedAway)+drainShare*max(0, float64(q.len())-goal))
+		// Work of a higher rank takes the place of queued work of a lower one and needs no threshold yet.
+		if last := q.len() - 1; last >= 0 {
+			next = min(next, message.Priority(q.items[last].work.Priority.Rank())<<8|255)
+		}
+		g.threshold = max(g.threshold, next)
+	case g.threshold > 0 && use < lowerUtilisation && backlog <= goal:
+		g.lower(now, m, use)
+	default:
+		g.step = 0
+	}
+}
+
+// samples returns the sorted priorities of the interval and the number of arrivals that each stands for.
+func (g *gate) samples(m *meter) ([]message.Priority, float64) {
+	n := min(m.arrivals, sampleSize)
+	s := g.scratch[:n]
+	copy(s, m.sample[:n])
+	slices.Sort(s)
+	return s, float64(m.arrivals) / float64(max(1, n))
+}
+
+// raised returns the threshold at which part of the excess would have been refused.
+func (g *gate) raised(m *meter, excess float64) message.Priority {
+	s, weight := g.samples(m)
+	from, _ := slices.BinarySearch(s, g.threshold)
+	s = s[from:]
+	spare := float64(m.above) - keepShare*float64(m.departures)
+	drop := int(min(gain*excess, spare) / weight)
+	if drop <= 0 || drop >= len(s) {
+		return g.threshold
+	}
+	return s[drop]
+}
+
+// lower sets the threshold so that refused arrivals would have filled part of the idle slots, by at most one step.
+func (g *gate) lower(now time.Duration, m *meter, use float64) {
+	g.step = min(max(firstStep, 2*g.step), maxStep)
+	next := g.below(now, g.step)
+	s, weight := g.samples(m)
+	from, _ := slices.BinarySearch(s, g.threshold)
+	if use > 0 {
+		spare := float64(m.departures) * (1 - use) / use
+		if fit := max(1, int(gain*spare/weight)); fit < from {
+			next = max(next, s[from-fit])
+		}
+	}
+	g.threshold = next
+}
+
+// below returns the priority a number of steps below the threshold. Ranks that are not in use are skipped, since
+// no request would be admitted by stepping through them.
+func (g *gate) below(now time.Duration, step int) message.Priority {
+	p := int(g.threshold)
+	if hash := p & 255; step <= hash {
+		return message.Priority(p - step)
+	}
+	step -= p&255 + 1
+	for rank := p>>8 - 1; rank >= 0; rank-- {
+		if g.seen[rank] == 0 || now-g.seen[rank] > rankMemory {
+			continue
+		}
+		if step <= 255 {
+			return message.Priority(rank<<8 | (255 - step))
+		}
+		step -= 256
+	}
+	return 0
+}
