Add the table of other services' shedding thresholds

The table learns thresholds and the services that a route needs from responses and decides at the start of a call. A threshold that no response renews falls to zero in 1.2 s, and one request in 32 below a threshold, at most one in 50 ms, passes as a probe. Reports of several targets are averaged over 100 ms.

Current leaves out thresholds older than 300 ms: message.Threshold carries no age, so a receiver takes each one for new, and ages would add up along a chain.

--- /dev/null
+++ b/internal/process/shed/shed.go
@@ -0,0 +1,264 @@
+// Package shed decides at the start of a call whether one of the services that the call needs would refuse it, so that no
+// hop works for a request that a later hop sheds.
+//
+// The thresholds come back with responses. They are estimates: they are smoothed over the targets of a service, they lapse
+// when no response renews them, and a small share of the requests below them passes as probes.
+//
+// A Table is safe for concurrent use. Admit and Current read copy-on-write snapshots and atomics; a mutex is taken only
+// when a service or route is seen for the first time.
+package shed
+
+import (
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+const (
+	// freshFor is the age up to which a threshold applies in full and is passed on.
+	freshFor = 300 * time.Millisecond
+	// lapseAfter is the age at which a threshold that no response renewed has fallen to zero. Together with the second
+	// that admission needs, it must stay below the 2 s in which the system recovers.
+	lapseAfter = 1200 * time.Millisecond
+	// smoothing is the time in which reports of one service are averaged. Its targets have thresholds of their own, and
+	// without an average the table would follow whichever target responded last.
+	smoothing = 100 * time.Millisecond
+	// minWeight is the least weight of a new report.
+	minWeight = 0.25
+	// snapDistance is the difference below which a report is taken as it is, so that an average reaches zero.
+	snapDistance = 16
+	// probeShare is the number of requests below a threshold of which one passes, and probeInterval the shortest time
+	// between two probes of a service. The share keeps probes rare in front of many entry nodes, the interval keeps them
+	// rare under a high rate.
+	probeShare    = 32
+	probeInterval = 50 * time.Millisecond
+	// needMemory is the time for which a route counts as needing a service that its responses no longer name.
+	needMemory = time.Minute
+	// minRetryAfter and maxRetryAfter bound the time after which shed work is told to return, before the random spread.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+	// retryGrowth is the part of the time since a service began to shed that is added to the time to return.
+	retryGrowth = 0.25
+	// maxServices and maxRoutes bound the memory that responses of a faulty peer can take.
+	maxServices = 4096
+	maxRoutes   = 16384
+)
+
+// Table holds the shedding thresholds of services and the services that each route needs.
+type Table struct {
+	origin   time.Time
+	services atomic.Pointer[map[string]*entry]
+	routes   atomic.Pointer[map[routeKey]*route]
+	mu       sync.Mutex // changes to the maps
+}
+
+type routeKey struct{ service, route string }
+
+// entry is the state of one service. Times are milliseconds since the table's origin, plus one.
+type entry struct {
+	name  string
+	state atomic.Uint64 // time of the last report in the high 48 bits, threshold in the low 16
+	since atomic.Int64  // start of the present overload
+	probe atomic.Int64  // last probe
+}
+
+// route lists the services that a route needs.
+type route struct {
+	needs atomic.Pointer[[]*need]
+}
+
+type need struct {
+	entry *entry
+	seen  atomic.Int64
+}
+
+// New returns an empty table, which admits everything.
+func New() *Table {
+	t := &Table{origin: time.Now()}
+	t.services.Store(&map[string]*entry{})
+	t.routes.Store(&map[routeKey]*route{})
+	return t
+}
+
+func (t *Table) now() int64 { return time.Since(t.origin).Milliseconds() + 1 }
+
+// Learn records the thresholds that came back with a response of a route. Every service among them other than the
+// route's own counts as needed by the route. For calls that a target makes, the node learns them for the called route and
+// for the route that the target serves.
+func (t *Table) Learn(service, routeName string, thresholds []message.Threshold) {
+	now := t.now()
+	for i := range thresholds {
+		e := t.entry(thresholds[i].Service)
+		if e == nil {
+			continue
+		}
+		e.report(now, thresholds[i].Priority)
+		if e.name != service {
+			t.need(routeKey{service, routeName}, e, now)
+		}
+	}
+}
+
+// entry returns the entry of a service, or nil if the table is full.
+func (t *Table) entry(service string) *entry {
+	if e := (*t.services.Load())[service]; e != nil {
+		return e
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := *t.services.Load()
+	if e := old[service]; e != nil || len(old) >= maxServices {
+		return e
+	}
+	next := maps.Clone(old)
+	e := &entry{name: service}
+	next[service] = e
+	t.services.Store(&next)
+	return e
+}
+
+// need records that a route needs a service.
+func (t *Table) need(key routeKey, e *entry, now int64) {
+	if r := (*t.routes.Load())[key]; r != nil {
+		for _, n := range *r.needs.Load() {
+			if n.entry == e {
+				n.seen.Store(now)
+				return
+			}
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := &need{entry: e}
+	n.seen.Store(now)
+	old := *t.routes.Load()
+	if r := old[key]; r != nil {
+		r.add(n, now)
+		return
+	}
+	if len(old) >= maxRoutes {
+		return
+	}
+	r := &route{}
+	r.needs.Store(&[]*need{n})
+	next := maps.Clone(old)
+	next[key] = r
+	t.routes.Store(&next)
+}
+
+// add appends a need and drops the ones that have not been seen for long.
+func (r *route) add(n *need, now int64) {
+	var next []*need
+	for _, o := range *r.needs.Load() {
+		if o.entry != n.entry && o.recent(now) {
+			next = append(next, o)
+		}
+	}
+	next = append(next, n)
+	r.needs.Store(&next)
+}
+
+func (n *need) recent(now int64) bool { return now-n.seen.Load() <= needMemory.Milliseconds() }
+
+// report takes in a threshold. The weight of a report grows with the time since the last one.
+func (e *entry) report(now int64, p message.Priority) {
+	for {
+		old := e.state.Load()
+		last, have := int64(old>>16), message.Priority(old)
+		if old != 0 && last >= now && have == p {
+			return
+		}
+		next := p
+		if age := now - last; old != 0 && age < smoothing.Milliseconds() {
+			weight := max(minWeight, float64(age)/float64(smoothing.Milliseconds()))
+			if d := int(p) - int(have); d > snapDistance || d < -snapDistance {
+				next = message.Priority(int(have) + int(float64(d)*weight))
+			}
+		}
+		if e.state.CompareAndSwap(old, uint64(max(now, last))<<16|uint64(next)) {
+			if next > 0 && (have == 0 || now-last >= lapseAfter.Milliseconds()) {
+				e.since.Store(now)
+			}
+			return
+		}
+	}
+}
+
+// threshold returns the present threshold. From freshFor on it falls step by step, so that a service that recovered while
+// nothing was sent to it is tried again with the highest priorities first.
+func (e *entry) threshold(now int64) message.Priority {
+	state := e.state.Load()
+	p := message.Priority(state)
+	age := time.Duration(now-int64(state>>16)) * time.Millisecond
+	switch {
+	case age <= freshFor:
+		return p
+	case age >= lapseAfter:
+		return 0
+	default:
+		return message.Priority(float64(p) * float64(lapseAfter-age) / float64(lapseAfter-freshFor))
+	}
+}
+
+// Admit reports whether a call of the route may start. If not, it returns the service that would refuse the call and the
+// time after which to retry, spread at random.
+func (t *Table) Admit(service, routeName string, p message.Priority) (ok bool, blocking string, retryAfter time.Duration) {
+	now := t.now()
+	var top *entry
+	var highest message.Priority
+	if e := (*t.services.Load())[service]; e != nil {
+		if th := e.threshold(now); th > p {
+			top, highest = e, th
+		}
+	}
+	if r := (*t.routes.Load())[routeKey{service, routeName}]; r != nil {
+		for _, n := range *r.needs.Load() {
+			if th := n.entry.threshold(now); th > p && th > highest && n.recent(now) {
+				top, highest = n.entry, th
+			}
+		}
+	}
+	if top == nil || top.passProbe(now) {
+		return true, "", 0
+	}
+	return false, top.name, top.retryAfter(now)
+}
+
+// passProbe reports whether a request below the threshold passes as a probe.
+func (e *entry) passProbe(now int64) bool {
+	last := e.probe.Load()
+	if now-last < probeInterval.Milliseconds() || rand.Uint32N(probeShare) != 0 {
+		return false
+	}
+	return e.probe.CompareAndSwap(last, now)
+}
+
+func (e *entry) retryAfter(now int64) time.Duration {
+	lasted := time.Duration(now-e.since.Load()) * time.Millisecond
+	after := min(float64(minRetryAfter)+retryGrowth*float64(lasted), float64(maxRetryAfter))
+	return time.Duration(after * (0.5 + rand.Float64()))
+}
+
+// Current returns the thresholds of the services that a route needs, without the route's own service, for passing up with
+// a response. Thresholds of zero are included, because they end shedding above at once. Thresholds older than freshFor are
+// left out: the receiver takes them for new, and ages would add up along a chain.
+func (t *Table) Current(service, routeName string) []message.Threshold {
+	r := (*t.routes.Load())[routeKey{service, routeName}]
+	if r == nil {
+		return nil
+	}
+	now := t.now()
+	needs := *r.needs.Load()
+	out := make([]message.Threshold, 0, len(needs))
+	for _, n := range needs {
+		state := n.entry.state.Load()
+		if now-int64(state>>16) <= freshFor.Milliseconds() && n.recent(now) {
+			out = append(out, message.Threshold{Service: n.entry.name, Priority: message.Priority(state)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/shed/shed_test.go
@@ -0,0 +1,212 @@
+package shed
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// thresholds builds a list from service names with one threshold.
+func thresholds(p message.Priority, services ...string) []message.Threshold {
+	var out []message.Threshold
+	for _, s := range services {
+		out = append(out, message.Threshold{Service: s, Priority: p})
+	}
+	return out
+}
+
+// admitted counts the admitted ones of n requests without time between them, of which at most one is a probe.
+func admitted(t *Table, service, route string, p message.Priority, n int) int {
+	count := 0
+	for range n {
+		if ok, _, _ := t.Admit(service, route, p); ok {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a recovered service that is shed for good because nothing is sent to it that could report its recovery.
+func TestThresholdLapsesWithoutAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := New()
+		tb.Learn("menu", "list", thresholds(0x2000, "menu"))
+		require.LessOrEqual(t, admitted(tb, "menu", "list", 0x1fff, 100), 1)
+		require.Equal(t, 100, admitted(tb, "menu", "list", 0x2000, 100))
+		time.Sleep(750 * time.Millisecond)
+		require.LessOrEqual(t, admitted(tb, "menu", "list", 0x0800, 100), 1, "the lowest priorities come back last")
+		require.Equal(t, 100, admitted(tb, "menu", "list", 0x1800, 100))
+		time.Sleep(450 * time.Millisecond)
+		require.Equal(t, 100, admitted(tb, "menu", "list", 0, 100))
+	})
+}
+
+// Guards against a threshold that no request tests, and against probes that are an overload of their own.
+func TestProbesAreFewButPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := New()
+		probes := 0
+		for range 10_000 { // 10 s at 1000 requests a second
+			tb.Learn("menu", "list", thresholds(0x2000, "menu"))
+			probes += admitted(tb, "menu", "list", 0x1000, 1)
+			time.Sleep(time.Millisecond)
+		}
+		require.Greater(t, probes, 50)
+		require.LessOrEqual(t, probes, 200)
+	})
+}
+
+// Guards against shedding a route because of a service that only another route of the same service needs.
+func TestRouteIsShedForItsOwnNeedsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := New()
+		tb.Learn("menu", "order", append(thresholds(0, "menu"), thresholds(0x2000, "stock")...))
+		tb.Learn("menu", "list", thresholds(0, "menu"))
+		require.Equal(t, 100, admitted(tb, "menu", "list", 0x1000, 100))
+		require.LessOrEqual(t, admitted(tb, "menu", "order", 0x1000, 100), 1)
+		_, blocking, after := tb.Admit("menu", "order", 0x1000)
+		require.Equal(t, "stock", blocking)
+		require.Positive(t, after)
+		require.Equal(t, thresholds(0x2000, "stock"), tb.Current("menu", "order"))
+		time.Sleep(2 * freshFor)
+		require.Empty(t, tb.Current("menu", "order"), "an old threshold would look new above")
+		tb.Learn("menu", "order", thresholds(0, "stock"))
+		require.Equal(t, thresholds(0, "stock"), tb.Current("menu", "order"))
+	})
+}
+
+// Guards against a table that follows the last response only, when targets of one service have different thresholds.
+func TestTargetsWithDifferentThresholds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := New()
+		for i := range 1000 {
+			tb.Learn("menu", "list", thresholds(message.Priority(i%2)*0x2000, "menu"))
+			time.Sleep(time.Millisecond)
+		}
+		require.LessOrEqual(t, admitted(tb, "menu", "list", 0x0800, 100), 1)
+		require.Equal(t, 100, admitted(tb, "menu", "list", 0x1800, 100))
+	})
+}
+
+// Guards against times to return that are all the same or that do not grow while an overload lasts.
+func TestRetryAfterGrowsAndSpreads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := New()
+		seen := map[time.Duration]bool{}
+		var first, last time.Duration
+		for i := range 100 {
+			tb.Learn("menu", "list", thresholds(0x2000, "menu"))
+			if ok, _, after := tb.Admit("menu", "list", 0); !ok {
+				seen[after] = true
+				if i < 10 {
+					first = max(first, after)
+				}
+				last = after
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		require.Greater(t, len(seen), 50)
+		require.Greater(t, last, first)
+		require.LessOrEqual(t, last, 2*maxRetryAfter)
+	})
+}
+
+// Guards against an entry node and an admission control that keep an overload alive between them: with the load of 2.5
+// times the capacity gone, everything must be admitted within 2 s; before that, orders must pass and slots stay busy.
+func TestEntryAndTargetRecover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := New()
+		c := admission.New(admission.Limits{Slots: 40, Connections: 300, QueueLength: 40, QueueMaxWait: 200 * time.Millisecond})
+		var mu sync.Mutex
+		one := func(rng *rand.Rand, rank int, good, sent *int) {
+			p := message.Priority(rank<<8 | rng.IntN(256))
+			ok, _, _ := tb.Admit("menu", "list", p)
+			if ok {
+				permit, err := c.Acquire(t.Context(), admission.Work{Priority: p, Deadline: time.Now().Add(time.Second)})
+				if ok = err == nil; ok {
+					time.Sleep(50 * time.Millisecond)
+					permit.Release(admission.Result{Latency: 50 * time.Millisecond})
+				}
+				tb.Learn("menu", "list", thresholds(c.Threshold(), "menu"))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			*sent++
+			if ok {
+				*good++
+			}
+		}
+		send := func(d time.Duration, orders, reads float64) (goodOrders, sentOrders, goodReads, sentReads int) {
+			rng := rand.New(rand.NewPCG(3, 4))
+			var wg sync.WaitGroup
+			for end := time.Now().Add(d); time.Now().Before(end); {
+				time.Sleep(time.Duration(rng.ExpFloat64() / (orders + reads) * float64(time.Second)))
+				own := rand.New(rand.NewPCG(rng.Uint64(), 5))
+				if rng.Float64() < orders/(orders+reads) {
+					wg.Go(func() { one(own, 30, &goodOrders, &sentOrders) })
+				} else {
+					wg.Go(func() { one(own, 10, &goodReads, &sentReads) })
+				}
+			}
+			wg.Wait()
+			return
+		}
+		goodOrders, sentOrders, goodReads, sentReads := send(10*time.Second, 300, 1700)
+		t.Logf("orders %d of %d, reads %d of %d, capacity 8000", goodOrders, sentOrders, goodReads, sentReads)
+		require.GreaterOrEqual(t, float64(goodOrders), 0.999*float64(sentOrders))
+		require.GreaterOrEqual(t, float64(goodOrders+goodReads), 0.95*8000)
+		send(2*time.Second, 100, 300)
+		require.Zero(t, c.Threshold())
+		goodOrders, sentOrders, goodReads, sentReads = send(time.Second, 100, 300)
+		require.Equal(t, sentOrders+sentReads, goodOrders+goodReads)
+	})
+}
+
+// Guards against lost entries and races when routes are first seen by many requests at once.
+func TestConcurrentLearning(t *testing.T) {
+	tb := New()
+	var wg sync.WaitGroup
+	for w := range 8 {
+		wg.Go(func() {
+			for i := range 200 {
+				s := fmt.Sprint("s", i%20)
+				tb.Learn("root", fmt.Sprint("r", w%2), thresholds(0x1000, s))
+				tb.Admit("root", "r0", 0x0fff)
+				tb.Current("root", "r1")
+			}
+		})
+	}
+	wg.Wait()
+	require.Len(t, tb.Current("root", "r0"), 20)
+	require.Len(t, tb.Current("root", "r1"), 20)
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	tb := New()
+	tb.Learn("menu", "order", thresholds(0x100, "menu", "stock", "accounts"))
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			tb.Admit("menu", "order", 0x2000)
+		}
+	})
+}
+
+func BenchmarkLearn(b *testing.B) {
+	tb := New()
+	l := thresholds(0x100, "menu", "stock", "accounts")
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			tb.Learn("menu", "order", l)
+		}
+	})
+}
