--- /dev/null
+++ b/internal/measure/client.go
@@ -0,0 +1,154 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// Clients describes how callers behave.
+type Clients struct {
+	Tries int // attempts of one request, the first included
+	// Hard clients come back after hardWait whatever they were told; others wait as long as the answer asks for.
+	Hard bool
+}
+
+const (
+	hardWait = 50 * time.Millisecond
+	// softWait is how long other clients wait when the answer names no time.
+	softWait = 500 * time.Millisecond
+)
+
+// result is what one root request ended in.
+type result struct {
+	route   *Route
+	id      message.ID
+	key     string
+	start   time.Time
+	end     time.Time
+	whole   bool // answered, complete, in time
+	outcome message.Outcome
+	doubt   bool // an attempt may have run
+	mixed   bool // an answer of another request
+}
+
+// traffic is the arrivals of a run and their results.
+type traffic struct {
+	world   *World
+	clients Clients
+	mu      sync.Mutex
+	results []*result
+	wg      sync.WaitGroup
+}
+
+// run sends requests at the rate that the function gives for every moment, evenly spaced with a little jitter, until the
+// end, and waits for all results.
+func (t *traffic) run(length time.Duration, rate func(at time.Duration) float64) {
+	start := time.Now()
+	owed := make([]float64, len(t.world.site.Routes))
+	const step = 5 * time.Millisecond
+	for at := time.Duration(0); at < length; at += step {
+		for i := range t.world.site.Routes {
+			route := &t.world.site.Routes[i]
+			owed[i] += rate(at) * route.Share * step.Seconds()
+			n := math.Floor(owed[i])
+			owed[i] -= n
+			for range int(n) {
+				delay := time.Duration(t.world.random() * float64(step))
+				t.wg.Go(func() { t.request(route, delay) })
+			}
+		}
+		time.Sleep(time.Until(start.Add(at + step)))
+	}
+	t.wg.Wait()
+}
+
+// request sends one root request with its attempts.
+func (t *traffic) request(route *Route, delay time.Duration) {
+	time.Sleep(delay)
+	r := &result{route: route, id: message.NewID(), start: time.Now()}
+	retries := 1 << 30
+	for try := range t.clients.Tries {
+		resp := t.attempt(r, retries)
+		retries = resp.RetriesLeft
+		r.outcome = resp.Outcome
+		if resp.Outcome != message.NotRun {
+			r.doubt = true
+		}
+		if resp.Outcome == message.Answered {
+			r.mixed = r.mixed || !bytes.Equal(resp.Body, r.id[:]) && resp.Status == http.StatusOK
+			r.whole = resp.Status == http.StatusOK
+		}
+		if r.whole || try == t.clients.Tries-1 {
+			break
+		}
+		time.Sleep(t.wait(resp))
+	}
+	r.end = time.Now()
+	if r.doubt && r.outcome == message.NotRun {
+		r.outcome = message.Unknown // as the client package says
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.results = append(t.results, r)
+}
+
+// wait returns how long the caller waits before its next attempt.
+func (t *traffic) wait(resp *message.Response) time.Duration {
+	spread := 0.5 + t.world.random()
+	switch {
+	case t.clients.Hard:
+		return time.Duration(float64(hardWait) * spread)
+	case resp.RetryAfter > 0:
+		return resp.RetryAfter
+	default:
+		return time.Duration(float64(softWait) * spread)
+	}
+}
+
+// attempt sends one attempt to a node that callers can reach.
+func (t *traffic) attempt(r *result, retries int) *message.Response {
+	w := t.world
+	m := w.entry()
+	if r.route.Once {
+		if r.key == "" {
+			r.key = m.server.IssueKey()
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	if !sleep(ctx, w.site.ToClient) {
+		return message.Doubt(message.ReasonDeadline, nil)
+	}
+	response := make(chan *message.Response, 1)
+	go func() {
+		resp := m.server.Serve(ctx, &message.Request{
+			ID: r.id, Span: message.NewSpanID(), Service: r.route.Service, Method: http.MethodPost, Path: "/",
+			Deadline: deadline.Add(-2 * w.site.ToClient), Retries: retries, Key: r.key,
+		})
+		time.Sleep(w.site.ToClient)
+		response <- resp
+	}()
+	select {
+	case resp := <-response:
+		return resp
+	case <-ctx.Done():
+		return message.Doubt(message.ReasonDeadline, message.Errorf(message.StepAwait, m.address, "timeout"))
+	}
+}
+
+// entry returns a node for an attempt, in an availability zone that callers reach.
+func (w *World) entry() *member {
+	for {
+		m := w.members[int(w.random()*float64(len(w.members)))]
+		if m.zone != int(w.cut.Load()) {
+			return m
+		}
+	}
+}
--- /dev/null
+++ b/internal/measure/figures.go
@@ -0,0 +1,164 @@
+package measure
+
+import (
+	"math"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// Figures are the measurements of one run.
+type Figures struct {
+	Goodput      float64 // whole answers in time over what the slots could complete at most
+	OrderSuccess float64 // orders answered whole in time over orders sent
+	Recovery     float64 // seconds from the trigger's end to goodput as before; +Inf if it does not come back
+	Wasted       float64 // target time spent on requests that failed over all target time
+	Attempts     int     // most attempts for one root request over the whole chain
+	Duplicates   int     // orders that more than one target began to run
+	FalseNotRun  int     // requests reported as not run that a target had begun to run
+	Mixed        int     // answers that belong to another request
+	Requests     int
+	Buckets      []float64 // whole answers a second, by bucket
+}
+
+// bucketTime is the length of a bucket of the goodput curve.
+const bucketTime = 250 * time.Millisecond
+
+// holdTime is how long goodput must stay as before to count as recovered, and recoveredShare what counts as such.
+const (
+	holdTime       = 5 * time.Second
+	recoveredShare = 0.99
+)
+
+// warmUp is left out of the figures.
+const warmUp = 5 * time.Second
+
+// Run runs a scenario of a site on a system. It must be called inside a synctest bubble.
+func Run(site Site, system System, s Scenario) Figures {
+	w := NewWorld(site, system, s.Options)
+	t := &traffic{world: w, clients: s.Clients}
+	if s.Start != nil {
+		time.AfterFunc(s.TriggerStart, func() { s.Start(w) })
+	}
+	if s.End != nil {
+		time.AfterFunc(s.TriggerEnd, func() { s.End(w) })
+	}
+	start := time.Now()
+	t.run(s.Length, func(at time.Duration) float64 { return site.Rate * s.Load(at) })
+	time.Sleep(time.Minute) // lets what nobody waits for come to its end
+	return figures(site, s, t, start)
+}
+
+func figures(site Site, s Scenario, t *traffic, start time.Time) Figures {
+	f := Figures{Requests: len(t.results), Buckets: make([]float64, int(s.Length/bucketTime))}
+	var whole, orders, ordersWhole float64
+	for _, r := range t.results {
+		f.check(t.world.ledger, r)
+		at := r.end.Sub(start)
+		if r.whole && at < s.Length {
+			f.Buckets[int(at/bucketTime)] += 1 / bucketTime.Seconds()
+		}
+		if r.start.Sub(start) < warmUp {
+			continue
+		}
+		if r.whole && at < s.Length {
+			whole++
+		}
+		if r.route.Once {
+			orders++
+			if r.whole {
+				ordersWhole++
+			}
+		}
+	}
+	f.Goodput = whole / best(site, s)
+	f.OrderSuccess = ordersWhole / orders
+	f.Recovery = recovery(f.Buckets, s)
+	f.Wasted = t.world.ledger.wasted(t.results)
+	for _, n := range t.world.ledger.attempts {
+		f.Attempts = max(f.Attempts, n)
+	}
+	for _, n := range t.world.ledger.keys {
+		if n > 1 {
+			f.Duplicates++
+		}
+	}
+	return f
+}
+
+// check holds what the caller was told against what ran.
+func (f *Figures) check(l *ledger, r *result) {
+	if r.outcome == message.NotRun && l.ran(r.id, r.route.Service) {
+		f.FalseNotRun++
+	}
+	if r.mixed {
+		f.Mixed++
+	}
+}
+
+// best returns the whole answers that the slots could complete at most after the warm-up.
+func best(site Site, s Scenario) float64 {
+	always := map[string]float64(nil)
+	if len(s.Options.Sizes) > 0 {
+		always = presentOf(site, s.Options.Sizes)
+	}
+	total := 0.0
+	for at := warmUp; at < s.Length; at += bucketTime {
+		var slow, present map[string]float64
+		present = always
+		if at >= s.TriggerStart && at < s.TriggerEnd {
+			if s.Slow != nil {
+				slow = s.Slow(site)
+			}
+			if s.Present != nil {
+				present = s.Present(site)
+			}
+		}
+		total += site.Best(site.Rate*s.Load(at), slow, present) * bucketTime.Seconds()
+	}
+	return total
+}
+
+// recovery returns the time from the trigger's end until goodput is as before and stays so for the hold time.
+func recovery(buckets []float64, s Scenario) float64 {
+	mean := func(from, to int) float64 {
+		sum := 0.0
+		for _, b := range buckets[from:to] {
+			sum += b
+		}
+		return sum / float64(to-from)
+	}
+	index := func(d time.Duration) int { return int(d / bucketTime) }
+	before := mean(index(warmUp), index(s.TriggerStart))
+	hold := index(holdTime)
+	for i := index(s.TriggerEnd); i+hold <= len(buckets)-index(clientTimeout); i++ {
+		if mean(i, i+hold) >= recoveredShare*before {
+			return (time.Duration(i)*bucketTime - s.TriggerEnd).Seconds()
+		}
+	}
+	return math.Inf(1)
+}
+
+// wasted returns the share of target time that served no whole answer: all of it for requests that failed, and all but
+// one completed run at each service for those that succeeded.
+func (l *ledger) wasted(results []*result) float64 {
+	var useful, total time.Duration
+	for _, runs := range l.runs {
+		for _, x := range runs {
+			total += x.took
+		}
+	}
+	for _, r := range results {
+		if !r.whole {
+			continue
+		}
+		seen := map[string]bool{}
+		for _, x := range l.runs[r.id] {
+			if x.ok && !seen[x.service] {
+				seen[x.service] = true
+				useful += x.took
+			}
+		}
+	}
+	return 1 - float64(useful)/float64(total)
+}
--- /dev/null
+++ b/internal/measure/real.go
@@ -0,0 +1,70 @@
+package measure
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/engine"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/once"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// realNode is a node with the engine that production uses.
+type realNode struct {
+	*engine.Engine
+	world     *World
+	keys      *once.Store
+	balancers *engine.Balancers
+	control   *admission.Controller
+	mislead   bool // reports no load
+}
+
+func newReal(w *World, m *member, mislead bool) *realNode {
+	keys, err := once.New(once.Options{Address: m.address, Incarnation: 1})
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	pol := w.policy.Load()
+	svc := *pol.Services[m.service]
+	svc.Slots = m.slots
+	n := &realNode{
+		world:     w,
+		keys:      keys,
+		balancers: engine.NewBalancers(zoneName(m.zone), pol.Balance),
+		control:   admission.New(admission.LimitsOf(&svc, pol.Queue, 0)),
+		mislead:   mislead,
+	}
+	n.Engine = engine.New(engine.Config{
+		Address: m.address, Service: m.service, Policy: w.policy, Confirmed: func() bool { return true },
+		Peers: sender{w, m}, Target: m.target, Admission: engine.Guard(n.control), Pickers: n.balancers,
+		Shedder: shed.New(), Keys: keys,
+	})
+	return n
+}
+
+func zoneName(zone int) string { return "az" + strconv.Itoa(zone) }
+
+func (n *realNode) IssueKey() string { return n.keys.Issue(1)[0] }
+
+func (n *realNode) SetTargets(targets map[string][]*member) {
+	out := map[string][]balance.Target{}
+	for service, members := range targets {
+		for _, m := range members {
+			out[service] = append(out[service],
+				balance.Target{Address: m.address, Incarnation: 1, Zone: zoneName(m.zone), Slots: m.slots})
+		}
+	}
+	n.balancers.Update(out)
+}
+
+// HandlePeer counts the attempt and hides the load if the node misleads.
+func (n *realNode) HandlePeer(ctx context.Context, req *message.Request) *message.Response {
+	r := n.Engine.HandlePeer(ctx, req)
+	if n.mislead {
+		r.Load.InFlight = 0
+	}
+	return r
+}
--- /dev/null
+++ b/internal/measure/scenario.go
@@ -0,0 +1,133 @@
+package measure
+
+import "time"
+
+// Scenario is a run with its triggers.
+type Scenario struct {
+	Name    string
+	Options Options
+	Clients Clients
+	Length  time.Duration
+	// Trigger is the time in which the pressure lasts.
+	TriggerStart, TriggerEnd time.Duration
+	Load                     func(at time.Duration) float64 // offered rate as a share of the site's
+	Start, End               func(w *World)                 // at the start and the end of the trigger; may be nil
+	// Slow and Present are the factors on service times and slots during the trigger, for the best possible goodput.
+	Slow, Present func(s Site) map[string]float64
+}
+
+// steadyLoad is the load before and after a trigger.
+const steadyLoad = 0.6
+
+const (
+	triggerStart = 15 * time.Second
+	// settleTime is the time after the trigger in which recovery is watched.
+	settleTime = 25 * time.Second
+)
+
+func between(from, to time.Duration, inside float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= from && at < to {
+			return inside
+		}
+		return steadyLoad
+	}
+}
+
+// Scenarios returns the scenarios that are measured.
+func Scenarios() []Scenario {
+	patient, hard := Clients{Tries: 3}, Clients{Tries: 4, Hard: true}
+	list := []Scenario{
+		{Name: "surge", Clients: patient, TriggerEnd: triggerStart + 60*time.Second},
+		{Name: "deep-slow", Clients: hard, TriggerEnd: triggerStart + 30*time.Second},
+		{Name: "az-loss", Clients: patient, TriggerEnd: triggerStart + 30*time.Second},
+		{Name: "platform-down", Clients: patient, TriggerEnd: triggerStart + 30*time.Second},
+		{Name: "mixed-sizes", Clients: patient, TriggerEnd: triggerStart + 30*time.Second},
+	}
+	for i := range list {
+		s := &list[i]
+		s.TriggerStart = triggerStart
+		s.Length = s.TriggerEnd + settleTime
+		s.Options.Seed = uint64(i + 1)
+	}
+	list[0].Load = between(triggerStart, list[0].TriggerEnd, 3*steadyLoad)
+	list[3].Load = between(triggerStart, list[3].TriggerEnd, 3*steadyLoad)
+	deepSlow(&list[1])
+	zoneLoss(&list[2])
+	mixedSizes(&list[4])
+	return list
+}
+
+// deepSlow slows the deepest service to a quarter of its speed while the demand doubles.
+func deepSlow(s *Scenario) {
+	const factor = 4
+	s.Load = between(s.TriggerStart, s.TriggerEnd, 2*steadyLoad)
+	set := func(w *World, f float64) {
+		for _, m := range w.members {
+			if m.service == w.site.deepest() {
+				m.target.slow(f)
+			}
+		}
+	}
+	s.Start = func(w *World) { set(w, factor) }
+	s.End = func(w *World) { set(w, 1) }
+	s.Slow = func(site Site) map[string]float64 { return map[string]float64{site.deepest(): factor} }
+}
+
+// deepest returns the last service of the chains.
+func (s Site) deepest() string {
+	for i := range s.Services {
+		if len(s.Services[i].Calls) == 0 {
+			return s.Services[i].Name
+		}
+	}
+	panic("every service calls another") // sites are constant
+}
+
+// zoneLoss cuts an availability zone off at full load.
+func zoneLoss(s *Scenario) {
+	const zone = 0
+	s.Load = func(at time.Duration) float64 {
+		if at >= s.TriggerStart && at < s.TriggerEnd {
+			return 1
+		}
+		return steadyLoad
+	}
+	s.Start = func(w *World) { w.CutZone(zone) }
+	s.End = func(w *World) { w.Heal() }
+	s.Present = func(site Site) map[string]float64 {
+		out := map[string]float64{}
+		for i := range site.Services {
+			there := 0
+			for n := range site.Services[i].Targets {
+				if (n+i)%site.Zones != zone {
+					there++
+				}
+			}
+			out[site.Services[i].Name] = float64(there) / float64(site.Services[i].Targets)
+		}
+		return out
+	}
+}
+
+// mixedSizes gives targets a half, one and two times the slots, and one target that reports no load.
+func mixedSizes(s *Scenario) {
+	sizes := []float64{0.5, 1, 2}
+	s.Options.Sizes = sizes
+	s.Options.Mislead = map[string]bool{"menu-0": true, "catalogue-0": true}
+	s.Load = between(s.TriggerStart, s.TriggerEnd, 2*steadyLoad)
+	s.Present = func(site Site) map[string]float64 { return presentOf(site, sizes) }
+}
+
+// presentOf returns the share of the nominal slots that targets of the given sizes have.
+func presentOf(site Site, sizes []float64) map[string]float64 {
+	out := map[string]float64{}
+	for i := range site.Services {
+		sum := 0.0
+		for n := range site.Services[i].Targets {
+			sum += sizes[n%len(sizes)]
+		}
+		out[site.Services[i].Name] = sum / float64(site.Services[i].Targets)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/measure/site.go
@@ -0,0 +1,168 @@
+// Package measure runs the request path of whole deployments in virtual time: real engines over fake links and fake
+// targets, beside a naive version with the same arrivals and faults. It measures goodput and recovery and checks every
+// answer against what the targets ran.
+//
+// A World must be created and run inside a testing/synctest bubble.
+package measure
+
+import "time"
+
+// Site describes a deployment.
+type Site struct {
+	Name     string
+	Zones    int           // availability zones
+	OneWay   time.Duration // between availability zones
+	ToClient time.Duration // one way
+	Services []Service
+	Routes   []Route
+	Rate     float64 // requests a second at a load of 1, at which the tightest service is just saturated
+}
+
+// Service describes the targets of a service.
+type Service struct {
+	Name        string
+	Targets     int
+	Slots       int
+	Connections int
+	Mean        time.Duration // own work for one request; calls come on top
+	Calls       []string      // services that every request calls, one after the other
+}
+
+// Route describes the requests that callers send.
+type Route struct {
+	Name    string
+	Service string
+	Share   float64 // of the requests
+	Class   string
+	Rank    uint8
+	Once    bool // must not be executed twice
+}
+
+// Ranks of the classes of both sites.
+const (
+	rankBrowse = 1
+	rankOrder  = 3
+)
+
+// clientTimeout is how long a caller waits for one attempt. It is several times the latency of an idle chain.
+const clientTimeout = 2 * time.Second
+
+// Haetsal returns the deployment of the franchise cafés. Sizes are today's; the service times are chosen so that the chains
+// take about a quarter of a second.
+func Haetsal() Site {
+	return Site{
+		Name: "haetsal", Zones: 4, OneWay: 500 * time.Microsecond, ToClient: time.Millisecond,
+		Services: []Service{
+			{Name: "menu", Targets: 4, Slots: 40, Connections: 300, Mean: 80 * time.Millisecond, Calls: []string{"supply"}},
+			{Name: "ordering", Targets: 4, Slots: 40, Connections: 300, Mean: 120 * time.Millisecond, Calls: []string{"supply"}},
+			{Name: "supply", Targets: 4, Slots: 40, Connections: 300, Mean: 80 * time.Millisecond, Calls: []string{"royalty"}},
+			{Name: "royalty", Targets: 4, Slots: 10, Connections: 150, Mean: 40 * time.Millisecond},
+		},
+		Routes: []Route{
+			{Name: "menu-read", Service: "menu", Share: 0.8, Class: "browse", Rank: rankBrowse},
+			{Name: "stock-order", Service: "ordering", Share: 0.2, Class: "order", Rank: rankOrder, Once: true},
+		},
+	}.withRate()
+}
+
+// Gnomon returns the deployment of the sundial workshops.
+func Gnomon() Site {
+	return Site{
+		Name: "gnomon", Zones: 3, OneWay: 500 * time.Microsecond, ToClient: 3 * time.Millisecond,
+		Services: []Service{
+			{Name: "catalogue", Targets: 4, Slots: 120, Connections: 800, Mean: 160 * time.Millisecond, Calls: []string{"tracking"}},
+			{Name: "commission", Targets: 3, Slots: 160, Connections: 1000, Mean: 200 * time.Millisecond, Calls: []string{"tracking"}},
+			{Name: "tracking", Targets: 3, Slots: 160, Connections: 1000, Mean: 120 * time.Millisecond, Calls: []string{"charts"}},
+			{Name: "charts", Targets: 3, Slots: 30, Connections: 300, Mean: 60 * time.Millisecond},
+		},
+		Routes: []Route{
+			{Name: "catalogue-view", Service: "catalogue", Share: 0.9, Class: "browse", Rank: rankBrowse},
+			{Name: "commission-charge", Service: "commission", Share: 0.1, Class: "order", Rank: rankOrder, Once: true},
+		},
+	}.withRate()
+}
+
+// service returns the service with the name.
+func (s Site) service(name string) *Service {
+	for i := range s.Services {
+		if s.Services[i].Name == name {
+			return &s.Services[i]
+		}
+	}
+	panic("unknown service " + name) // sites are constant
+}
+
+// hold returns the time for which a request of the service holds a slot: its own work, its calls, and the way to them.
+func (s Site) hold(name string, slow map[string]float64) time.Duration {
+	svc := s.service(name)
+	d := svc.Mean
+	if f := slow[name]; f > 0 {
+		d = time.Duration(float64(d) * f)
+	}
+	for _, below := range svc.Calls {
+		d += s.hold(below, slow) + 2*s.OneWay
+	}
+	return d
+}
+
+// visits adds the slot time that one request of the service takes at every service of its chain, in seconds.
+func (s Site) visits(name string, slow map[string]float64, into map[string]float64) {
+	into[name] += s.hold(name, slow).Seconds()
+	for _, below := range s.service(name).Calls {
+		s.visits(below, slow, into)
+	}
+}
+
+// capacity returns the slots of a service as slot seconds per second.
+func (s Site) capacity(name string) float64 {
+	svc := s.service(name)
+	return float64(svc.Targets * svc.Slots)
+}
+
+// Best returns the requests a second that the slots can complete at most when the given rate is offered: routes of higher
+// rank first, because that is the order that the users ask for. The factors slow the work of services down and shrink
+// the slots that are there.
+func (s Site) Best(rate float64, slow, present map[string]float64) float64 {
+	left := map[string]float64{}
+	for i := range s.Services {
+		name := s.Services[i].Name
+		left[name] = s.capacity(name)
+		if f, ok := present[name]; ok {
+			left[name] *= f
+		}
+	}
+	total := 0.0
+	for rank := 255; rank >= 0; rank-- {
+		for _, r := range s.Routes {
+			if int(r.Rank) != rank {
+				continue
+			}
+			cost := map[string]float64{}
+			s.visits(r.Service, slow, cost)
+			done := rate * r.Share
+			for name, c := range cost {
+				done = min(done, left[name]/c)
+			}
+			for name, c := range cost {
+				left[name] -= done * c
+			}
+			total += done
+		}
+	}
+	return total
+}
+
+// withRate sets the rate at which the tightest service is just saturated.
+func (s Site) withRate() Site {
+	low, high := 0.0, 1e6
+	for range 60 {
+		mid := (low + high) / 2
+		if s.Best(mid, nil, nil) >= mid*(1-1e-9) {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	s.Rate = low
+	return s
+}
--- /dev/null
+++ b/internal/measure/target.go
@@ -0,0 +1,162 @@
+package measure
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// caller is what a target needs from the node beside it.
+type caller interface {
+	ServeOwn(ctx context.Context, req *message.Request) *message.Response
+}
+
+// fakeTarget runs requests in a fixed number of slots, in the order of their arrival, and holds the slot while it calls
+// the services below.
+type fakeTarget struct {
+	world   *World
+	service *Service
+	node    caller
+	slots   chan struct{}
+	factor  atomic.Uint64 // of the service time, in thousandths
+	open    atomic.Int64  // connections
+}
+
+const thousand = 1000
+
+func newFakeTarget(w *World, svc *Service, slots int) *fakeTarget {
+	t := &fakeTarget{world: w, service: svc, slots: make(chan struct{}, slots)}
+	t.factor.Store(thousand)
+	return t
+}
+
+// slow sets the factor on the service time.
+func (t *fakeTarget) slow(factor float64) { t.factor.Store(uint64(factor * thousand)) }
+
+// Do implements engine.Target.
+func (t *fakeTarget) Do(ctx context.Context, req *message.Request) *message.Response {
+	if t.open.Add(1) > int64(t.service.Connections) {
+		t.open.Add(-1)
+		return message.Refuse(message.ReasonConnection, message.Errorf(message.StepDial, t.service.Name, "connection refused"))
+	}
+	defer t.open.Add(-1)
+	select {
+	case t.slots <- struct{}{}:
+	case <-ctx.Done():
+		return message.Doubt(message.ReasonDeadline, message.Errorf(message.StepRun, t.service.Name, "%v", ctx.Err()))
+	}
+	start := time.Now()
+	end := t.world.ledger.begin(req, t.service.Name)
+	defer func() { <-t.slots }()
+	status, ok := t.run(ctx, req)
+	end(time.Since(start), ok && status == http.StatusOK)
+	if !ok {
+		return message.Doubt(message.ReasonDeadline, message.Errorf(message.StepRun, t.service.Name, "%v", ctx.Err()))
+	}
+	return &message.Response{Outcome: message.Answered, Status: status, Body: req.ID[:]}
+}
+
+// run does the work and the calls. It reports false if the caller left.
+func (t *fakeTarget) run(ctx context.Context, req *message.Request) (int, bool) {
+	if !sleep(ctx, t.serviceTime()) {
+		return 0, false
+	}
+	for _, below := range t.service.Calls {
+		r := t.node.ServeOwn(ctx, &message.Request{
+			ID: req.ID, Span: req.Span, Service: below, Method: http.MethodGet, Path: "/",
+			Deadline: req.Deadline, Retries: 1 << 30,
+		})
+		if ctx.Err() != nil {
+			return 0, false
+		}
+		if r.Outcome != message.Answered || r.Status != http.StatusOK {
+			return http.StatusBadGateway, true
+		}
+	}
+	return http.StatusOK, true
+}
+
+// serviceTime draws from 50 % to 150 % of the mean.
+func (t *fakeTarget) serviceTime() time.Duration {
+	mean := float64(t.service.Mean) * float64(t.factor.Load()) / thousand
+	return time.Duration(mean * (0.5 + t.world.random()))
+}
+
+// sleep waits for d and reports false if the context ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// execution is one run of a request at a target.
+type execution struct {
+	service string
+	took    time.Duration
+	ok      bool
+}
+
+// ledger records what the targets ran, by root request.
+type ledger struct {
+	mu       sync.Mutex
+	runs     map[message.ID][]*execution
+	attempts map[message.ID]int // requests handed to a target's node
+	keys     map[string]int     // executions by idempotency key
+}
+
+func newLedger() *ledger {
+	return &ledger{runs: map[message.ID][]*execution{}, attempts: map[message.ID]int{}, keys: map[string]int{}}
+}
+
+// begin records the start of an execution and returns the function that ends it.
+func (l *ledger) begin(req *message.Request, service string) func(took time.Duration, ok bool) {
+	x := &execution{service: service}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[req.ID] = append(l.runs[req.ID], x)
+	if req.Key != "" {
+		l.keys[req.Key]++
+	}
+	return func(took time.Duration, ok bool) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		x.took, x.ok = took, ok
+	}
+}
+
+func (l *ledger) attempt(id message.ID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.attempts[id]++
+}
+
+// ran reports whether a target of the service began to run the root request.
+func (l *ledger) ran(id message.ID, service string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, x := range l.runs[id] {
+		if x.service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// random returns a number from 0 to 1.
+func (w *World) random() float64 {
+	w.rngMu.Lock()
+	defer w.rngMu.Unlock()
+	return w.rng.Float64()
+}
+
+func newRand(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0x77696765)) }
--- /dev/null
+++ b/internal/measure/world.go
@@ -0,0 +1,242 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
+
+// System is one of the systems that are compared.
+type System string
+
+// Systems.
+const (
+	Real  System = "wigeoncleat"
+	Naive System = "naive"
+)
+
+// server is what the world needs from a node of either system.
+type server interface {
+	caller
+	Serve(ctx context.Context, req *message.Request) *message.Response
+	HandlePeer(ctx context.Context, req *message.Request) *message.Response
+	// IssueKey returns an idempotency key for a request that is sent to this node.
+	IssueKey() string
+	// SetTargets replaces the targets that the node knows, by service.
+	SetTargets(targets map[string][]*member)
+	Leave()
+}
+
+// member is a node with its target, as other nodes see it.
+type member struct {
+	address string
+	zone    int
+	slots   int
+	service string
+	server  server
+	target  *fakeTarget
+}
+
+// World is a deployment with its callers.
+type World struct {
+	site    Site
+	system  System
+	policy  *atomic.Pointer[policy.Policy]
+	members []*member
+	byAddr  map[string]*member
+	cut     atomic.Int64 // availability zone that is cut off; -1: none
+	ledger  *ledger
+
+	rngMu sync.Mutex
+	rng   *rand.Rand
+}
+
+// detectTime is how long it takes until all nodes have a failed or returned member out of or in their list: the time of
+// membership's probes, suspicion and spreading.
+const detectTime = 4 * time.Second
+
+// The time after which a request on a silent connection is given up, and after which a dial fails.
+const (
+	silentTimeout = time.Second
+	dialTimeout   = 500 * time.Millisecond
+)
+
+// Options vary a deployment.
+type Options struct {
+	Seed uint64
+	// Sizes scales the slots of the targets of a service in turn, for example 1, 2, 4. Empty: all are equal.
+	Sizes []float64
+	// Mislead lists addresses of nodes whose load reports always say that they are idle.
+	Mislead map[string]bool
+}
+
+// NewWorld builds a deployment of the system.
+func NewWorld(site Site, system System, opts Options) *World {
+	w := &World{
+		site: site, system: system, policy: new(atomic.Pointer[policy.Policy]), byAddr: map[string]*member{},
+		ledger: newLedger(), rng: newRand(opts.Seed),
+	}
+	w.cut.Store(-1)
+	w.policy.Store(site.policy())
+	for i := range site.Services {
+		w.addService(&site.Services[i], i, opts)
+	}
+	w.announce(w.members)
+	return w
+}
+
+func (w *World) addService(svc *Service, index int, opts Options) {
+	for n := range svc.Targets {
+		factor := 1.0
+		if len(opts.Sizes) > 0 {
+			factor = opts.Sizes[n%len(opts.Sizes)]
+		}
+		m := &member{
+			address: fmt.Sprintf("%s-%d", svc.Name, n),
+			zone:    (n + index) % w.site.Zones,
+			slots:   max(1, int(float64(svc.Slots)*factor)),
+			service: svc.Name,
+		}
+		m.target = newFakeTarget(w, svc, m.slots)
+		if w.system == Naive {
+			m.server = newNaive(w, m)
+		} else {
+			m.server = newReal(w, m, opts.Mislead[m.address])
+		}
+		m.target.node = m.server
+		w.members = append(w.members, m)
+		w.byAddr[m.address] = m
+	}
+}
+
+// announce tells every node which members there are.
+func (w *World) announce(members []*member) {
+	targets := map[string][]*member{}
+	for _, m := range members {
+		targets[m.service] = append(targets[m.service], m)
+	}
+	for _, m := range w.members {
+		m.server.SetTargets(targets)
+	}
+}
+
+// CutZone cuts an availability zone off from all others and from the callers, and Heal ends the cut. The nodes learn of
+// it after the time that membership takes.
+func (w *World) CutZone(zone int) {
+	w.cut.Store(int64(zone))
+	time.AfterFunc(detectTime, func() {
+		if w.cut.Load() != int64(zone) {
+			return
+		}
+		var rest []*member
+		for _, m := range w.members {
+			if m.zone != zone {
+				rest = append(rest, m)
+			}
+		}
+		w.announce(rest)
+	})
+}
+
+// Heal ends a cut.
+func (w *World) Heal() {
+	w.cut.Store(-1)
+	time.AfterFunc(detectTime, func() { w.announce(w.members) })
+}
+
+// connected reports whether two availability zones reach each other.
+func (w *World) connected(a, b int) bool {
+	cut := int(w.cut.Load())
+	return a == b || (a != cut && b != cut)
+}
+
+// latency returns the one-way latency between two availability zones.
+func (w *World) latency(a, b int) time.Duration {
+	if a == b {
+		return w.site.OneWay / 5
+	}
+	return w.site.OneWay
+}
+
+// sender sends the requests of one node to others.
+type sender struct {
+	world *World
+	from  *member
+}
+
+// Send implements engine.PeerSender.
+func (s sender) Send(ctx context.Context, address string, req *message.Request) *message.Response {
+	to, ok := s.world.byAddr[address]
+	if !ok {
+		return message.Refuse(message.ReasonConnection, message.Errorf(message.StepDial, address, "no such node"))
+	}
+	s.world.ledger.attempt(req.ID)
+	way := s.world.latency(s.from.zone, to.zone)
+	if !s.world.connected(s.from.zone, to.zone) {
+		if !sleep(ctx, dialTimeout) {
+			return message.Refuse(message.ReasonDeadline, message.Errorf(message.StepDial, address, "%v", ctx.Err()))
+		}
+		return message.Refuse(message.ReasonConnection, message.Errorf(message.StepDial, address, "timeout"))
+	}
+	response := make(chan *message.Response, 1)
+	run, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
+	down := *req
+	go func() {
+		defer cancel()
+		time.Sleep(way)
+		r := to.server.HandlePeer(run, &down)
+		time.Sleep(way)
+		if s.world.connected(s.from.zone, to.zone) {
+			response <- r
+		}
+	}()
+	return s.await(ctx, to, response, func() { time.AfterFunc(way, cancel) })
+}
+
+// await waits for the response. On a connection that has gone silent it gives up as a link does.
+func (s sender) await(ctx context.Context, to *member, response <-chan *message.Response, abandon func()) *message.Response {
+	ticker := time.NewTicker(silentTimeout)
+	defer ticker.Stop()
+	for {
+		select {
+		case r := <-response:
+			return r
+		case <-ctx.Done():
+			abandon()
+			return message.Doubt(message.ReasonDeadline, message.Errorf(message.StepAwait, to.address, "%v", ctx.Err()))
+		case <-ticker.C:
+			if !s.world.connected(s.from.zone, to.zone) {
+				return message.Doubt(message.ReasonConnection, message.Errorf(message.StepAwait, to.address, "silent"))
+			}
+		}
+	}
+}
+
+// policy returns the site's policy.
+func (s Site) policy() *policy.Policy {
+	p := policy.New()
+	p.Version = 1
+	for _, svc := range s.Services {
+		ps := &policy.Service{Name: svc.Name, Slots: svc.Slots, Connections: svc.Connections}
+		for _, r := range s.Routes {
+			if r.Service == svc.Name {
+				ps.Routes = append(ps.Routes, policy.Route{
+					Name: r.Name, Prefix: "/", Class: r.Class, Rank: r.Rank, Idempotent: !r.Once, Timeout: clientTimeout,
+				})
+			}
+		}
+		if len(ps.Routes) == 0 {
+			ps.Routes = []policy.Route{{
+				Name: svc.Name, Prefix: "/", Class: "browse", Rank: rankBrowse, Idempotent: true, Timeout: clientTimeout,
+			}}
+		}
+		p.Services[svc.Name] = ps
+	}
+	return p
+}
--- /dev/null
+++ b/internal/process/engine/deliver.go
@@ -0,0 +1,51 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// HandlePeer answers a request of another node.
+func (e *Engine) HandlePeer(ctx context.Context, req *message.Request) *message.Response {
+	if req.Mode == message.ModeHome {
+		return e.serveHome(ctx, req)
+	}
+	return e.Deliver(ctx, req)
+}
+
+// Deliver runs a request at the target beside this node. It is the only way to the target.
+func (e *Engine) Deliver(ctx context.Context, req *message.Request) *message.Response {
+	r := e.deliver(ctx, req)
+	r.Load = e.cfg.Admission.Load()
+	// A threshold of zero is reported too: it ends the shedding at the nodes above sooner than their memory of a higher one.
+	r.Thresholds = append(r.Thresholds, message.Threshold{Service: req.Service, Priority: e.cfg.Admission.Threshold()})
+	return r
+}
+
+func (e *Engine) deliver(ctx context.Context, req *message.Request) *message.Response {
+	if r := e.closed(); r != nil {
+		return r
+	}
+	if req.Service != e.cfg.Service {
+		return e.refuse(message.ReasonNoTarget, message.StepAdmit, "this node's target serves %q, not %q", e.cfg.Service, req.Service)
+	}
+	permit, refusal := e.cfg.Admission.Acquire(ctx, req.Priority, req.Deadline)
+	if refusal != nil {
+		if refusal.Err == nil {
+			refusal.Err = message.Errorf(message.StepAdmit, e.cfg.Address, "%s", refusal.Reason)
+		}
+		return refusal
+	}
+	run := e.running.begin(req)
+	start := time.Now()
+	r := e.cfg.Target.Do(ctx, req)
+	permit.Release(time.Since(start), r)
+	e.running.end(run)
+	r.RetriesLeft = run.ledger.Close()
+	invariant.CheckErr(invariant.RetryConservation, run.ledger.Check())
+	r.Thresholds = run.thresholds()
+	return r
+}
--- /dev/null
+++ b/internal/process/engine/engine.go
@@ -0,0 +1,198 @@
+// Package engine is the path of a request through a node: shedding, idempotency keys, choice of a target, retries,
+// admission and the call of the target. It knows neither HTTP nor WebSocket; its surroundings are interfaces.
+//
+// All exported methods are safe for concurrent use. Policy and pickers are read from atomic pointers, and no lock is
+// shared by all requests.
+package engine
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/once"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/retry"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
+
+// PeerSender sends requests to other nodes.
+type PeerSender interface {
+	// Send hands req to the node at the address and waits for its response or for ctx to end. The outcome is NotRun only
+	// where that can be proved.
+	Send(ctx context.Context, address string, req *message.Request) *message.Response
+}
+
+// Target runs requests at the target beside this node.
+type Target interface {
+	Do(ctx context.Context, req *message.Request) *message.Response
+}
+
+// Admission guards the target beside this node.
+type Admission interface {
+	// Acquire waits for a slot. It returns a permit, or a response that says why the request was not run.
+	Acquire(ctx context.Context, p message.Priority, deadline time.Time) (Permit, *message.Response)
+	// Threshold returns the lowest priority that is admitted at present.
+	Threshold() message.Priority
+	Load() message.Load
+}
+
+// Permit is a slot at the target.
+type Permit interface {
+	// Release frees the slot. It is called once.
+	Release(latency time.Duration, r *message.Response)
+}
+
+// Picker chooses targets of one service.
+type Picker interface {
+	// Pick returns the address of a target's node that is not excluded. The done function takes the result of the call.
+	Pick(exclude []string) (address string, done func(latency time.Duration, r *message.Response), ok bool)
+}
+
+// Pickers finds the picker of a service.
+type Pickers interface {
+	Picker(service string) (Picker, bool)
+}
+
+// Shedder refuses requests that a service below would refuse.
+type Shedder interface {
+	// Admit reports whether the request may go on; if not, which service blocks it and when to come back.
+	Admit(service, route string, p message.Priority) (ok bool, blocking string, retryAfter time.Duration)
+	// Learn takes the thresholds that came back with a response.
+	Learn(service, route string, thresholds []message.Threshold)
+}
+
+// Config holds the parts of an Engine. All fields are required.
+type Config struct {
+	Address   string // of this node's peer interface
+	Service   string // of the target beside this node; empty if there is none
+	Policy    *atomic.Pointer[policy.Policy]
+	Confirmed func() bool // whether the configuration version is confirmed
+	Peers     PeerSender
+	Target    Target
+	Admission Admission
+	Pickers   Pickers
+	Shedder   Shedder
+	Keys      *once.Store
+	Binder    *once.Binder // nil: keys that callers chose are refused
+}
+
+// Engine serves requests.
+type Engine struct {
+	cfg     Config
+	roots   *roots
+	running *runningTable
+	buckets *buckets
+	leaving atomic.Bool
+	active  atomic.Int64 // requests of callers and of the own target that have not been answered
+}
+
+// New returns an engine.
+func New(cfg Config) *Engine {
+	return &Engine{cfg: cfg, roots: newRoots(), running: newRunningTable(), buckets: newBuckets()}
+}
+
+// Leave makes the engine refuse new work. Requests that were taken before go on.
+func (e *Engine) Leave() { e.leaving.Store(true) }
+
+// Active returns the number of requests of callers and of the own target that have not been answered.
+func (e *Engine) Active() int { return int(e.active.Load()) }
+
+// refuse says that a request was not run, at this node.
+func (e *Engine) refuse(reason message.Reason, step message.Step, format string, args ...any) *message.Response {
+	return message.Refuse(reason, message.Errorf(step, e.cfg.Address, format, args...))
+}
+
+// closed returns a refusal if the node takes no new work at present.
+func (e *Engine) closed() *message.Response {
+	if e.leaving.Load() {
+		return e.refuse(message.ReasonLeaving, message.StepAccept, "node is leaving")
+	}
+	if !e.cfg.Confirmed() {
+		return e.refuse(message.ReasonUnconfirmed, message.StepAccept, "configuration is not confirmed")
+	}
+	return nil
+}
+
+// Serve answers a request of a caller.
+func (e *Engine) Serve(ctx context.Context, req *message.Request) *message.Response {
+	e.active.Add(1)
+	defer e.active.Add(-1)
+	pol, svc, route, refusal := e.prepare(req)
+	if refusal != nil {
+		return refusal
+	}
+	req.Hop = 0
+	req.Priority = message.NewPriority(route.Rank, req.ID)
+	root := e.roots.get(req.ID, min(req.Retries, pol.Retry.Budget))
+	r := e.route(ctx, &call{req: req, svc: svc, route: route, ledger: root.ledger, ratio: pol.Retry.Ratio})
+	r.RetriesLeft = root.ledger.Left()
+	invariant.CheckErr(invariant.RetryConservation, root.ledger.Check())
+	return root.truthful(r)
+}
+
+// ServeOwn answers a request of the target beside this node. A request that belongs to one that runs at the target keeps
+// its priority, deadline and retry budget; any other gets no retries.
+func (e *Engine) ServeOwn(ctx context.Context, req *message.Request) *message.Response {
+	e.active.Add(1)
+	defer e.active.Add(-1)
+	parent := e.running.find(req.ID, req.Span)
+	pol, svc, route, refusal := e.prepareOwn(req, parent)
+	if refusal != nil {
+		return refusal
+	}
+	c := &call{req: req, svc: svc, route: route, parent: parent, ratio: pol.Retry.Ratio}
+	if parent == nil {
+		req.Priority = message.NewPriority(route.Rank, req.ID)
+		c.ledger = retry.NewLedger(0)
+	} else {
+		req.Priority = parent.priority
+		req.Hop = parent.hop + 1
+		c.ledger = parent.ledger
+	}
+	req.Span = message.NewSpanID()
+	return e.route(ctx, c)
+}
+
+// prepare checks a caller's request against the policy.
+func (e *Engine) prepare(req *message.Request) (*policy.Policy, *policy.Service, *policy.Route, *message.Response) {
+	if r := e.closed(); r != nil {
+		return nil, nil, nil, r
+	}
+	return e.match(req)
+}
+
+// prepareOwn is prepare for a call of the own target. A node that is leaving still serves the calls of requests that run
+// at its target, because a graceful stop lets them end.
+func (e *Engine) prepareOwn(req *message.Request, parent *running) (*policy.Policy, *policy.Service, *policy.Route, *message.Response) {
+	if parent == nil {
+		return e.prepare(req)
+	}
+	if req.Deadline.IsZero() || parent.deadline.Before(req.Deadline) {
+		req.Deadline = parent.deadline
+	}
+	return e.match(req)
+}
+
+// match finds the route of a request and sets what the route decides.
+func (e *Engine) match(req *message.Request) (*policy.Policy, *policy.Service, *policy.Route, *message.Response) {
+	pol := e.cfg.Policy.Load()
+	if pol == nil {
+		return nil, nil, nil, e.refuse(message.ReasonUnconfirmed, message.StepConfigure, "no configuration yet")
+	}
+	svc, ok := pol.Services[req.Service]
+	if !ok {
+		return nil, nil, nil, e.refuse(message.ReasonNoService, message.StepConfigure, "unknown service %q", req.Service)
+	}
+	route, ok := svc.Match(req.Method, req.Path)
+	if !ok {
+		return nil, nil, nil, e.refuse(message.ReasonNoService, message.StepConfigure,
+			"service %q has no route for %s %s", req.Service, req.Method, req.Path)
+	}
+	req.Idempotent = route.Idempotent
+	if latest := time.Now().Add(route.Timeout); req.Deadline.IsZero() || latest.Before(req.Deadline) {
+		req.Deadline = latest
+	}
+	return pol, svc, route, nil
+}
--- /dev/null
+++ b/internal/process/engine/guard.go
@@ -0,0 +1,39 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// guard adapts an admission controller to Admission.
+type guard struct{ *admission.Controller }
+
+// Guard returns the Admission of a controller.
+func Guard(c *admission.Controller) Admission { return guard{c} }
+
+func (g guard) Acquire(ctx context.Context, p message.Priority, deadline time.Time) (Permit, *message.Response) {
+	permit, err := g.Controller.Acquire(ctx, admission.Work{Priority: p, Deadline: deadline})
+	if err == nil {
+		return guardPermit{permit}, nil
+	}
+	var refusal *admission.Refusal
+	if errors.As(err, &refusal) {
+		return nil, refusal.Response()
+	}
+	return nil, message.Refuse(message.ReasonInternal, message.Errorf(message.StepAdmit, "", "%v", err))
+}
+
+type guardPermit struct{ *admission.Permit }
+
+func (p guardPermit) Release(latency time.Duration, r *message.Response) {
+	p.Permit.Release(admission.Result{
+		Latency:   latency,
+		Failed:    r.Outcome != message.Answered || r.Status >= http.StatusInternalServerError,
+		Cancelled: r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline,
+	})
+}
--- /dev/null
+++ b/internal/process/engine/keyed.go
@@ -0,0 +1,136 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/once"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/retry"
+)
+
+// platformRetryAfter is when a caller whose key could not be bound should come back.
+const platformRetryAfter = time.Second
+
+// keyed runs a call of a route that must not repeat. The home node of its key decides whether it runs.
+func (e *Engine) keyed(ctx context.Context, c *call) *message.Response {
+	if c.req.Key == "" {
+		if c.req.Hop == 0 {
+			return e.refuse(message.ReasonInvalid, message.StepKey, "route %q needs an Idempotency-Key header", c.route.Name)
+		}
+		// A target that sends no key makes one call, which this node alone repeats.
+		c.req.Key = e.cfg.Keys.Issue(1)[0]
+	}
+	key, err := once.Parse(c.req.Key)
+	if err != nil {
+		return e.refuse(message.ReasonInvalid, message.StepKey, "%v", err)
+	}
+	if !key.Bound() {
+		return e.bind(ctx, c, key)
+	}
+	return e.atHome(ctx, c, key)
+}
+
+// bind finds or makes the binding of a key that the caller chose. A node that cannot read the binding cannot know
+// whether an earlier attempt ran at another home node, so the outcome is unknown.
+func (e *Engine) bind(ctx context.Context, c *call, key once.Key) *message.Response {
+	if e.cfg.Binder == nil {
+		return e.refuse(message.ReasonPlatform, message.StepKey, "keys that callers chose need a platform")
+	}
+	binding, err := e.cfg.Binder.Bind(ctx, key)
+	if err != nil {
+		r := message.Doubt(message.ReasonPlatform, message.Errorf(message.StepKey, e.cfg.Address, "%v", err))
+		r.RetryAfter = platformRetryAfter
+		return r
+	}
+	return e.atHome(ctx, c, binding.Key)
+}
+
+// atHome runs the call if this node is the key's home and passes it on otherwise.
+func (e *Engine) atHome(ctx context.Context, c *call, key once.Key) *message.Response {
+	if key.Home == e.cfg.Address {
+		return e.claim(ctx, c, key)
+	}
+	share := c.ledger.HandDown()
+	home := *c.req
+	home.Mode = message.ModeHome
+	home.Retries = share.Size()
+	r := e.cfg.Peers.Send(ctx, key.Home, &home)
+	settle(share, r)
+	e.learn(c, r)
+	if r.Outcome == message.NotRun && r.Reason == message.ReasonConnection {
+		// The home node was not reached, so this attempt did not run, but an earlier one with the same key may have.
+		r.Outcome = message.Unknown
+	}
+	return r
+}
+
+// serveHome acts as the home node of a key for another node. The other node has already looked up a key that its caller
+// chose, so the key's binding is read again here rather than trusted.
+func (e *Engine) serveHome(ctx context.Context, req *message.Request) *message.Response {
+	pol, svc, route, refusal := e.match(req)
+	if refusal != nil {
+		return refusal
+	}
+	ledger := retry.NewLedger(req.Retries)
+	c := &call{req: req, svc: svc, route: route, ledger: ledger, ratio: pol.Retry.Ratio}
+	key, err := once.Parse(req.Key)
+	if err != nil {
+		return e.refuse(message.ReasonInvalid, message.StepKey, "%v", err)
+	}
+	if !key.Bound() {
+		if e.cfg.Binder == nil {
+			return e.refuse(message.ReasonPlatform, message.StepKey, "keys that callers chose need a platform")
+		}
+		binding, err := e.cfg.Binder.Bind(ctx, key)
+		if err != nil {
+			return message.Doubt(message.ReasonPlatform, message.Errorf(message.StepKey, e.cfg.Address, "%v", err))
+		}
+		key = binding.Key
+	}
+	if key.Home != e.cfg.Address {
+		return message.Doubt(message.ReasonKeyExpired,
+			message.Errorf(message.StepKey, e.cfg.Address, "the key's home node is %s", key.Home))
+	}
+	r := e.claim(ctx, c, key)
+	r.RetriesLeft = ledger.Close()
+	invariant.CheckErr(invariant.RetryConservation, ledger.Check())
+	return r
+}
+
+// claim runs the call at most once for its key.
+func (e *Engine) claim(ctx context.Context, c *call, key once.Key) *message.Response {
+	res := e.cfg.Keys.Begin(key, once.FingerprintOf(c.req))
+	if res.Verdict == once.Wait {
+		res = res.Running.Wait(ctx)
+	}
+	if res.Verdict == once.Run {
+		return e.runClaim(ctx, c, res.Claim)
+	}
+	return res.Response
+}
+
+// runClaim runs the call and settles its claim. It does not stop when the caller leaves: the response is recorded, and a
+// repeat of the request gets it.
+func (e *Engine) runClaim(ctx context.Context, c *call, claim *once.Claim) *message.Response {
+	defer claim.Unknown(nil)
+	if r := e.closed(); r != nil {
+		claim.Refuse(r)
+		return r
+	}
+	e.active.Add(1)
+	defer e.active.Add(-1)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.req.Deadline)
+	defer cancel()
+	r := e.attempts(ctx, c)
+	switch r.Outcome {
+	case message.Answered:
+		claim.Done(r)
+	case message.NotRun:
+		claim.Refuse(r)
+	default:
+		claim.Unknown(r)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/process/engine/roots.go
@@ -0,0 +1,121 @@
+package engine
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/retry"
+)
+
+const (
+	rootShards = 64
+	// rootMemory is how long a node remembers the retry budget of a root request at least, so that a caller that repeats a
+	// request ID does not get a new budget with every repeat.
+	rootMemory = 30 * time.Second
+	// maxRootsPerShard bounds the memory for budgets. Requests beyond it get no retries.
+	maxRootsPerShard = 1024
+)
+
+// root is what a node remembers of a root request between the attempts of its caller.
+type root struct {
+	ledger *retry.Ledger
+	doubt  atomic.Bool // an attempt has run or may have run
+}
+
+// truthful corrects the response of the present attempt by what earlier ones have done: a request that may have run in an
+// earlier attempt is never reported as not run.
+func (r *root) truthful(resp *message.Response) *message.Response {
+	if resp.Outcome != message.NotRun {
+		r.doubt.Store(true)
+	} else if r.doubt.Load() {
+		resp.Outcome = message.Unknown
+	}
+	return resp
+}
+
+// roots remembers root requests in two generations: when the present one is older than rootMemory, it replaces the
+// previous one.
+type roots struct {
+	shards [rootShards]rootShard
+}
+
+type rootShard struct {
+	mu       sync.Mutex
+	since    time.Time
+	present  map[message.ID]*root
+	previous map[message.ID]*root
+}
+
+func newRoots() *roots {
+	r := &roots{}
+	for i := range r.shards {
+		r.shards[i] = rootShard{since: time.Now(), present: map[message.ID]*root{}}
+	}
+	return r
+}
+
+// get returns the root request, new with a retry ledger of the given bound if it is not known.
+func (r *roots) get(id message.ID, bound int) *root {
+	return r.shards[id[1]%rootShards].get(id, bound)
+}
+
+func (s *rootShard) get(id message.ID, bound int) *root {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.Sub(s.since) > rootMemory {
+		s.previous, s.present, s.since = s.present, make(map[message.ID]*root, len(s.present)), now
+	}
+	r, ok := s.present[id]
+	if ok {
+		return r
+	}
+	if r, ok = s.previous[id]; !ok {
+		r = &root{ledger: retry.NewLedger(bound)}
+	}
+	if len(s.present) >= maxRootsPerShard {
+		return &root{ledger: retry.NewLedger(0)}
+	}
+	s.present[id] = r
+	return r
+}
+
+// buckets holds the retry bucket of every service. Readers load a map that is replaced as a whole.
+type buckets struct {
+	mu  sync.Mutex // held while the map is replaced
+	all atomic.Pointer[map[string]*retry.Bucket]
+}
+
+func newBuckets() *buckets {
+	b := &buckets{}
+	b.all.Store(&map[string]*retry.Bucket{})
+	return b
+}
+
+// get returns the bucket of a service with the ratio of the present policy.
+func (b *buckets) get(service string, ratio float64) *retry.Bucket {
+	bucket, ok := (*b.all.Load())[service]
+	if !ok {
+		bucket = b.add(service, ratio)
+	}
+	bucket.SetRatio(ratio)
+	return bucket
+}
+
+func (b *buckets) add(service string, ratio float64) *retry.Bucket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := *b.all.Load()
+	if bucket, ok := old[service]; ok {
+		return bucket
+	}
+	all := make(map[string]*retry.Bucket, len(old)+1)
+	for name, bucket := range old {
+		all[name] = bucket
+	}
+	bucket := retry.NewBucket(ratio)
+	all[service] = bucket
+	b.all.Store(&all)
+	return bucket
+}
--- /dev/null
+++ b/internal/process/metrics/metrics.go
@@ -0,0 +1,124 @@
+// Package metrics exports the node's measurements by OpenTelemetry in the Prometheus text format.
+//
+// All methods are safe for concurrent use.
+package metrics
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// Gauges is a reading of values that change all the time.
+type Gauges struct {
+	Active    int64 // requests that have not been answered
+	InFlight  int64 // requests at the own target
+	Limit     int64 // limit on requests at the own target
+	Threshold int64 // lowest priority that is admitted
+	Members   int64
+	Version   int64 // configuration version in force
+	Links     int64 // open links to and from peers
+}
+
+// Metrics holds the instruments of a node.
+type Metrics struct {
+	provider *sdk.MeterProvider
+	handler  http.Handler
+	requests metric.Int64Counter
+	latency  metric.Float64Histogram
+}
+
+// latencyBounds are the upper bounds of the histogram's buckets, in seconds.
+var latencyBounds = []float64{.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10}
+
+// New returns the metrics of a node that reads its gauges from the function.
+func New(read func() Gauges) (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	if err != nil {
+		return nil, fmt.Errorf("metrics exporter: %w", err)
+	}
+	m := &Metrics{
+		provider: sdk.NewMeterProvider(sdk.WithReader(exporter)),
+		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+	}
+	meter := m.provider.Meter("wigeoncleat")
+	if m.requests, err = meter.Int64Counter("wigeoncleat.requests",
+		metric.WithDescription("Requests by the interface they came in on, outcome and reason.")); err != nil {
+		return nil, fmt.Errorf("request counter: %w", err)
+	}
+	if m.latency, err = meter.Float64Histogram("wigeoncleat.request.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from a request's arrival to its final response."),
+		metric.WithExplicitBucketBoundaries(latencyBounds...)); err != nil {
+		return nil, fmt.Errorf("latency histogram: %w", err)
+	}
+	return m, observe(meter, read)
+}
+
+// observe registers the gauges and the counts of violated invariants.
+func observe(meter metric.Meter, read func() Gauges) error {
+	var all []metric.Observable
+	gauge := func(name, text string) metric.Int64ObservableGauge {
+		g, err := meter.Int64ObservableGauge(name, metric.WithDescription(text))
+		if err != nil {
+			panic(err) // names are constant
+		}
+		all = append(all, g)
+		return g
+	}
+	active := gauge("wigeoncleat.active", "Requests that have not been answered.")
+	inFlight := gauge("wigeoncleat.target.in_flight", "Requests at the target beside the node.")
+	limit := gauge("wigeoncleat.target.limit", "Limit on requests at the target beside the node.")
+	threshold := gauge("wigeoncleat.target.threshold", "Lowest priority that is admitted.")
+	members := gauge("wigeoncleat.members", "Members known.")
+	version := gauge("wigeoncleat.configuration.version", "Configuration version in force.")
+	links := gauge("wigeoncleat.links", "Open links to and from peers.")
+	violations := gauge("wigeoncleat.invariant.violations", "Violations of an invariant since the start.")
+	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		g := read()
+		o.ObserveInt64(active, g.Active)
+		o.ObserveInt64(inFlight, g.InFlight)
+		o.ObserveInt64(limit, g.Limit)
+		o.ObserveInt64(threshold, g.Threshold)
+		o.ObserveInt64(members, g.Members)
+		o.ObserveInt64(version, g.Version)
+		o.ObserveInt64(links, g.Links)
+		for name, n := range invariant.Counts() {
+			o.ObserveInt64(violations, n, metric.WithAttributes(attribute.String("invariant", string(name))))
+		}
+		return nil
+	}, all...)
+	if err != nil {
+		return fmt.Errorf("register gauges: %w", err)
+	}
+	return nil
+}
+
+// Request counts a request that came in on the interface.
+func (m *Metrics) Request(face string, r *message.Response, took time.Duration) {
+	ctx := context.Background()
+	set := metric.WithAttributeSet(attribute.NewSet(
+		attribute.String("interface", face),
+		attribute.String("outcome", r.Outcome.String()),
+		attribute.String("reason", r.Reason.String()),
+	))
+	m.requests.Add(ctx, 1, set)
+	m.latency.Record(ctx, took.Seconds(), metric.WithAttributeSet(attribute.NewSet(attribute.String("interface", face))))
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close releases the exporter.
+func (m *Metrics) Close(ctx context.Context) error { return m.provider.Shutdown(ctx) }
--- /dev/null
+++ b/internal/process/node/caller.go
@@ -0,0 +1,246 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	kerrors "github.com/go-kratos/kratos/v2/errors"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
+
+const (
+	keysPath     = "/-/keys"
+	announcePath = "/-/announce"
+	// maxKeys bounds the keys of one request to issue some.
+	maxKeys = 1000
+	// defaultRetryAfter is told to callers when nothing better is known.
+	defaultRetryAfter = time.Second
+)
+
+// serveFunc answers one request.
+type serveFunc func(ctx context.Context, req *message.Request) *message.Response
+
+// httpRequest reads a caller's or target's HTTP request.
+func httpRequest(r *http.Request, limits policy.Limits) (*message.Request, *message.Response) {
+	req := &message.Request{Method: r.Method, Header: r.Header}
+	if err := readTrace(r, req); err != nil {
+		return req, invalid("%v", err)
+	}
+	service, path, ok := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+	if !ok || service == "" {
+		return req, message.Refuse(message.ReasonNoService,
+			message.Errorf(message.StepAccept, "", "path %q names no service and path", r.URL.Path))
+	}
+	req.Service, req.Path = service, "/"+path
+	if r.URL.RawQuery != "" {
+		req.Path += "?" + r.URL.RawQuery
+	}
+	if refusal := readHeaders(r, req, limits); refusal != nil {
+		return req, refusal
+	}
+	return req, readBody(r, req, limits)
+}
+
+func invalid(format string, args ...any) *message.Response {
+	return message.Refuse(message.ReasonInvalid, message.Errorf(message.StepAccept, "", format, args...))
+}
+
+// readTrace takes the request ID from the Traceparent header, or makes one.
+func readTrace(r *http.Request, req *message.Request) error {
+	header := r.Header.Get(message.HeaderTraceparent)
+	if header == "" {
+		req.ID, req.Span = message.NewID(), message.NewSpanID()
+		return nil
+	}
+	id, span, err := message.ParseTraceparent(header)
+	req.ID, req.Span = id, span
+	if err != nil {
+		req.ID = message.NewID()
+	}
+	return err
+}
+
+// readHeaders checks the headers of the caller protocol and removes those that are not for the target.
+func readHeaders(r *http.Request, req *message.Request, limits policy.Limits) *message.Response {
+	size := 0
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
+	}
+	if size > limits.Header {
+		return message.Refuse(message.ReasonTooLarge,
+			message.Errorf(message.StepAccept, "", "headers of %d bytes exceed %d", size, limits.Header))
+	}
+	req.Retries = math.MaxInt
+	if text := r.Header.Get(message.HeaderRetries); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 {
+			return invalid("%s: %q is no count", message.HeaderRetries, text)
+		}
+		req.Retries = n
+	}
+	if text := r.Header.Get(message.HeaderTimeout); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 || ms > math.MaxInt64/int64(time.Millisecond) {
+			return invalid("%s: %q is no time in milliseconds", message.HeaderTimeout, text)
+		}
+		req.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
+	req.Key = r.Header.Get(message.HeaderKey)
+	message.RemoveHopHeaders(req.Header)
+	req.Header.Del(message.HeaderRetries)
+	req.Header.Del(message.HeaderTimeout)
+	req.Header.Del(message.HeaderTraceparent)
+	req.Header.Del(message.HeaderKey)
+	return nil
+}
+
+func readBody(r *http.Request, req *message.Request, limits policy.Limits) *message.Response {
+	if r.ContentLength == 0 {
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, int64(limits.RequestBody)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return message.Refuse(message.ReasonTooLarge,
+			message.Errorf(message.StepAccept, "", "body exceeds %d bytes", limits.RequestBody))
+	case err != nil:
+		return invalid("read body: %v", err)
+	}
+	req.Body = body
+	return nil
+}
+
+// writeResponse writes the final response of a request.
+func writeResponse(w http.ResponseWriter, r *http.Request, id message.ID, resp *message.Response) {
+	h := w.Header()
+	if resp.Outcome == message.Answered {
+		for name, values := range resp.Header {
+			h[name] = values
+		}
+		message.RemoveHopHeaders(h)
+	}
+	h.Set(message.HeaderOutcome, resp.Outcome.String())
+	h.Set(message.HeaderRequestID, id.String())
+	h.Set(message.HeaderRetries, strconv.Itoa(resp.RetriesLeft))
+	if resp.Outcome != message.Answered {
+		writeFailure(w, r, resp)
+		return
+	}
+	if r.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	}
+	w.WriteHeader(resp.Status)
+	_, _ = w.Write(resp.Body) // a caller that has left gets nothing
+}
+
+// writeFailure writes a response that carries no answer of a target.
+func writeFailure(w http.ResponseWriter, r *http.Request, resp *message.Response) {
+	status := failureStatus(resp)
+	h := w.Header()
+	h.Set(message.HeaderReason, resp.Reason.String())
+	if status >= http.StatusInternalServerError {
+		after := resp.RetryAfter
+		if after <= 0 {
+			after = defaultRetryAfter
+		}
+		h.Set(message.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(after.Seconds()))))
+		h.Set(message.HeaderRetryAfterMs, strconv.FormatInt(after.Milliseconds(), 10))
+	}
+	if resp.Reason == message.ReasonLeaving {
+		h.Set("Connection", "close")
+	}
+	err := kerrors.New(status, strings.ToUpper(resp.Reason.String()), "request failed")
+	if resp.Err != nil {
+		err.Message = resp.Err.Error()
+		err.Metadata = map[string]string{"step": string(resp.Err.Step), "peer": resp.Err.Peer, "outcome": resp.Outcome.String()}
+	}
+	khttp.DefaultErrorEncoder(w, r, err)
+}
+
+// failureStatus returns the HTTP status of a response without an answer. docs/callers.md lists them.
+func failureStatus(resp *message.Response) int {
+	if resp.Outcome == message.Unknown {
+		return http.StatusGatewayTimeout
+	}
+	switch resp.Reason {
+	case message.ReasonInvalid:
+		return http.StatusBadRequest
+	case message.ReasonNoService:
+		return http.StatusNotFound
+	case message.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case message.ReasonKeyConflict:
+		return http.StatusUnprocessableEntity
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// requestHandler serves requests over HTTP.
+func (n *Node) requestHandler(serve serveFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		req, refusal := httpRequest(r, n.limits())
+		if refusal != nil {
+			writeResponse(w, r, req.ID, refusal)
+			return
+		}
+		writeResponse(w, r, req.ID, serve(r.Context(), req))
+	})
+}
+
+// callerHandler serves the caller interface.
+func (n *Node) callerHandler() http.Handler {
+	requests := n.requestHandler(n.engine.Serve)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == keysPath {
+			n.serveKeys(w, r)
+			return
+		}
+		requests.ServeHTTP(w, r)
+	})
+}
+
+// issuedKeys is the response of the key path.
+type issuedKeys struct {
+	Keys    []string `json:"keys"`
+	ValidMs int64    `json:"valid_ms"`
+}
+
+// serveKeys issues idempotency keys whose home is this node.
+func (n *Node) serveKeys(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		writeResponse(w, r, message.NewID(), invalid("%s needs POST", keysPath))
+		return
+	}
+	if n.leaving.Load() {
+		// A key of a node that is about to stop would be lost with it.
+		writeResponse(w, r, message.NewID(), message.Refuse(message.ReasonLeaving,
+			message.Errorf(message.StepKey, n.settings.Node.PeerAddress, "node is leaving")))
+		return
+	}
+	count := 1
+	if text := r.URL.Query().Get("n"); text != "" {
+		c, err := strconv.Atoi(text)
+		if err != nil || c < 1 || c > maxKeys {
+			writeResponse(w, r, message.NewID(), invalid("n=%q is not between 1 and %d", text, maxKeys))
+			return
+		}
+		count = c
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	_ = json.NewEncoder(w).Encode(issuedKeys{Keys: n.keys.Issue(count), ValidMs: n.keys.Validity().Milliseconds()})
+}
--- /dev/null
+++ b/internal/process/node/target.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
+
+const (
+	targetDialTimeout = 500 * time.Millisecond
+	// targetIdleTimeout is shorter than the idle timeouts that servers usually have, so that a request rarely meets a
+	// connection that its target has just closed.
+	targetIdleTimeout = 15 * time.Second
+)
+
+// targetClient runs requests at the target beside the node.
+type targetClient struct {
+	client  *khttp.Client
+	address atomic.Pointer[string] // as last announced
+	policy  func() *policy.Policy
+}
+
+// newTargetClient returns a client. An empty address means that the target says where it serves when it announces itself.
+func newTargetClient(ctx context.Context, address string, pol func() *policy.Policy) (*targetClient, error) {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: targetDialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 1024,
+		IdleConnTimeout:     targetIdleTimeout,
+		DisableCompression:  true, // bodies pass unchanged
+	}
+	client, err := khttp.NewClient(ctx,
+		khttp.WithTransport(transport),
+		khttp.WithTimeout(0),
+		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }), // every status is an answer
+	)
+	if err != nil {
+		return nil, fmt.Errorf("target client: %w", err)
+	}
+	t := &targetClient{client: client, policy: pol}
+	t.address.Store(&address)
+	return t, nil
+}
+
+// Do implements engine.Target.
+func (t *targetClient) Do(ctx context.Context, req *message.Request) *message.Response {
+	address := *t.address.Load()
+	hr, err := t.httpRequest(ctx, address, req)
+	if err != nil {
+		return message.Refuse(message.ReasonInvalid, message.Errorf(message.StepRun, address, "%v", err))
+	}
+	resp, err := t.client.Do(hr)
+	if err != nil {
+		return failure(ctx, address, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := t.readBody(req.Method, resp)
+	if err != nil {
+		return message.Doubt(message.ReasonConnection, message.Errorf(message.StepRun, address, "read response: %v", err))
+	}
+	message.RemoveHopHeaders(resp.Header)
+	return &message.Response{Outcome: message.Answered, Status: resp.StatusCode, Header: resp.Header, Body: body}
+}
+
+// httpRequest builds the request for the target.
+func (t *targetClient) httpRequest(ctx context.Context, address string, req *message.Request) (*http.Request, error) {
+	hr, err := http.NewRequestWithContext(ctx, req.Method, "http://"+address+req.Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	hr.Header = req.Header.Clone()
+	if hr.Header == nil {
+		hr.Header = http.Header{}
+	}
+	if host := hr.Header.Get("Host"); host != "" {
+		hr.Host = host
+	}
+	hr.Header.Set(message.HeaderTraceparent, message.Traceparent(req.ID, req.Span))
+	hr.Header.Set(message.HeaderTimeout, strconv.FormatInt(max(time.Until(req.Deadline).Milliseconds(), 1), 10))
+	if req.Key != "" {
+		hr.Header.Set(message.HeaderKey, req.Key)
+	}
+	// http.Transport repeats a GET or a request with an Idempotency-Key by itself if it has no body or one that can be read
+	// again. A body without GetBody keeps it from doing so, which would break the bound on attempts.
+	hr.Body = io.NopCloser(bytes.NewReader(req.Body))
+	hr.ContentLength = int64(len(req.Body))
+	return hr, nil
+}
+
+// readBody returns the body if it is whole.
+func (t *targetClient) readBody(method string, resp *http.Response) ([]byte, error) {
+	if method == http.MethodHead {
+		return nil, nil
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, errors.New("response has neither a length nor an end marker")
+	}
+	limit := int64(policy.DefaultResponseBody)
+	if pol := t.policy(); pol != nil {
+		limit = int64(pol.Limits.ResponseBody)
+	}
+	if resp.ContentLength > limit {
+		return nil, fmt.Errorf("body of %d bytes exceeds %d", resp.ContentLength, limit)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, fmt.Errorf("body exceeds %d bytes", limit)
+	}
+	return body, nil
+}
+
+// failure classifies an error of the client. Only a connection that could not be opened proves that the request was not
+// sent.
+func failure(ctx context.Context, address string, err error) *message.Response {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return message.Refuse(message.ReasonConnection, message.Errorf(message.StepDial, address, "%v", err))
+	}
+	reason := message.ReasonConnection
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = message.ReasonDeadline
+	case ctx.Err() != nil:
+		reason = message.ReasonCancelled
+	}
+	return message.Doubt(reason, message.Errorf(message.StepRun, address, "%v", err))
+}
--- a/internal/request/message/header.go
+++ b/internal/request/message/header.go
@@ -4,14 +4,15 @@
 
 // Headers of the caller protocol. docs/callers.md describes them.
 const (
-	HeaderKey         = "Idempotency-Key"
-	HeaderRetryAfter  = "Retry-After"
-	HeaderTraceparent = "Traceparent"
-	HeaderRequestID   = "X-Request-Id"
-	HeaderOutcome     = "Wigeon-Outcome"
-	HeaderTimeout     = "Wigeon-Timeout-Ms"   // milliseconds that the caller waits
-	HeaderRetries     = "Wigeon-Retry-Budget" // retries left of the request's budget
-	HeaderReason      = "Wigeon-Reason"
+	HeaderKey          = "Idempotency-Key"
+	HeaderRetryAfter   = "Retry-After" // whole seconds
+	HeaderRetryAfterMs = "Wigeon-Retry-After-Ms"
+	HeaderTraceparent  = "Traceparent"
+	HeaderRequestID    = "X-Request-Id"
+	HeaderOutcome      = "Wigeon-Outcome"
+	HeaderTimeout      = "Wigeon-Timeout-Ms"   // milliseconds that the caller waits
+	HeaderRetries      = "Wigeon-Retry-Budget" // retries left of the request's budget
+	HeaderReason       = "Wigeon-Reason"
 )
 
 // hopHeaders apply to one connection only and are never passed on (RFC 9110, section 7.6.1).
