--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -91,7 +91,8 @@
 
 // Controller is the admission control of one target.
 type Controller struct {
-	origin time.Time // times below are durations since origin
+	origin time.Time      // times below are durations since origin
+	random func() float64 // from zero to one; replaced by tests, called with the mutex held
 
 	threshold atomic.Uint32 // copy of gate.threshold
 	load      atomic.Uint64 // in-flight and queued requests in the high half, limit in the low half
@@ -113,7 +114,7 @@
 
 // New returns a Controller that admits at the full limit. StartRamp makes it start slowly.
 func New(l Limits) *Controller {
-	c := &Controller{origin: time.Now(), limits: l, rampFrom: -1}
+	c := &Controller{origin: time.Now(), random: rand.Float64, limits: l, rampFrom: -1}
 	c.trial.reset(l.ceiling(), 0)
 	c.limit = c.present(0)
 	c.nextTick.Store(int64(tickInterval))
@@ -451,9 +452,9 @@
 	case message.ReasonOverload, message.ReasonDeadline:
 		backlog := time.Duration(c.inFlight+c.queue.len()) * c.hold.mean / time.Duration(c.limit)
 		after := float64(minRetryAfter+backlog) * (1 + c.gate.pressure)
-		r.RetryAfter = time.Duration(min(after, float64(maxRetryAfter)) * (0.5 + rand.Float64()))
+		r.RetryAfter = time.Duration(min(after, float64(maxRetryAfter)) * (0.5 + c.random()))
 	case message.ReasonLeaving:
-		r.RetryAfter = time.Duration(float64(minRetryAfter) * (0.5 + rand.Float64()))
+		r.RetryAfter = time.Duration(float64(minRetryAfter) * (0.5 + c.random()))
 	}
 	return r
 }
--- a/internal/process/admission/admission_test.go
+++ b/internal/process/admission/admission_test.go
@@ -108,11 +108,18 @@
 	return Limits{Slots: slots, Connections: 300, QueueLength: slots, QueueMaxWait: 200 * time.Millisecond, RampTime: 5 * time.Second}
 }
 
+// newController returns a Controller with a fixed seed.
+func newController(l Limits) *Controller {
+	c := New(l)
+	c.random = rand.New(rand.NewPCG(1, 2)).Float64
+	return c
+}
+
 // Guards against overload that takes orders down with reads, that leaves slots idle, or that outlasts its trigger.
 func TestOverloadKeepsHighRankAndRecovers(t *testing.T) {
 	for _, spread := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			c := New(testLimits(40))
+			c := newController(testLimits(40))
 			l := &load{c: c, target: newTarget(40, 50*time.Millisecond, spread), timeout: time.Second,
 				rates: map[uint8]float64{rankOrder: 200, 20: 200, rankRead: 1600}}
 			l.run(10 * time.Second) // 2.5 times the capacity of 800 a second
@@ -136,7 +143,7 @@
 func TestSlowTargetKeepsItsSlots(t *testing.T) {
 	for _, spread := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			c := New(testLimits(40))
+			c := newController(testLimits(40))
 			l := &load{c: c, target: newTarget(40, 50*time.Millisecond, spread), timeout: 2 * time.Second,
 				rates: map[uint8]float64{rankOrder: 400, rankRead: 600}}
 			l.run(5 * time.Second)
@@ -153,7 +160,7 @@
 func TestFewerSlotsThanStated(t *testing.T) {
 	for _, spread := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			c := New(testLimits(40))
+			c := newController(testLimits(40))
 			l := &load{c: c, target: newTarget(10, 50*time.Millisecond, spread), timeout: 2 * time.Second,
 				rates: map[uint8]float64{rankOrder: 100, rankRead: 400}}
 			l.run(30 * time.Second)
@@ -169,7 +176,7 @@
 // Guards against full load on a target that has just started.
 func TestColdStartRampsUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New(testLimits(40))
+		c := newController(testLimits(40))
 		c.StartRamp()
 		require.Equal(t, 4, c.Load().Limit)
 		time.Sleep(2500 * time.Millisecond)
@@ -218,7 +225,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := testLimits(1)
 		l.QueueLength = 3
-		c := New(l)
+		c := newController(l)
 		permits := hold(t, c)
 		ctx, leave := context.WithCancel(t.Context())
 		now := time.Now()
@@ -248,7 +255,7 @@
 // refuses everything for ever.
 func TestDeadlineThatCannotBeMet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New(testLimits(2))
+		c := newController(testLimits(2))
 		for _, p := range hold(t, c) {
 			time.Sleep(500 * time.Millisecond)
 			p.Release(Result{Latency: 500 * time.Millisecond})
@@ -264,7 +271,7 @@
 // Guards against work that is admitted after the node told its peers that it leaves.
 func TestStopAdmittingRefusesQueuedAndNew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := New(testLimits(1))
+		c := newController(testLimits(1))
 		permits := hold(t, c)
 		queued := queueUp(t.Context(), c, Work{Priority: 0x1e00})
 		c.StopAdmitting()
--- /dev/null
+++ b/internal/process/balance/balance_test.go
@@ -0,0 +1,283 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
+
+var testBalance = policy.New().Balance // 5 failures, 1 s, half of the targets
+
+// site returns n targets with addresses t0, t1, and so on, spread over the given zones.
+func site(n, slots int, zones ...string) []Target {
+	var out []Target
+	for i := range n {
+		out = append(out, Target{Address: fmt.Sprint("t", i), Zone: zones[i%len(zones)], Slots: slots})
+	}
+	return out
+}
+
+// fake is a target with slots that every node shares; work above the slots waits.
+type fake struct {
+	slots   chan struct{}
+	service time.Duration
+	liar    bool // always reports no load
+	mu      sync.Mutex
+	load    int
+	served  int
+}
+
+func (f *fake) run() message.Load {
+	f.mu.Lock()
+	f.load++
+	f.mu.Unlock()
+	f.slots <- struct{}{}
+	time.Sleep(f.service)
+	<-f.slots
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.load--
+	f.served++
+	if f.liar {
+		return message.Load{Limit: cap(f.slots)}
+	}
+	return message.Load{InFlight: f.load, Limit: cap(f.slots)}
+}
+
+// newPicker returns a Picker with a fixed seed.
+func newPicker(zone string, seed uint64) *Picker {
+	p := New(zone, testBalance, DefaultRampTime)
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, 6))
+	p.random = func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return rng.Float64()
+	}
+	return p
+}
+
+// drive sends requests at a fixed rate from several nodes and returns the served requests per target.
+func drive(pickers []*Picker, fakes map[string]*fake, rate float64, d time.Duration) map[string]int {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var wg sync.WaitGroup
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		p := pickers[rng.IntN(len(pickers))]
+		wg.Go(func() {
+			if target, done, ok := p.Pick(); ok {
+				done(Result{Load: fakes[target.Address].run()})
+			}
+		})
+	}
+	wg.Wait()
+	served := map[string]int{}
+	for a, f := range fakes {
+		served[a] = f.served
+	}
+	return served
+}
+
+// cluster builds a Picker per node and a fake per target.
+func cluster(nodes int, targets []Target) ([]*Picker, map[string]*fake) {
+	fakes := map[string]*fake{}
+	for _, t := range targets {
+		fakes[t.Address] = &fake{slots: make(chan struct{}, t.Slots), service: 50 * time.Millisecond}
+	}
+	var pickers []*Picker
+	for i := range nodes {
+		p := newPicker("a", uint64(i))
+		p.Update(targets)
+		pickers = append(pickers, p)
+	}
+	return pickers, fakes
+}
+
+func total(served map[string]int) int {
+	n := 0
+	for _, s := range served {
+		n += s
+	}
+	return n
+}
+
+// Guards against a target that attracts the traffic of a service by always reporting no load.
+func TestMisleadingReportAttractsBoundedExcess(t *testing.T) {
+	for _, nodes := range []int{1, 20} {
+		synctest.Test(t, func(t *testing.T) {
+			pickers, fakes := cluster(nodes, site(4, 40, "a"))
+			fakes["t0"].liar = true
+			served := drive(pickers, fakes, 1600, 10*time.Second)
+			t.Logf("%d nodes: %v", nodes, served)
+			require.LessOrEqual(t, served["t0"], 2*16000/4)
+		})
+	}
+}
+
+// Guards against equal shares for targets of unequal size, which overload the small ones.
+func TestTrafficFollowsSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := site(4, 40, "a")
+		targets[0].Slots = 10
+		pickers, fakes := cluster(4, targets)
+		served := drive(pickers, fakes, 2000, 10*time.Second) // 77 % of the capacity of 2600 a second
+		t.Logf("%v", served)
+		require.InDelta(t, 20000*10/130, served["t0"], 400)
+	})
+}
+
+// Guards against a zone that sends its requests elsewhere without need, and against one that queues while others idle.
+func TestLocalZoneFirstUntilWorse(t *testing.T) {
+	for rate, share := range map[float64][2]float64{270: {0.95, 1}, 1440: {0.4, 0.65}} {
+		synctest.Test(t, func(t *testing.T) {
+			pickers, fakes := cluster(2, site(4, 20, "a", "b")) // 800 a second in each zone
+			served := drive(pickers, fakes, rate, 10*time.Second)
+			local := float64(served["t0"]+served["t2"]) / float64(total(served))
+			t.Logf("rate %v: %v, local share %.3f", rate, served, local)
+			require.GreaterOrEqual(t, local, share[0])
+			require.LessOrEqual(t, local, share[1])
+		})
+	}
+}
+
+// fail ends picks with failures until the target has failed n times. It gives up after many picks.
+func fail(p *Picker, address string, n int) {
+	for range 10_000 {
+		target, done, _ := p.Pick()
+		done(Result{Failed: target.Address == address && n > 0, Cancelled: target.Address != address})
+		if target.Address == address {
+			n--
+		}
+		if n <= 0 {
+			return
+		}
+	}
+}
+
+// picks counts the picks per target.
+func picks(p *Picker, n int) map[string]int {
+	out := map[string]int{}
+	for range n {
+		target, done, ok := p.Pick()
+		if ok {
+			out[target.Address]++
+			done(Result{Cancelled: true})
+		}
+	}
+	return out
+}
+
+// Guards against ejecting so many targets that the rest is overloaded, and against a failing target that gets its full
+// share of traffic again and again.
+func TestEjectionIsBoundedAndDoubles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPicker("a", 1)
+		p.Update(site(4, 40, "a"))
+		for i := range 4 {
+			fail(p, fmt.Sprint("t", i), 5)
+		}
+		require.Equal(t, []string{"t0", "t1"}, p.Ejected())
+		require.Zero(t, picks(p, 1000)["t0"])
+		time.Sleep(time.Second + time.Millisecond)
+		require.Empty(t, p.Ejected())
+		got := picks(p, 4000)
+		require.Less(t, got["t0"], 300, "a returning target starts with a small share")
+		require.Positive(t, got["t0"])
+		fail(p, "t0", 1)
+		time.Sleep(1900 * time.Millisecond)
+		require.Equal(t, []string{"t0"}, p.Ejected(), "one failure after the return ejects for twice the time")
+		time.Sleep(200 * time.Millisecond)
+		require.Empty(t, p.Ejected())
+		time.Sleep(DefaultRampTime)
+		require.Greater(t, picks(p, 4000)["t0"], 800)
+	})
+}
+
+// Guards against slow targets that keep their share, and against ejecting a target that is only slower than others.
+func TestOutlierLatency(t *testing.T) {
+	for factor, ejected := range map[time.Duration]bool{4: false, 10: true} {
+		synctest.Test(t, func(t *testing.T) {
+			pickers, fakes := cluster(1, site(4, 40, "a"))
+			fakes["t0"].service *= factor
+			served := drive(pickers, fakes, 800, time.Second)
+			t.Logf("factor %d: %v, ejected %v", factor, served, pickers[0].Ejected())
+			require.Equal(t, ejected, len(pickers[0].Ejected()) > 0)
+			require.Less(t, served["t0"], 800/4)
+		})
+	}
+}
+
+// Guards against picks of excluded, removed or draining targets, and against counts that are lost in an update.
+func TestExcludeAndUpdate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPicker("a", 1)
+		_, _, ok := p.Pick()
+		require.False(t, ok)
+		p.Update(site(2, 40, "a"))
+		for range 100 {
+			target, done, ok := p.Pick("t0")
+			require.True(t, ok)
+			require.Equal(t, "t1", target.Address)
+			done(Result{Refused: true})
+			done(Result{Refused: true}) // a second call must not count
+		}
+		_, _, ok = p.Pick("t0", "t1")
+		require.False(t, ok)
+		_, done, _ := p.Pick("t1")
+		p.Update(site(3, 40, "b"))
+		require.EqualValues(t, 1, p.snapshot.Load().all[0].inFlight.Load())
+		done(Result{})
+		require.Zero(t, p.snapshot.Load().all[0].inFlight.Load())
+		got := picks(p, 4000)
+		require.Less(t, got["t2"], 400, "a new target starts with a small share")
+		p.Update(site(1, 40, "b"))
+		require.Equal(t, map[string]int{"t0": 100}, picks(p, 100))
+	})
+}
+
+// Guards against data races between picks, results, ejections and updates.
+func TestConcurrentUse(t *testing.T) {
+	p := newPicker("a", 1)
+	p.Update(site(4, 40, "a", "b"))
+	var wg sync.WaitGroup
+	for w := range 8 {
+		wg.Go(func() {
+			for i := range 2000 {
+				if w == 0 && i%50 == 0 {
+					p.Update(site(3+i%3, 40, "a", "b"))
+				}
+				if _, done, ok := p.Pick("t1"); ok {
+					done(Result{Failed: i%3 == 0, Load: message.Load{InFlight: i % 40, Limit: 40}})
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for _, m := range p.snapshot.Load().all {
+		require.Zero(t, m.inFlight.Load())
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{4, 40} {
+		b.Run(fmt.Sprint(n, "-targets"), func(b *testing.B) {
+			p := newPicker("a", 1)
+			p.Update(site(n, 40, "a", "b", "c"))
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					_, done, _ := p.Pick()
+					done(Result{Load: message.Load{InFlight: 1, Limit: 40}})
+				}
+			})
+		})
+	}
+}
--- a/internal/process/shed/shed.go
+++ b/internal/process/shed/shed.go
@@ -31,10 +31,10 @@
 	minWeight = 0.25
 	// snapDistance is the difference below which a report is taken as it is, so that an average reaches zero.
 	snapDistance = 16
-	// probeShare is the number of requests below a threshold of which one passes, and probeInterval the shortest time
-	// between two probes of a service. The share keeps probes rare in front of many entry nodes, the interval keeps them
+	// probeShare is the share of requests below a threshold that pass, and probeInterval the shortest time between two
+	// probes of a service. The share keeps probes rare in front of many entry nodes, the interval keeps them
 	// rare under a high rate.
-	probeShare    = 32
+	probeShare    = 1.0 / 32
 	probeInterval = 50 * time.Millisecond
 	// needMemory is the time for which a route counts as needing a service that its responses no longer name.
 	needMemory = time.Minute
@@ -51,6 +51,7 @@
 // Table holds the shedding thresholds of services and the services that each route needs.
 type Table struct {
 	origin   time.Time
+	random   func() float64 // from zero to one; replaced by tests, safe for concurrent use
 	services atomic.Pointer[map[string]*entry]
 	routes   atomic.Pointer[map[routeKey]*route]
 	mu       sync.Mutex // changes to the maps
@@ -78,7 +79,7 @@
 
 // New returns an empty table, which admits everything.
 func New() *Table {
-	t := &Table{origin: time.Now()}
+	t := &Table{origin: time.Now(), random: rand.Float64}
 	t.services.Store(&map[string]*entry{})
 	t.routes.Store(&map[routeKey]*route{})
 	return t
@@ -222,25 +223,25 @@
 			}
 		}
 	}
-	if top == nil || top.passProbe(now) {
+	if top == nil || t.passProbe(top, now) {
 		return true, "", 0
 	}
-	return false, top.name, top.retryAfter(now)
+	return false, top.name, t.retryAfter(top, now)
 }
 
 // passProbe reports whether a request below the threshold passes as a probe.
-func (e *entry) passProbe(now int64) bool {
+func (t *Table) passProbe(e *entry, now int64) bool {
 	last := e.probe.Load()
-	if now-last < probeInterval.Milliseconds() || rand.Uint32N(probeShare) != 0 {
+	if now-last < probeInterval.Milliseconds() || t.random() >= probeShare {
 		return false
 	}
 	return e.probe.CompareAndSwap(last, now)
 }
 
-func (e *entry) retryAfter(now int64) time.Duration {
+func (t *Table) retryAfter(e *entry, now int64) time.Duration {
 	lasted := time.Duration(now-e.since.Load()) * time.Millisecond
 	after := min(float64(minRetryAfter)+retryGrowth*float64(lasted), float64(maxRetryAfter))
-	return time.Duration(after * (0.5 + rand.Float64()))
+	return time.Duration(after * (0.5 + t.random()))
 }
 
 // Current returns the thresholds of the services that a route needs, without the route's own service, for passing up with
--- a/internal/process/shed/shed_test.go
+++ b/internal/process/shed/shed_test.go
@@ -14,6 +14,19 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
+// newTable returns a Table with a fixed seed.
+func newTable() *Table {
+	t := New()
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(1, 2))
+	t.random = func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return rng.Float64()
+	}
+	return t
+}
+
 // thresholds builds a list from service names with one threshold.
 func thresholds(p message.Priority, services ...string) []message.Threshold {
 	var out []message.Threshold
@@ -37,7 +50,7 @@
 // Guards against a recovered service that is shed for good because nothing is sent to it that could report its recovery.
 func TestThresholdLapsesWithoutAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tb := New()
+		tb := newTable()
 		tb.Learn("menu", "list", thresholds(0x2000, "menu"))
 		require.LessOrEqual(t, admitted(tb, "menu", "list", 0x1fff, 100), 1)
 		require.Equal(t, 100, admitted(tb, "menu", "list", 0x2000, 100))
@@ -52,7 +65,7 @@
 // Guards against a threshold that no request tests, and against probes that are an overload of their own.
 func TestProbesAreFewButPass(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tb := New()
+		tb := newTable()
 		probes := 0
 		for range 10_000 { // 10 s at 1000 requests a second
 			tb.Learn("menu", "list", thresholds(0x2000, "menu"))
@@ -67,7 +80,7 @@
 // Guards against shedding a route because of a service that only another route of the same service needs.
 func TestRouteIsShedForItsOwnNeedsOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tb := New()
+		tb := newTable()
 		tb.Learn("menu", "order", append(thresholds(0, "menu"), thresholds(0x2000, "stock")...))
 		tb.Learn("menu", "list", thresholds(0, "menu"))
 		require.Equal(t, 100, admitted(tb, "menu", "list", 0x1000, 100))
@@ -86,7 +99,7 @@
 // Guards against a table that follows the last response only, when targets of one service have different thresholds.
 func TestTargetsWithDifferentThresholds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tb := New()
+		tb := newTable()
 		for i := range 1000 {
 			tb.Learn("menu", "list", thresholds(message.Priority(i%2)*0x2000, "menu"))
 			time.Sleep(time.Millisecond)
@@ -99,7 +112,7 @@
 // Guards against times to return that are all the same or that do not grow while an overload lasts.
 func TestRetryAfterGrowsAndSpreads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tb := New()
+		tb := newTable()
 		seen := map[time.Duration]bool{}
 		var first, last time.Duration
 		for i := range 100 {
@@ -123,7 +136,7 @@
 // times the capacity gone, everything must be admitted within 2 s; before that, orders must pass and slots stay busy.
 func TestEntryAndTargetRecover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tb := New()
+		tb := newTable()
 		c := admission.New(admission.Limits{Slots: 40, Connections: 300, QueueLength: 40, QueueMaxWait: 200 * time.Millisecond})
 		var mu sync.Mutex
 		one := func(rng *rand.Rand, rank int, good, sent *int) {
@@ -172,7 +185,7 @@
 
 // Guards against lost entries and races when routes are first seen by many requests at once.
 func TestConcurrentLearning(t *testing.T) {
-	tb := New()
+	tb := newTable()
 	var wg sync.WaitGroup
 	for w := range 8 {
 		wg.Go(func() {
