--- /dev/null
+++ b/internal/standin/target/serve.go
@@ -0,0 +1,231 @@
+package target
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// Answer is the body of a target's answer. It names the request, so that callers can detect an answer that is not theirs.
+type Answer struct {
+	Service   string `json:"service"`
+	RequestID string `json:"request_id"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	BodyHash  string `json:"body_sha256"` // of the request's body
+	Error     string `json:"error,omitempty"`
+}
+
+var (
+	errQueueFull = errors.New("queue full")
+	errStarting  = errors.New("starting")
+)
+
+func (t *Target) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/health", t.serveHealth)
+	mux.HandleFunc("GET /-/load", t.serveLoad)
+	mux.HandleFunc("GET /-/executions", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, t.Executions())
+	})
+	mux.HandleFunc("/", t.serve)
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	// The server notices that the connection was closed only after the body was read.
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	id, _, _ := message.ParseTraceparent(r.Header.Get(message.HeaderTraceparent))
+	sum := sha256.Sum256(body)
+	a := Answer{
+		Service: t.opts.Service, RequestID: id.String(), Method: r.Method, Path: r.URL.RequestURI(),
+		BodyHash: hex.EncodeToString(sum[:]),
+	}
+	ctx, cancel := withTimeout(r)
+	defer cancel()
+	status, err := t.execute(ctx, r, a)
+	if err != nil {
+		a.Error = err.Error()
+	}
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set(message.HeaderRetryAfter, "1")
+	}
+	writeJSON(w, status, a)
+}
+
+// withTimeout applies the time that the caller waits to the context of a request.
+func withTimeout(r *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.Atoi(r.Header.Get(message.HeaderTimeout))
+	if err != nil || ms < 0 {
+		return r.Context(), func() {}
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
+// execute waits for a slot, runs the request and returns the status of its answer.
+func (t *Target) execute(ctx context.Context, r *http.Request, a Answer) (int, error) {
+	if t.State() == Starting {
+		return http.StatusServiceUnavailable, errStarting
+	}
+	if err := t.acquire(ctx); err != nil {
+		return statusOf(err), err
+	}
+	defer t.release()
+	done := t.record.begin(Execution{
+		RequestID: a.RequestID, Key: r.Header.Get(message.HeaderKey),
+		Method: a.Method, Path: a.Path, BodyHash: a.BodyHash, Start: time.Now(),
+	})
+	err := t.work(ctx, r)
+	done(err == nil)
+	return statusOf(err), err
+}
+
+func statusOf(err error) int {
+	switch {
+	case err == nil:
+		return http.StatusOK
+	case errors.Is(err, errQueueFull):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+func (t *Target) acquire(ctx context.Context) error {
+	select {
+	case t.slots <- struct{}{}:
+		t.running.Add(1)
+		return nil
+	default:
+	}
+	if n := t.waiting.Add(1); t.opts.Queue > 0 && n > int64(t.opts.Queue) {
+		t.waiting.Add(-1)
+		return errQueueFull
+	}
+	defer t.waiting.Add(-1)
+	select {
+	case t.slots <- struct{}{}:
+		t.running.Add(1)
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (t *Target) release() {
+	t.running.Add(-1)
+	<-t.slots
+}
+
+// work takes the service time and makes the calls of one request.
+func (t *Target) work(ctx context.Context, r *http.Request) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if d := t.serviceTime(); d > 0 {
+		timer := time.NewTimer(d)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	for i, c := range t.calls {
+		if err := t.call(ctx, r, i, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *Target) serviceTime() time.Duration {
+	d := time.Duration(t.mean.Load())
+	if s := t.opts.Spread; s > 0 {
+		t.rngMu.Lock()
+		d += time.Duration(t.rng.Int64N(int64(2*s)+1)) - s
+		t.rngMu.Unlock()
+	}
+	if time.Since(t.started) < t.opts.ColdFor {
+		d = time.Duration(float64(d) * t.opts.ColdFactor)
+	}
+	return max(d, 0)
+}
+
+// call is a call to a downstream service.
+type call struct{ method, url string }
+
+func parseCalls(specs []string, node string) ([]call, error) {
+	if len(specs) > 0 && node == "" {
+		return nil, errors.New("calls need the address of the node")
+	}
+	calls := make([]call, 0, len(specs))
+	for _, spec := range specs {
+		method, path, ok := strings.Cut(spec, ":")
+		if !ok {
+			method, path = http.MethodGet, spec
+		}
+		path = strings.TrimPrefix(path, "/")
+		if method == "" || path == "" {
+			return nil, fmt.Errorf("call %q: want service/path or METHOD:service/path", spec)
+		}
+		calls = append(calls, call{method: method, url: "http://" + node + "/" + path})
+	}
+	return calls, nil
+}
+
+// call makes one downstream call through the node. The call's idempotency key is derived from the request's key, so that
+// it is the same in every execution of the request.
+func (t *Target) call(ctx context.Context, r *http.Request, i int, c call) error {
+	req, err := http.NewRequestWithContext(ctx, c.method, c.url, nil)
+	if err != nil {
+		return err
+	}
+	if tp := r.Header.Get(message.HeaderTraceparent); tp != "" {
+		req.Header.Set(message.HeaderTraceparent, tp)
+	}
+	if key := r.Header.Get(message.HeaderKey); key != "" {
+		sum := sha256.Sum256(fmt.Appendf(nil, "%s|%s|%d", key, t.opts.Service, i))
+		req.Header.Set(message.HeaderKey, hex.EncodeToString(sum[:16]))
+	}
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("call %s %s: %w", c.method, c.url, err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return fmt.Errorf("call %s %s: %w", c.method, c.url, err)
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("call %s %s: status %d", c.method, c.url, resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/target/target.go
@@ -0,0 +1,232 @@
+// Package target is a fake target for tests and trials. It serves one service over HTTP with a fixed number of slots,
+// a connection limit and a random service time, announces itself to the node beside it, calls downstream services
+// through that node, and records every execution.
+//
+// All methods of Target are safe for concurrent use.
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// State is the state that a target announces.
+type State string
+
+// States of a target.
+const (
+	Starting State = "starting"
+	Ready    State = "ready"
+	Draining State = "draining"
+)
+
+// Options configure a Target.
+type Options struct {
+	Listen  string // address to serve on; default "127.0.0.1:0"
+	Service string // name of the service; default "target"
+	Node    string // host:port of the node's loopback interface; empty: no announcements, and calls are not possible
+
+	Slots       int // requests that run at once; default 40
+	Connections int // open connections; further ones are closed at once; default 300
+	Queue       int // requests that wait for a slot; further ones are answered 503; default: no limit
+
+	Mean   time.Duration // mean service time; default 0
+	Spread time.Duration // the service time is uniform in mean ± spread; default 0
+	Seed   uint64        // seed of the service times
+
+	StartDelay time.Duration // time in the state "starting", in which requests are answered 503; default 0
+	ColdFor    time.Duration // time after the start in which requests take longer; default 0
+	ColdFactor float64       // factor on the service time when cold; default 5
+
+	// Calls are the calls made for each request, one after the other: "service/path" for GET, or
+	// "METHOD:service/path". A call that fails or is not answered with a 2xx status fails the request with 502.
+	Calls []string
+
+	ReportLag  time.Duration // age of what the health and load endpoints report; default 0
+	ReportIdle bool          // the health and load endpoints always report a ready, idle target
+
+	AnnounceEvery time.Duration // time between announcements; default 1 s
+	Lease         time.Duration // validity of an announcement; default 3 s
+	DrainGrace    time.Duration // time between the draining announcement and the end of the listener; default 1 s
+}
+
+const (
+	defaultListen      = "127.0.0.1:0"
+	defaultService     = "target"
+	defaultSlots       = 40
+	defaultConnections = 300
+	defaultColdFactor  = 5
+	defaultAnnounce    = time.Second
+	defaultLease       = 3 * time.Second
+	defaultDrainGrace  = time.Second
+	announceTimeout    = 500 * time.Millisecond
+	headerTimeout      = 5 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Listen, defaultListen)
+	setDefault(&o.Service, defaultService)
+	setDefault(&o.Slots, defaultSlots)
+	setDefault(&o.Connections, defaultConnections)
+	setDefault(&o.ColdFactor, defaultColdFactor)
+	setDefault(&o.AnnounceEvery, defaultAnnounce)
+	setDefault(&o.Lease, defaultLease)
+	setDefault(&o.DrainGrace, defaultDrainGrace)
+	return o
+}
+
+func setDefault[T comparable](v *T, value T) {
+	var zero T
+	if *v == zero {
+		*v = value
+	}
+}
+
+// Target is a running fake target.
+type Target struct {
+	opts    Options
+	started time.Time
+	calls   []call
+
+	listener net.Listener
+	server   *http.Server
+	client   *http.Client
+	stop     context.CancelFunc
+	loops    sync.WaitGroup
+
+	slots   chan struct{}
+	waiting atomic.Int64
+	running atomic.Int64
+	mean    atomic.Int64
+	drain   atomic.Bool
+
+	rngMu sync.Mutex
+	rng   *rand.Rand
+
+	record  record
+	reports reports
+}
+
+// Start starts a target that serves until Drain or Close.
+func Start(opts Options) (*Target, error) {
+	o := opts.withDefaults()
+	calls, err := parseCalls(o.Calls, o.Node)
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	t := &Target{
+		opts: o, started: time.Now(), calls: calls, stop: stop,
+		listener: &limitListener{Listener: l, limit: int64(o.Connections)},
+		client: &http.Client{
+			Transport:     &http.Transport{MaxIdleConnsPerHost: o.Slots},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		slots: make(chan struct{}, o.Slots),
+		rng:   rand.New(rand.NewPCG(o.Seed, 0)),
+	}
+	t.mean.Store(int64(o.Mean))
+	t.server = &http.Server{Handler: t.handler(), ReadHeaderTimeout: headerTimeout}
+	t.loops.Go(func() { _ = t.server.Serve(t.listener) })
+	t.loops.Go(func() { t.report(ctx) })
+	if o.Node != "" {
+		t.loops.Go(func() { t.announceLoop(ctx) })
+	}
+	return t, nil
+}
+
+// Addr returns the address that the target serves on.
+func (t *Target) Addr() string { return t.listener.Addr().String() }
+
+// Executions returns every execution so far, in the order in which they began.
+func (t *Target) Executions() []Execution { return t.record.list() }
+
+// SetMean changes the mean service time of the requests that start from now on.
+func (t *Target) SetMean(d time.Duration) { t.mean.Store(int64(d)) }
+
+// Running returns the number of requests that hold a slot.
+func (t *Target) Running() int { return int(t.running.Load()) }
+
+// State returns the state that the target announces.
+func (t *Target) State() State {
+	switch {
+	case t.drain.Load():
+		return Draining
+	case time.Since(t.started) < t.opts.StartDelay:
+		return Starting
+	default:
+		return Ready
+	}
+}
+
+// Drain announces that the target is leaving, serves for the drain grace, waits for its requests and ends. If ctx ends
+// first, the remaining requests are cut off and the error of ctx is returned.
+func (t *Target) Drain(ctx context.Context) error {
+	t.drain.Store(true)
+	if t.opts.Node != "" {
+		// A node that cannot be reached learns nothing, but the target leaves anyway.
+		_ = t.announce(ctx)
+		timer := time.NewTimer(t.opts.DrainGrace)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	err := t.server.Shutdown(ctx)
+	return errors.Join(err, t.Close())
+}
+
+// Close ends the target at once and cuts off its requests.
+func (t *Target) Close() error {
+	t.stop()
+	err := t.server.Close()
+	t.loops.Wait()
+	t.client.CloseIdleConnections()
+	return err
+}
+
+// limitListener closes connections above a limit as soon as they are accepted.
+type limitListener struct {
+	net.Listener
+	limit int64
+	open  atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *limitListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.limit {
+			return &limitedConn{Conn: c, listener: l}, nil
+		}
+		l.open.Add(-1)
+		_ = c.Close()
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	listener *limitListener
+	once     sync.Once
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { c.listener.open.Add(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/standin/target/target_test.go
@@ -0,0 +1,124 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// fakeNode records announcements and the headers of calls, and answers calls with the status.
+type fakeNode struct {
+	mu     sync.Mutex
+	states []State
+	calls  []http.Header
+	status int
+}
+
+func (n *fakeNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r.URL.Path == "/-/announce" {
+		var a Announcement
+		_ = json.NewDecoder(r.Body).Decode(&a)
+		n.states = append(n.states, a.State)
+		return
+	}
+	n.calls = append(n.calls, r.Header)
+	w.WriteHeader(n.status)
+}
+
+func do(t *testing.T, ctx context.Context, tg *Target, id message.ID, header http.Header) (int, Answer, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+tg.Addr()+"/orders", nil)
+	require.NoError(t, err)
+	if header != nil {
+		req.Header = header
+	}
+	req.Header.Set(message.HeaderTraceparent, message.Traceparent(id, message.NewSpanID()))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, Answer{}, err
+	}
+	defer resp.Body.Close()
+	var a Answer
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, json.Unmarshal(body, &a))
+	return resp.StatusCode, a, nil
+}
+
+// Guards against work that goes on after its caller left or its time ran out, and against records that call such work
+// completed: callers' outcomes are held against these records.
+func TestCancelledAndLateWorkIsNotCompleted(t *testing.T) {
+	tg, err := Start(Options{Mean: 10 * time.Second})
+	require.NoError(t, err)
+	defer tg.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(100*time.Millisecond, cancel)
+	_, _, err = do(t, ctx, tg, message.NewID(), nil)
+	require.Error(t, err)
+	status, _, err := do(t, t.Context(), tg, message.NewID(), http.Header{message.HeaderTimeout: {"50"}})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusGatewayTimeout, status)
+	require.Eventually(t, func() bool { return tg.Running() == 0 }, 5*time.Second, 10*time.Millisecond)
+	require.Len(t, tg.Executions(), 2)
+	for _, e := range tg.Executions() {
+		require.False(t, e.Completed)
+		require.False(t, e.End.IsZero())
+	}
+}
+
+// Guards against chains that lose the request ID or hide a failed call.
+func TestCallsCarryTraceparentAndFailTheRequest(t *testing.T) {
+	node := &fakeNode{status: http.StatusOK}
+	srv := httptest.NewServer(node)
+	defer srv.Close()
+	tg, err := Start(Options{Node: srv.Listener.Addr().String(), Calls: []string{"POST:stock/take"}})
+	require.NoError(t, err)
+	defer tg.Close()
+	id := message.NewID()
+	status, a, err := do(t, t.Context(), tg, id, http.Header{message.HeaderKey: {"k1"}})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, id.String(), a.RequestID)
+	node.mu.Lock()
+	got, _, err := message.ParseTraceparent(node.calls[0].Get(message.HeaderTraceparent))
+	require.NoError(t, err)
+	require.Equal(t, id, got)
+	require.NotEmpty(t, node.calls[0].Get(message.HeaderKey))
+	node.status = http.StatusServiceUnavailable
+	node.mu.Unlock()
+	status, _, err = do(t, t.Context(), tg, id, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, status)
+	require.Equal(t, []bool{true, false}, []bool{tg.Executions()[0].Completed, tg.Executions()[1].Completed})
+}
+
+// Guards against a drain that cuts off a running request or does not tell the node.
+func TestDrainAnnouncesAndWaits(t *testing.T) {
+	node := &fakeNode{status: http.StatusOK}
+	srv := httptest.NewServer(node)
+	defer srv.Close()
+	tg, err := Start(Options{Node: srv.Listener.Addr().String(), Mean: 300 * time.Millisecond, DrainGrace: 50 * time.Millisecond})
+	require.NoError(t, err)
+	result := make(chan int, 1)
+	go func() {
+		status, _, _ := do(t, t.Context(), tg, message.NewID(), nil)
+		result <- status
+	}()
+	require.Eventually(t, func() bool { return tg.Running() == 1 }, 5*time.Second, 5*time.Millisecond)
+	require.NoError(t, tg.Drain(t.Context()))
+	require.Equal(t, http.StatusOK, <-result)
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	require.Equal(t, Draining, node.states[len(node.states)-1])
+	require.True(t, tg.Executions()[0].Completed)
+}
