Add idempotency keys with one home node each

A key runs at one target only, decided by the memory of its home node, because a table write per order would exceed the platform's write rate and stop orders during its outages. The Store issues keys and decides about repeats; the Binder binds caller-supplied keys by one conditional row each, many rows to a commit.

Ruled out: a checksum check of its own.

--- /dev/null
+++ b/internal/process/once/bind.go
@@ -0,0 +1,321 @@
+package once
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
+)
+
+// ErrUnbound reports that a caller-supplied key could not be bound because the platform did not answer. The request was
+// not run. A row may have been written all the same; a later repeat finds it or binds the key anew.
+var ErrUnbound = errors.New("idempotency key not bound")
+
+// Defaults of BinderOptions.
+const (
+	DefaultGroupWait   = 2 * time.Millisecond
+	DefaultGroupSize   = 100
+	DefaultCallTimeout = 500 * time.Millisecond
+	DefaultMaxPending  = 1000
+	DefaultCacheSize   = 20_000
+)
+
+const (
+	rowPrefix = "once/"
+	// maxRounds bounds the commits for one group. Each round removes the keys whose rows exist, so more than two are needed
+	// only if other nodes bind keys of the group at the same time.
+	maxRounds = 5
+)
+
+// BinderOptions configure a Binder.
+type BinderOptions struct {
+	GroupWait   time.Duration // how long a key waits for others to share its write; default 2 ms
+	GroupSize   int           // most keys in one write; default 100
+	CallTimeout time.Duration // longest wait for one call of the platform; default 500 ms
+	MaxPending  int           // keys being bound; further ones fail with ErrUnbound at once; default 1,000
+	CacheSize   int           // known bindings that are kept; default 20,000
+}
+
+func (o BinderOptions) withDefaults() BinderOptions {
+	setDefault(&o.GroupWait, DefaultGroupWait)
+	setDefault(&o.GroupSize, DefaultGroupSize)
+	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	setDefault(&o.MaxPending, DefaultMaxPending)
+	setDefault(&o.CacheSize, DefaultCacheSize)
+	return o
+}
+
+func setDefault[T int | time.Duration](v *T, value T) {
+	if *v <= 0 {
+		*v = value
+	}
+}
+
+// Binding names the home node of a key.
+type Binding struct {
+	Key  Key  // with Home and Incarnation set
+	Mine bool // this process is the home node
+}
+
+// Binder binds caller-supplied keys to home nodes, one row per key. Rows are never changed or removed, so that a known
+// binding stays true and is cached.
+type Binder struct {
+	store *Store
+	table platform.Table
+	opts  BinderOptions
+	cache [shardCount]cache
+
+	mu      sync.Mutex
+	binding map[string]*entry // keys being bound
+	next    []*entry          // the group that is being collected
+}
+
+// entry is a key being bound. Its result is set before done is closed.
+type entry struct {
+	text string
+	row  string // key of its row
+	done chan struct{}
+	key  Key
+	err  error
+}
+
+// NewBinder returns a binder that binds keys to the store's process.
+func NewBinder(store *Store, table platform.Table, opts BinderOptions) *Binder {
+	b := &Binder{store: store, table: table, opts: opts.withDefaults(), binding: map[string]*entry{}}
+	for i := range b.cache {
+		b.cache[i].limit = b.opts.CacheSize / shardCount
+	}
+	return b
+}
+
+// Bind returns the home node of a key. A key without one is bound to this process. An error wraps ErrUnbound.
+func (b *Binder) Bind(ctx context.Context, key Key) (Binding, error) {
+	if key.Bound() {
+		return b.result(key), nil
+	}
+	if known, ok := b.cacheOf(key.Text).get(key.Text); ok {
+		return b.result(known), nil
+	}
+	e, err := b.join(key.Text)
+	if err != nil {
+		return Binding{}, err
+	}
+	select {
+	case <-e.done:
+	case <-ctx.Done():
+		return Binding{}, fmt.Errorf("%w: %w", ErrUnbound, ctx.Err())
+	}
+	if e.err != nil {
+		return Binding{}, e.err
+	}
+	return b.result(e.key), nil
+}
+
+func (b *Binder) cacheOf(text string) *cache { return &b.cache[b.store.shardIndex(text)] }
+
+func (b *Binder) result(k Key) Binding { return Binding{Key: k, Mine: b.store.Owns(k)} }
+
+// join adds a key to the next group, or joins the call that is binding it.
+func (b *Binder) join(text string) (*entry, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e, ok := b.binding[text]; ok {
+		return e, nil
+	}
+	if len(b.binding) >= b.opts.MaxPending {
+		return nil, fmt.Errorf("%w: %d keys are waiting for the platform", ErrUnbound, len(b.binding))
+	}
+	sum := sha256.Sum256([]byte(text))
+	e := &entry{text: text, row: rowPrefix + hex.EncodeToString(sum[:]), done: make(chan struct{})}
+	b.binding[text] = e
+	b.next = append(b.next, e)
+	switch len(b.next) {
+	case b.opts.GroupSize:
+		group := b.next
+		b.next = nil
+		go b.bind(group)
+	case 1:
+		time.AfterFunc(b.opts.GroupWait, b.flush)
+	}
+	return e, nil
+}
+
+// flush binds the collected group.
+func (b *Binder) flush() {
+	b.mu.Lock()
+	group := b.next
+	b.next = nil
+	b.mu.Unlock()
+	b.bind(group)
+}
+
+// finish publishes the result of a key.
+func (b *Binder) finish(e *entry, k Key, err error) {
+	e.key, e.err = k, err
+	if err == nil {
+		b.cacheOf(e.text).put(e.text, k)
+	}
+	b.mu.Lock()
+	delete(b.binding, e.text)
+	b.mu.Unlock()
+	close(e.done)
+}
+
+func (b *Binder) fail(group []*entry, cause error) {
+	for _, e := range group {
+		b.finish(e, Key{}, fmt.Errorf("%w: %w", ErrUnbound, cause))
+	}
+}
+
+// bind writes the rows of a group. After a conflict or a lost answer it reads the rows and goes on with the keys that have
+// none.
+func (b *Binder) bind(group []*entry) {
+	var err error
+	for range maxRounds {
+		if len(group) == 0 {
+			return
+		}
+		claim := uuid.NewString()
+		var keys []Key
+		keys, err = b.commit(group, claim)
+		switch {
+		case err == nil:
+			for i, e := range group {
+				b.finish(e, keys[i], nil)
+			}
+			return
+		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrInDoubt):
+			var readErr error
+			if group, readErr = b.readBack(group, claim, keys); readErr != nil {
+				b.fail(group, readErr)
+				return
+			}
+		default:
+			b.fail(group, err)
+			return
+		}
+	}
+	b.fail(group, err)
+}
+
+// row is the value of a key's row.
+type row struct {
+	Claim       string `json:"claim"` // identifies the commit that wrote the row
+	Home        string `json:"home"`
+	Incarnation uint64 `json:"incarnation"`
+	IssuedMS    int64  `json:"issued_ms"` // on the home node's monotonic clock
+	ValidMS     int64  `json:"valid_ms"`
+	Tag         string `json:"tag"`
+}
+
+// commit writes the rows of a group and returns the keys as they are bound if the write takes effect.
+func (b *Binder) commit(group []*entry, claim string) ([]Key, error) {
+	keys := make([]Key, len(group))
+	writes := make([]platform.Write, len(group))
+	for i, e := range group {
+		k := b.store.newKey(e.text)
+		k.tag = k.sign(b.store.secret[:])
+		value, err := json.Marshal(row{
+			Claim: claim, Home: k.Home, Incarnation: k.Incarnation,
+			IssuedMS: k.issued.Milliseconds(), ValidMS: k.validity.Milliseconds(), Tag: hex.EncodeToString(k.tag[:]),
+		})
+		if err != nil {
+			return nil, err
+		}
+		keys[i] = k
+		writes[i] = platform.Write{Key: e.row, Value: value, Cond: platform.Condition{Absent: true}}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), b.opts.CallTimeout)
+	defer cancel()
+	_, err := b.table.Commit(ctx, writes)
+	return keys, err
+}
+
+// readBack finishes the keys that have a row and returns the others. After an error, it returns all unfinished keys.
+func (b *Binder) readBack(group []*entry, claim string, keys []Key) ([]*entry, error) {
+	var rest []*entry
+	for i, e := range group {
+		r, err := b.read(e)
+		switch {
+		case errors.Is(err, platform.ErrNotFound):
+			rest = append(rest, e)
+		case err != nil:
+			return append(rest, group[i:]...), err
+		case r.Claim == claim:
+			// A commit applies all its writes: this row proves that the others were written too. Keys without a row at the
+			// time of their read go through another round.
+			for j, e := range group[i:] {
+				b.finish(e, keys[i+j], nil)
+			}
+			return rest, nil
+		default:
+			k, err := r.key(e.text)
+			if err != nil {
+				return append(rest, group[i:]...), err
+			}
+			b.finish(e, k, nil)
+		}
+	}
+	return rest, nil
+}
+
+func (b *Binder) read(e *entry) (row, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), b.opts.CallTimeout)
+	defer cancel()
+	var r row
+	got, err := b.table.Get(ctx, e.row)
+	if err != nil {
+		return r, err
+	}
+	if err := json.Unmarshal(got.Value, &r); err != nil {
+		return r, fmt.Errorf("row %s: %w", e.row, err)
+	}
+	return r, nil
+}
+
+// key returns the key that the row binds.
+func (r row) key(text string) (Key, error) {
+	k := Key{
+		Text: text, Home: r.Home, Incarnation: r.Incarnation,
+		issued: time.Duration(r.IssuedMS) * time.Millisecond, validity: time.Duration(r.ValidMS) * time.Millisecond,
+	}
+	t, err := hex.DecodeString(r.Tag)
+	if err != nil || len(t) != len(k.tag) || k.Home == "" {
+		return Key{}, fmt.Errorf("malformed row of claim %q", r.Claim)
+	}
+	copy(k.tag[:], t)
+	return k, nil
+}
+
+// cache keeps the newest bindings of a shard's keys in two generations. Losing one costs a read.
+type cache struct {
+	limit    int
+	mu       sync.RWMutex
+	new, old map[string]Key
+}
+
+func (c *cache) get(text string) (Key, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if k, ok := c.new[text]; ok {
+		return k, true
+	}
+	k, ok := c.old[text]
+	return k, ok
+}
+
+func (c *cache) put(text string, k Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.new == nil || len(c.new) >= max(c.limit/2, 1) {
+		c.old, c.new = c.new, map[string]Key{}
+	}
+	c.new[text] = k
+}
--- /dev/null
+++ b/internal/process/once/once_test.go
@@ -0,0 +1,416 @@
+package once
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/standin/memory"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+const addr = "10.0.0.1:7000"
+
+func newStore(t require.TestingT, o Options) *Store {
+	if o.Address == "" {
+		o.Address = addr
+	}
+	o.Rand = rand.NewChaCha8([32]byte{byte(o.Incarnation), o.Address[5]})
+	s, err := New(o)
+	require.NoError(t, err)
+	return s
+}
+
+func mustParse(t require.TestingT, text string) Key {
+	k, err := Parse(text)
+	require.NoError(t, err)
+	return k
+}
+
+func fp(body string) Fingerprint {
+	return FingerprintOf(&message.Request{Method: "POST", Path: "/orders", Body: []byte(body)})
+}
+
+func answer(body string) *message.Response {
+	return &message.Response{Outcome: message.Answered, Status: 200, Body: []byte(body), RetriesLeft: 3}
+}
+
+// Guards against a damaged node-issued key that is taken for another key, and against two texts of one key.
+func TestMangledKeysAreRefused(t *testing.T) {
+	s := newStore(t, Options{Incarnation: 7})
+	text := s.Issue(1)[0]
+	k := mustParse(t, text)
+	require.Equal(t, []any{addr, uint64(7), true}, []any{k.Home, k.Incarnation, s.Owns(k)})
+	for i := len(issuedPrefix); i < len(text); i++ {
+		for _, c := range []byte{'A', 'b', '-', '\n', '='} {
+			if text[i] != c {
+				_, err := Parse(text[:i] + string(c) + text[i+1:])
+				require.ErrorIs(t, err, ErrKey)
+			}
+		}
+		_, err := Parse(text[:i])
+		require.ErrorIs(t, err, ErrKey)
+		_, err = Parse(text[:i] + "\r\n" + text[i:])
+		require.ErrorIs(t, err, ErrKey)
+	}
+	for _, bad := range []string{"", "a b", "ü", string(make([]byte, 300))} {
+		_, err := Parse(bad)
+		require.ErrorIs(t, err, ErrKey)
+	}
+	require.False(t, mustParse(t, "order-17").Bound())
+}
+
+// Guards against a pause between reading the clock and looking the key up: meanwhile the record can expire and be
+// removed, and the key would run again.
+func TestPauseInsideBeginDoesNotRunAgain(t *testing.T) {
+	var now atomic.Int64
+	var pause func()
+	s := newStore(t, Options{Clock: func() time.Duration {
+		read := time.Duration(now.Load())
+		if p := pause; p != nil {
+			pause = nil
+			p()
+		}
+		return read
+	}})
+	k := mustParse(t, s.Issue(1)[0])
+	s.Begin(k, fp("a")).Claim.Done(answer("a"))
+	swept := make(chan struct{})
+	pause = func() {
+		now.Store(int64(2 * time.Hour))
+		go func() { s.Sweep(); close(swept) }()
+		select {
+		case <-swept:
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	require.Equal(t, Recorded, s.Begin(k, fp("a")).Verdict)
+	<-swept
+	require.Equal(t, 0, s.Len())
+	require.Equal(t, Expired, s.Begin(k, fp("a")).Verdict)
+}
+
+// Guards against a policy change that makes a key valid again after its record was removed, and against "not run" for a
+// key whose record is gone.
+func TestValidityIsFixedAtIssue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(t, Options{Validity: time.Minute, Margin: time.Second})
+		keys := s.Issue(2)
+		s.Begin(mustParse(t, keys[0]), fp("a")).Claim.Done(answer("a"))
+		s.SetValidity(time.Hour)
+		time.Sleep(time.Minute)
+		require.Equal(t, Recorded, s.Begin(mustParse(t, keys[0]), fp("a")).Verdict)
+		unused := s.Begin(mustParse(t, keys[1]), fp("a"))
+		require.Equal(t, []any{Expired, message.NotRun}, []any{unused.Verdict, unused.Response.Outcome})
+		time.Sleep(time.Second)
+		gone := s.Begin(mustParse(t, keys[0]), fp("a"))
+		require.Equal(t, []any{Expired, message.Unknown}, []any{gone.Verdict, gone.Response.Outcome})
+	})
+}
+
+// Guards against a full store that drops a record it still needs, refuses for ever, or grows without bound.
+func TestMemoryBoundRefusesNewKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(t, Options{MaxRecords: 50, MaxBytes: 100_000, Validity: time.Minute, Margin: time.Second})
+		keys := s.Issue(60)
+		var full int
+		for _, text := range keys {
+			res := s.Begin(mustParse(t, text), fp("a"))
+			if res.Verdict == Full {
+				require.Equal(t, message.NotRun, res.Response.Outcome)
+				full++
+				continue
+			}
+			res.Claim.Done(answer(string(make([]byte, 1000))))
+			require.LessOrEqual(t, s.bytes.Load(), int64(100_000))
+		}
+		require.GreaterOrEqual(t, full, 10)
+		require.Equal(t, Recorded, s.Begin(mustParse(t, keys[0]), fp("a")).Verdict)
+		time.Sleep(time.Minute + 2*time.Second)
+		for i, text := range s.Issue(50) {
+			res := s.Begin(mustParse(t, text), fp("a"))
+			require.Equal(t, Run, res.Verdict, "key %d after the old ones expired", i)
+			if i > 0 {
+				res.Claim.NotRun()
+				continue
+			}
+			res.Claim.Done(answer(string(make([]byte, 200_000)))) // larger than the bound
+			require.Equal(t, Unknown, s.Begin(mustParse(t, text), fp("a")).Verdict)
+		}
+		s.Sweep()
+		require.Equal(t, 1, s.Len())
+		require.Less(t, s.bytes.Load(), int64(1000))
+	})
+}
+
+// Guards against two executions, mixed responses and lost waiters when copies of requests arrive at the same time.
+func TestConcurrentCopiesRunOnce(t *testing.T) {
+	s := newStore(t, Options{})
+	keys := s.Issue(50)
+	var runs [50]atomic.Int64
+	var wg sync.WaitGroup
+	for g := range 8 {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(g)))
+			for range 2000 {
+				i := rng.IntN(len(keys))
+				res := s.Begin(mustParse(t, keys[i]), fp("a"))
+				if res.Verdict == Run {
+					if rng.IntN(2) == 0 {
+						res.Claim.NotRun()
+						continue
+					}
+					runs[i].Add(1)
+					res.Claim.Done(answer(keys[i]))
+					res.Claim.Unknown(nil)
+					continue
+				}
+				if res.Verdict == Wait {
+					res = res.Running.Wait(context.Background())
+				}
+				if res.Verdict != NotRun && (res.Verdict != Recorded || string(res.Response.Body) != keys[i] || res.Response.RetriesLeft != 0) {
+					t.Errorf("verdict %d, body %q", res.Verdict, res.Response.Body)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for i := range runs {
+		require.LessOrEqual(t, runs[i].Load(), int64(1))
+	}
+}
+
+// site is a model of nodes that share a platform. It records what ran under which key.
+type site struct {
+	platform *memory.Platform
+	stores   [2]*Store
+	binders  [2]*Binder
+	inc      [2]uint64
+	open     map[string]open
+	runs     map[string]int // granted and not released
+	recorded map[string]string
+	names    map[string]string // body that ran
+	seen     map[Verdict]int
+}
+
+type open struct {
+	claim *Claim
+	body  string
+}
+
+func (m *site) restart(t require.TestingT, n int) {
+	m.inc[n]++
+	m.stores[n] = newStore(t, Options{Address: fmt.Sprintf("10.0.%d.1:7000", n), Incarnation: m.inc[n], Validity: time.Minute, Margin: 10 * time.Second})
+	m.binders[n] = NewBinder(m.stores[n], m.platform, BinderOptions{CacheSize: 64 * n})
+	for key, o := range m.open {
+		if o.claim.store.opts.Address == m.stores[n].opts.Address {
+			delete(m.open, key) // may have run; stays counted
+		}
+	}
+}
+
+// send is one copy of a request that enters at node n and is routed to the key's home node.
+func (m *site) send(t require.TestingT, n int, text, body string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	b, err := m.binders[n].Bind(ctx, mustParse(t, text))
+	if err != nil {
+		require.ErrorIs(t, err, ErrUnbound)
+		return
+	}
+	for _, s := range m.stores {
+		if s.opts.Address == b.Key.Home {
+			m.check(t, text, body, s.Begin(b.Key, fp(body)))
+		}
+	}
+}
+
+func (m *site) check(t require.TestingT, text, body string, res Result) {
+	m.seen[res.Verdict]++
+	switch res.Verdict {
+	case Run:
+		m.runs[text]++
+		require.Equal(t, 1, m.runs[text], "key %q runs twice", text)
+		m.open[text], m.names[text] = open{res.Claim, body}, body
+	case Wait:
+		require.Equal(t, body, m.open[text].body)
+	case Recorded:
+		require.Equal(t, m.recorded[text], string(res.Response.Body))
+		require.Equal(t, m.names[text], body)
+	case Conflict:
+		require.NotEqual(t, m.names[text], body)
+	default:
+		if res.Response.Outcome == message.NotRun {
+			require.Zero(t, m.runs[text], "key %q: false \"not run\"", text)
+		}
+	}
+}
+
+func (m *site) settle(text string, how int) {
+	o, ok := m.open[text]
+	if !ok {
+		return
+	}
+	delete(m.open, text)
+	switch how {
+	case 0:
+		m.runs[text]--
+		o.claim.NotRun()
+	case 1:
+		m.recorded[text] = fmt.Sprintf("%s of %s", o.body, text)
+		o.claim.Done(answer(m.recorded[text]))
+	case 2:
+		o.claim.Unknown(nil)
+	}
+}
+
+// Guards against a second execution of a key, false "not run" and wrong recorded responses under any order of repeats,
+// other bodies, releases, lost answers of the platform, outages, pauses beyond the validity, and restarts.
+func TestNeverTwoExecutions(t *testing.T) {
+	seen := map[Verdict]int{}
+	for seed := range 8 {
+		require.NoError(t, flag.Set("rapid.seed", fmt.Sprint(20261204+seed)))
+		// rapid asks a *testing.T for its deadline, which is not allowed under virtual time.
+		synctest.Test(t, func(t *testing.T) {
+			rapid.Check(struct{ *testing.T }{t}, func(t *rapid.T) { runSite(t, seen) })
+		})
+	}
+	t.Log("results by verdict:", seen)
+	for _, v := range []Verdict{Run, Wait, Recorded, Unknown, Conflict, Expired, Foreign} {
+		require.Positive(t, seen[v], "verdict %d never occurred", v)
+	}
+}
+
+func runSite(t *rapid.T, seen map[Verdict]int) {
+	m := &site{
+		platform: memory.New(), open: map[string]open{}, runs: map[string]int{},
+		recorded: map[string]string{}, names: map[string]string{}, seen: seen,
+	}
+	m.restart(t, 0)
+	m.restart(t, 1)
+	keys := []string{"order-1", "order-2", "order-3"}
+	node, key, body := rapid.IntRange(0, 1), rapid.IntRange(0, 1<<20), rapid.SampledFrom([]string{"a", "a", "a", "b"})
+	send := func(t *rapid.T) {
+		m.send(t, node.Draw(t, "node"), keys[key.Draw(t, "key")%len(keys)], body.Draw(t, "body"))
+	}
+	settle := func(t *rapid.T) { m.settle(keys[key.Draw(t, "key")%len(keys)], rapid.IntRange(0, 2).Draw(t, "how")) }
+	t.Repeat(map[string]func(*rapid.T){
+		"send": send, "sendAgain": send, "repeat": send, "settle": settle, "settleAgain": settle,
+		"issue": func(t *rapid.T) { keys = append(keys, m.stores[node.Draw(t, "node")].Issue(1)...) },
+		"pause": func(t *rapid.T) { time.Sleep(time.Duration(rapid.IntRange(1, 75).Draw(t, "s")) * time.Second) },
+		"restart": func(t *rapid.T) {
+			if rapid.IntRange(0, 3).Draw(t, "rare") == 0 {
+				m.restart(t, node.Draw(t, "node"))
+			}
+		},
+		"faults": func(t *rapid.T) {
+			m.platform.SetFaults(rapid.SampledFrom([]memory.Faults{{}, {}, {LoseAnswer: true}, {Down: true}, {Hang: true}}).Draw(t, "faults"))
+		},
+	})
+	m.platform.SetFaults(memory.Faults{})
+	time.Sleep(time.Minute)
+}
+
+// raceTable lets another node write rows before a commit, and counts commits.
+type raceTable struct {
+	*memory.Platform
+	before  func()
+	commits atomic.Int64
+}
+
+// Commit implements platform.Table.
+func (r *raceTable) Commit(ctx context.Context, w []platform.Write) ([]platform.Version, error) {
+	r.commits.Add(1)
+	if f := r.before; f != nil {
+		r.before = nil
+		f()
+	}
+	return r.Platform.Commit(ctx, w)
+}
+
+// Guards against a group in which one key that another node bound meanwhile fails or steals the others, and against a
+// write for each key.
+func TestGroupGoesOnAfterConflict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &raceTable{Platform: memory.New()}
+		home := newStore(t, Options{Incarnation: 1})
+		other := newStore(t, Options{Address: "10.0.9.1:7000", Incarnation: 4})
+		table.before = func() {
+			_, err := NewBinder(other, table.Platform, BinderOptions{}).Bind(context.Background(), mustParse(t, "k7"))
+			require.NoError(t, err)
+		}
+		b := NewBinder(home, table, BinderOptions{})
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Go(func() {
+				text := fmt.Sprintf("k%d", i/2) // two callers with each key
+				got, err := b.Bind(t.Context(), mustParse(t, text))
+				require.NoError(t, err)
+				require.Equal(t, text != "k7", got.Mine)
+				if text == "k7" {
+					require.Equal(t, []any{"10.0.9.1:7000", uint64(4)}, []any{got.Key.Home, got.Key.Incarnation})
+				}
+			})
+		}
+		wg.Wait()
+		require.EqualValues(t, 2, table.commits.Load())
+	})
+}
+
+// Guards against a lost answer after the write took effect that binds the key elsewhere or not at all, and against an
+// outage that blocks callers or marks a key as used.
+func TestLostAnswerAndOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memory.New()
+		s := newStore(t, Options{Incarnation: 1})
+		b := NewBinder(s, table, BinderOptions{})
+		table.SetFaults(memory.Faults{LoseAnswer: true})
+		got, err := b.Bind(t.Context(), mustParse(t, "k1"))
+		require.NoError(t, err)
+		require.Equal(t, Run, s.Begin(got.Key, fp("a")).Verdict)
+		for _, f := range []memory.Faults{{Down: true}, {Hang: true}} {
+			table.SetFaults(f)
+			start := time.Now()
+			_, err = b.Bind(t.Context(), mustParse(t, "k2"))
+			require.ErrorIs(t, err, ErrUnbound)
+			require.Less(t, time.Since(start), 2*time.Second)
+			known, err := b.Bind(t.Context(), mustParse(t, "k1"))
+			require.NoError(t, err)
+			require.True(t, known.Mine)
+		}
+		table.SetFaults(memory.Faults{})
+		got, err = b.Bind(t.Context(), mustParse(t, "k2"))
+		require.NoError(t, err)
+		require.True(t, got.Mine)
+	})
+}
+
+// Guards against a process that runs the keys of an earlier process at its address, even if that had the same incarnation.
+func TestKeysOfDeadProcessNeverRun(t *testing.T) {
+	old := newStore(t, Options{Incarnation: 3})
+	k := mustParse(t, old.Issue(1)[0])
+	for _, inc := range []uint64{2, 3, 4} {
+		s := newStore(t, Options{Incarnation: inc})
+		s.secret[0]++ // the secrets of two processes differ
+		res := s.Begin(k, fp("a"))
+		require.Equal(t, []any{Foreign, message.Unknown}, []any{res.Verdict, res.Response.Outcome})
+	}
+}
