--- /dev/null
+++ b/internal/version/policy/diff.go
@@ -0,0 +1,108 @@
+package policy
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/version/schema"
+)
+
+// Set is a base file with the overlays of all sites.
+type Set struct {
+	Base     File
+	Overlays []File
+}
+
+// Difference is an effective value of a site that differs between two sets. A nil side has no such value.
+type Difference struct {
+	Site    string          `json:"site"`
+	Section string          `json:"section"`
+	Key     string          `json:"key"`
+	Old     *schema.Setting `json:"old,omitempty"`
+	New     *schema.Setting `json:"new,omitempty"`
+}
+
+// Diff lists the effective differences of every site, in the order of sites, sections and keys. A value that moved to
+// another file or line, or is written in another unit, is no difference. Both sets must be free of findings of severity
+// error; otherwise Diff returns the findings with an error that wraps ErrRejected.
+func Diff(old, new Set) ([]Difference, []Finding, error) {
+	before, faults := old.sites()
+	after, newFaults := new.sites()
+	findings := append(faults, newFaults...)
+	if schema.HasErrors(findings) {
+		return nil, findings, fmt.Errorf("%w: %s", ErrRejected, firstError(findings))
+	}
+	names := map[string]bool{}
+	for name := range before {
+		names[name] = true
+	}
+	for name := range after {
+		names[name] = true
+	}
+	var out []Difference
+	for _, site := range slices.Sorted(maps.Keys(names)) {
+		out = append(out, diffSite(site, before[site], after[site])...)
+	}
+	return out, findings, nil
+}
+
+// sites resolves the set for each of its sites.
+func (s Set) sites() (map[string]*schema.Values, []Finding) {
+	out := map[string]*schema.Values{}
+	var findings []Finding
+	for _, overlay := range s.Overlays {
+		values, faults := resolve(s.Base, overlay)
+		findings = append(findings, faults...)
+		site := values.One("site")
+		name := site.Get("name").Text
+		if out[name] != nil && !schema.HasErrors(faults) {
+			findings = append(findings, site.Finding("name", "two overlays are for site %s", name))
+		}
+		out[name] = values
+	}
+	return out, findings
+}
+
+func diffSite(site string, before, after *schema.Values) []Difference {
+	type id struct{ section, key string }
+	index := func(v *schema.Values) (map[id]schema.Setting, []id) {
+		m := map[id]schema.Setting{}
+		var order []id
+		if v == nil {
+			return m, nil
+		}
+		for _, s := range v.Settings() {
+			m[id{s.Section, s.Key}] = s
+			order = append(order, id{s.Section, s.Key})
+		}
+		return m, order
+	}
+	old, oldOrder := index(before)
+	cur, curOrder := index(after)
+	ids := curOrder
+	for _, i := range oldOrder {
+		if _, ok := cur[i]; !ok {
+			ids = append(ids, i)
+		}
+	}
+	var out []Difference
+	for _, i := range ids {
+		a, inOld := old[i]
+		b, inNew := cur[i]
+		if inOld && inNew && a.Equal(b) {
+			continue
+		}
+		d := Difference{Site: site, Section: i.section, Key: i.key}
+		if inOld {
+			d.Old = &a
+		}
+		if inNew {
+			d.New = &b
+		}
+		out = append(out, d)
+	}
+	slices.SortStableFunc(out, func(a, b Difference) int { return cmp.Compare(a.Section, b.Section) })
+	return out
+}
--- a/internal/version/policy/policy.go
+++ b/internal/version/policy/policy.go
@@ -14,6 +14,7 @@
 	Version  uint64
 	Site     string
 	Services map[string]*Service
+	Classes  map[string]uint8 // rank by class name
 	Retry    Retry
 	Queue    Queue
 	Limits   Limits
@@ -68,7 +69,15 @@
 
 // Once tunes idempotency keys.
 type Once struct {
-	KeyValidity time.Duration // how long a minted key may be used
+	KeyValidity     time.Duration // how long a minted key may be used
+	RecordRetention time.Duration // how long the record of a key is kept after its first use; longer than KeyValidity
+}
+
+// At returns a copy of the policy with the given version. Both share everything else, which never changes.
+func (p *Policy) At(version uint64) *Policy {
+	q := *p
+	q.Version = version
+	return &q
 }
 
 // Match returns the route for a request of a service.
@@ -84,28 +93,30 @@
 
 // Defaults of settings that policy files may leave out.
 const (
-	DefaultRetryBudget   = 3
-	DefaultRetryRatio    = 0.1
-	DefaultQueueLength   = 1.0
-	DefaultQueueMaxWait  = 200 * time.Millisecond
-	DefaultTimeout       = 2 * time.Second
-	DefaultRequestBody   = 1 << 20
-	DefaultResponseBody  = 4 << 20
-	DefaultHeader        = 16 << 10
-	DefaultEjectFailures = 5
-	DefaultEjectTime     = time.Second
-	DefaultEjectShare    = 0.5
-	DefaultKeyValidity   = 10 * time.Minute
+	DefaultRetryBudget     = 3
+	DefaultRetryRatio      = 0.1
+	DefaultQueueLength     = 1.0
+	DefaultQueueMaxWait    = 200 * time.Millisecond
+	DefaultTimeout         = 2 * time.Second
+	DefaultRequestBody     = 1 << 20
+	DefaultResponseBody    = 4 << 20
+	DefaultHeader          = 16 << 10
+	DefaultEjectFailures   = 5
+	DefaultEjectTime       = time.Second
+	DefaultEjectShare      = 0.5
+	DefaultKeyValidity     = 10 * time.Minute
+	DefaultRecordRetention = 20 * time.Minute
 )
 
 // New returns a policy without services that holds the defaults.
 func New() *Policy {
 	return &Policy{
 		Services: map[string]*Service{},
+		Classes:  map[string]uint8{},
 		Retry:    Retry{Budget: DefaultRetryBudget, Ratio: DefaultRetryRatio},
 		Queue:    Queue{Length: DefaultQueueLength, MaxWait: DefaultQueueMaxWait},
 		Limits:   Limits{RequestBody: DefaultRequestBody, ResponseBody: DefaultResponseBody, Header: DefaultHeader},
 		Balance:  Balance{EjectFailures: DefaultEjectFailures, EjectTime: DefaultEjectTime, EjectShare: DefaultEjectShare},
-		Once:     Once{KeyValidity: DefaultKeyValidity},
+		Once:     Once{KeyValidity: DefaultKeyValidity, RecordRetention: DefaultRecordRetention},
 	}
 }
