Read the settings file of a node

It uses the schema mechanism of the policy files. Checks across keys refuse settings with which a node would start and then fail: a target interface that other VMs can reach, a peer address that cannot be dialled, a heartbeat timeout that one lost heartbeat exceeds, and no or two sources of the policy.

--- /dev/null
+++ b/internal/process/settings/settings.go
@@ -0,0 +1,191 @@
+// Package settings reads the node's own settings file: its place in the deployment, its addresses, its target and how it
+// reaches the platform. Everything that operators change while nodes run belongs into the policy files instead.
+//
+// Settings are read once when the process starts and never change; they are safe for concurrent use.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/version/schema"
+)
+
+// ErrRejected reports that the settings file has findings of severity error.
+var ErrRejected = errors.New("settings rejected")
+
+// Settings are the settings of one node.
+type Settings struct {
+	Node     Node
+	Target   Target
+	Seeds    []string // peer addresses of other nodes
+	Platform Platform
+	Link     Link
+	Drain    Drain
+	LogLevel slog.Level
+	Policy   PolicyFiles
+}
+
+// Node says where the node runs and listens.
+type Node struct {
+	Site                   string
+	Region                 string
+	AvailabilityZone       string
+	CallerAddress          string
+	PeerAddress            string
+	TargetInterfaceAddress string // loopback; calls and announcements of the node's own target
+	AdminAddress           string
+}
+
+// Target describes the target beside the node.
+type Target struct {
+	Service  string
+	Address  string
+	LeaseMin time.Duration // limits of the lease of an announcement
+	LeaseMax time.Duration
+}
+
+// Platform says how the node reaches the platform. Without a platform both URLs are empty.
+type Platform struct {
+	TableURL   string
+	ObjectsURL string
+	Timeout    time.Duration // of one call
+}
+
+// Link tunes the links to other nodes.
+type Link struct {
+	HeartbeatInterval time.Duration
+	HeartbeatTimeout  time.Duration
+	IdleTimeout       time.Duration
+}
+
+// Drain bounds a graceful stop.
+type Drain struct {
+	Limit time.Duration
+}
+
+// PolicyFiles names the policy files of a trial without a platform. With a platform both are empty.
+type PolicyFiles struct {
+	Base    string
+	Overlay string
+}
+
+// Load reads a settings file. With findings of severity error it returns an error that wraps ErrRejected.
+func Load(file schema.File) (*Settings, []schema.Finding, error) {
+	values, findings := Schema().Resolve(file)
+	if !schema.HasErrors(findings) {
+		findings = append(findings, check(values, file.Name)...)
+	}
+	for _, f := range findings {
+		if f.Severity == schema.Error {
+			return nil, findings, fmt.Errorf("%w: %s", ErrRejected, f)
+		}
+	}
+	s, err := build(values)
+	return s, findings, err
+}
+
+func build(v *schema.Values) (*Settings, error) {
+	node, target, platform, link := v.One("node"), v.One("target"), v.One("platform"), v.One("link")
+	s := &Settings{
+		Node: Node{
+			Site:                   node.Get("site").Text,
+			Region:                 node.Get("region").Text,
+			AvailabilityZone:       node.Get("availability_zone").Text,
+			CallerAddress:          node.Get("caller_address").Text,
+			PeerAddress:            node.Get("peer_address").Text,
+			TargetInterfaceAddress: node.Get("target_interface_address").Text,
+			AdminAddress:           node.Get("admin_address").Text,
+		},
+		Target: Target{
+			Service:  target.Get("service").Text,
+			Address:  target.Get("address").Text,
+			LeaseMin: target.Get("lease_min").Duration,
+			LeaseMax: target.Get("lease_max").Duration,
+		},
+		Seeds: v.One("peers").Get("seeds").List,
+		Platform: Platform{
+			TableURL:   platform.Get("table_url").Text,
+			ObjectsURL: platform.Get("objects_url").Text,
+			Timeout:    platform.Get("timeout").Duration,
+		},
+		Link: Link{
+			HeartbeatInterval: link.Get("heartbeat_interval").Duration,
+			HeartbeatTimeout:  link.Get("heartbeat_timeout").Duration,
+			IdleTimeout:       link.Get("idle_timeout").Duration,
+		},
+		Drain:  Drain{Limit: v.One("drain").Get("limit").Duration},
+		Policy: PolicyFiles{Base: v.One("policy").Get("base").Text, Overlay: v.One("policy").Get("overlay").Text},
+	}
+	if err := s.LogLevel.UnmarshalText([]byte(v.One("log").Get("level").Text)); err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	return s, nil
+}
+
+// check holds the values against each other.
+func check(v *schema.Values, file string) []schema.Finding {
+	var findings []schema.Finding
+	fail := func(g *schema.Group, key, format string, args ...any) {
+		f := g.Finding(key, format, args...)
+		if f.File == "" {
+			f.File = file
+		}
+		findings = append(findings, f)
+	}
+	node, target, link := v.One("node"), v.One("target"), v.One("link")
+	if a := node.Get("target_interface_address").Text; !ip(a).IsLoopback() {
+		fail(node, "target_interface_address", "%s is not a loopback address", a)
+	}
+	if a := node.Get("peer_address").Text; ip(a).IsUnspecified() {
+		fail(node, "peer_address", "%s cannot be dialled by other nodes", a)
+	}
+	checkDistinct(node, fail)
+	if low, high := target.Get("lease_min"), target.Get("lease_max"); low.Duration > high.Duration {
+		fail(target, "lease_max", "%s is shorter than lease_min %s (%s)", high.Text, low.Text, low.Origin)
+	}
+	if i, t := link.Get("heartbeat_interval"), link.Get("heartbeat_timeout"); t.Duration < 2*i.Duration {
+		fail(link, "heartbeat_timeout", "%s is shorter than twice heartbeat_interval %s (%s)", t.Text, i.Text, i.Origin)
+	}
+	checkSource(v, fail)
+	return findings
+}
+
+// checkDistinct finds two interfaces with one address, of which the second could not listen.
+func checkDistinct(node *schema.Group, fail func(g *schema.Group, key, format string, args ...any)) {
+	used := map[netip.AddrPort]string{}
+	for _, key := range []string{"caller_address", "peer_address", "target_interface_address", "admin_address"} {
+		a := netip.MustParseAddrPort(node.Get(key).Text)
+		if a.Port() == 0 {
+			continue
+		}
+		if other, ok := used[a]; ok {
+			fail(node, key, "%s is also the %s", a, other)
+		}
+		used[a] = key
+	}
+}
+
+// checkSource requires one source of the policy: the platform, or files in a trial.
+func checkSource(v *schema.Values, fail func(g *schema.Group, key, format string, args ...any)) {
+	pf, policy := v.One("platform"), v.One("policy")
+	table, objects := pf.Get("table_url").Set, pf.Get("objects_url").Set
+	base, overlay := policy.Get("base").Set, policy.Get("overlay").Set
+	switch {
+	case table != objects:
+		fail(pf, "", "table_url and objects_url are needed together")
+	case base != overlay:
+		fail(policy, "", "base and overlay are needed together")
+	case table && base:
+		fail(policy, "", "a node with a platform takes its policy from there")
+	case !table && !base:
+		fail(pf, "", "neither a platform nor policy files are set")
+	}
+}
+
+func ip(address string) netip.Addr {
+	return netip.MustParseAddrPort(address).Addr()
+}
