Add the HTTP adapter of the platform and ResolvePut

The adapter uses kratos' HTTP client. A write is unavailable only if no connection was opened for it or the platform refused it; every other failure is in doubt. Redirects are not followed: the client would repeat a redirected write as a read and report the success of the read.

ResolvePut reads a row in doubt back and recognises its own change by its ID. It never reports a conflict of a repeat as the result of the first attempt. Where another writer replaced the row without keeping the ID, the result stays in doubt, unless the row is only ever written once.

--- /dev/null
+++ b/internal/process/platform/client.go
@@ -0,0 +1,166 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+)
+
+const (
+	// maxResponse bounds the memory that one response can take. It holds the largest policy body with room to spare.
+	maxResponse = 16 << 20
+	// maxIdleConnections keeps connections for the usual concurrency of one node: a few claims and the head row.
+	maxIdleConnections = 8
+	idleTimeout        = 30 * time.Second
+)
+
+// client sends requests to one service of the platform.
+type client struct {
+	base      string
+	http      *khttp.Client
+	transport *http.Transport
+}
+
+func newClient(baseURL string, timeout time.Duration) (*client, error) {
+	if timeout <= 0 {
+		return nil, fmt.Errorf("platform client for %s: the timeout must be positive", baseURL)
+	}
+	t := &http.Transport{
+		// The platform is reached by its address; proxies from the environment must not get between.
+		Proxy:               nil,
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		MaxIdleConns:        maxIdleConnections,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		IdleConnTimeout:     idleTimeout,
+		// HTTP/1.1 only: the rules on what was provably not sent are those of its connections.
+		Protocols: new(http.Protocols),
+	}
+	t.Protocols.SetHTTP1(true)
+	c, err := khttp.NewClient(context.Background(),
+		khttp.WithEndpoint(baseURL),
+		khttp.WithTimeout(timeout),
+		khttp.WithTransport(noRedirect{t}),
+		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("platform client for %s: %w", baseURL, err)
+	}
+	return &client{base: strings.TrimSuffix(baseURL, "/"), http: c, transport: t}, nil
+}
+
+func (c *client) close() error {
+	c.transport.CloseIdleConnections()
+	return c.http.Close()
+}
+
+// noRedirect removes the target of redirects, because the client would turn a redirected write into a read and take its
+// response for the result of the write.
+type noRedirect struct{ next http.RoundTripper }
+
+func (n noRedirect) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := n.next.RoundTrip(req)
+	if err == nil {
+		resp.Header.Del("Location")
+	}
+	return resp, err
+}
+
+// call is one request to the platform.
+type call struct {
+	method string
+	path   string
+	header http.Header
+	body   []byte
+	write  bool
+}
+
+// reply is a complete response.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// do sends the call and reads the complete response. Its errors are those of package platform; a response with any
+// status is no error.
+func (c *client) do(ctx context.Context, q call) (*reply, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	req, err := http.NewRequestWithContext(ctx, q.method, c.base+q.path, bytes.NewReader(q.body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	for name, values := range q.header {
+		req.Header[name] = values
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, failure(q.write && !unsent(err, connected.Load()), err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse+1))
+	if err == nil && len(body) > maxResponse {
+		err = fmt.Errorf("the response is larger than %d bytes", maxResponse)
+	}
+	if err != nil {
+		return nil, failure(q.write, fmt.Errorf("status %d: %w", resp.StatusCode, err))
+	}
+	return &reply{status: resp.StatusCode, header: resp.Header, body: body}, nil
+}
+
+// unsent reports whether no byte of the request can have reached the platform: there never was a connection, or the last
+// attempt failed to open one. The transport repeats a write by itself only after an attempt that wrote nothing.
+func unsent(err error, connected bool) bool {
+	var op *net.OpError
+	return !connected || (errors.As(err, &op) && op.Op == "dial")
+}
+
+func failure(inDoubt bool, err error) error {
+	if inDoubt {
+		return fmt.Errorf("%w: %w", ErrInDoubt, err)
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, err)
+}
+
+// refused are the statuses by which the platform says that it did not perform a request. Other failures, above all 408,
+// 500, 502 and 504, can follow a write that took effect.
+var refused = map[int]bool{
+	http.StatusBadRequest: true, http.StatusUnauthorized: true, http.StatusForbidden: true, http.StatusNotFound: true,
+	http.StatusMethodNotAllowed: true, http.StatusLengthRequired: true, http.StatusRequestEntityTooLarge: true,
+	http.StatusRequestURITooLong: true, http.StatusUnsupportedMediaType: true, http.StatusUnprocessableEntity: true,
+	http.StatusTooManyRequests: true, http.StatusRequestHeaderFieldsTooLarge: true, http.StatusServiceUnavailable: true,
+}
+
+// writeStatus maps the status of a write to an error, or nil for success.
+func writeStatus(status int) error {
+	switch {
+	case status == http.StatusOK || status == http.StatusCreated || status == http.StatusNoContent:
+		return nil
+	case status == http.StatusPreconditionFailed || status == http.StatusConflict:
+		return fmt.Errorf("%w: status %d", ErrConflict, status)
+	default:
+		return failure(!refused[status], fmt.Errorf("status %d", status))
+	}
+}
+
+// readStatus maps the status of a read to an error, or nil for success.
+func readStatus(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotFound
+	default:
+		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	}
+}
--- /dev/null
+++ b/internal/process/platform/http.go
@@ -0,0 +1,171 @@
+package platform
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// HTTPTable is the table service over HTTP. It is safe for concurrent use.
+type HTTPTable struct{ c *client }
+
+// NewHTTPTable returns a client for the table service at the URL. A call ends at the latest after the timeout.
+func NewHTTPTable(tableURL string, timeout time.Duration) (*HTTPTable, error) {
+	c, err := newClient(tableURL, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &HTTPTable{c}, nil
+}
+
+// Close closes idle connections.
+func (t *HTTPTable) Close() error { return t.c.close() }
+
+// Get implements Table.
+func (t *HTTPTable) Get(ctx context.Context, key string) (Row, error) {
+	r, err := t.c.do(ctx, call{method: http.MethodGet, path: rowPath(key)})
+	if err == nil {
+		err = readStatus(r.status)
+	}
+	if err != nil {
+		return Row{}, fmt.Errorf("get %q: %w", key, err)
+	}
+	version, ok := ParseETag(r.header.Get("ETag"))
+	if !ok {
+		return Row{}, fmt.Errorf("get %q: %w: no strong ETag in the response", key, ErrUnavailable)
+	}
+	return Row{Key: key, Value: r.body, Version: version}, nil
+}
+
+// Put implements Table.
+func (t *HTTPTable) Put(ctx context.Context, key string, value []byte, cond Condition) (Version, error) {
+	if cond.Absent && cond.Version != "" {
+		return "", fmt.Errorf("put %q: %w: no row is absent and at a version", key, ErrConflict)
+	}
+	h := http.Header{"Content-Type": {"application/octet-stream"}}
+	if cond.Absent {
+		h.Set("If-None-Match", "*")
+	}
+	if cond.Version != "" {
+		h.Set("If-Match", ETag(cond.Version))
+	}
+	r, err := t.c.do(ctx, call{method: http.MethodPut, path: rowPath(key), header: h, body: value, write: true})
+	if err == nil {
+		err = writeStatus(r.status)
+	}
+	if err != nil {
+		return "", fmt.Errorf("put %q: %w", key, err)
+	}
+	version, ok := ParseETag(r.header.Get("ETag"))
+	if !ok {
+		return "", fmt.Errorf("put %q: %w: no strong ETag in the response", key, ErrInDoubt)
+	}
+	return version, nil
+}
+
+// List implements Table.
+func (t *HTTPTable) List(ctx context.Context, prefix string, limit int) ([]Row, error) {
+	q := url.Values{ParamPrefix: {prefix}, ParamLimit: {strconv.Itoa(limit)}}
+	r, err := t.c.do(ctx, call{method: http.MethodGet, path: PathRows + "?" + q.Encode()})
+	if err == nil && r.status != http.StatusOK {
+		err = fmt.Errorf("%w: status %d", ErrUnavailable, r.status)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("list %q: %w", prefix, err)
+	}
+	var wire []WireRow
+	if err := json.Unmarshal(r.body, &wire); err != nil {
+		return nil, fmt.Errorf("list %q: %w: %w", prefix, ErrUnavailable, err)
+	}
+	rows := make([]Row, 0, len(wire))
+	for _, w := range wire {
+		rows = append(rows, Row(w))
+	}
+	return rows, nil
+}
+
+// Commit implements Table. The whole transaction is one request.
+func (t *HTTPTable) Commit(ctx context.Context, writes []Write) ([]Version, error) {
+	var tx WireTransaction
+	for _, w := range writes {
+		tx.Writes = append(tx.Writes, WireWrite{Key: w.Key, Value: w.Value, Absent: w.Cond.Absent, Version: w.Cond.Version})
+	}
+	body, err := json.Marshal(tx)
+	if err != nil {
+		return nil, fmt.Errorf("commit: %w: %w", ErrUnavailable, err)
+	}
+	h := http.Header{"Content-Type": {"application/json"}}
+	r, err := t.c.do(ctx, call{method: http.MethodPost, path: PathTransaction, header: h, body: body, write: true})
+	if err == nil {
+		err = writeStatus(r.status)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("commit: %w", err)
+	}
+	var out WireVersions
+	if err := json.Unmarshal(r.body, &out); err != nil {
+		return nil, fmt.Errorf("commit: %w: %w", ErrInDoubt, err)
+	}
+	if len(out.Versions) != len(writes) {
+		return nil, fmt.Errorf("commit: %w: %d versions for %d writes", ErrInDoubt, len(out.Versions), len(writes))
+	}
+	return out.Versions, nil
+}
+
+func rowPath(key string) string { return PathRow + "?" + url.Values{ParamKey: {key}}.Encode() }
+
+// HTTPObjects is the object store over HTTP. It is safe for concurrent use.
+type HTTPObjects struct{ c *client }
+
+// NewHTTPObjects returns a client for the object store at the URL. A call ends at the latest after the timeout.
+func NewHTTPObjects(objectsURL string, timeout time.Duration) (*HTTPObjects, error) {
+	c, err := newClient(objectsURL, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &HTTPObjects{c}, nil
+}
+
+// Close closes idle connections.
+func (o *HTTPObjects) Close() error { return o.c.close() }
+
+// Put implements Objects. A body that is stored already is no conflict, because the hash determines the body.
+func (o *HTTPObjects) Put(ctx context.Context, body []byte) (string, error) {
+	hash := Hash(body)
+	h := http.Header{"Content-Type": {"application/octet-stream"}, "If-None-Match": {"*"}}
+	r, err := o.c.do(ctx, call{method: http.MethodPut, path: PathObjects + hash, header: h, body: body, write: true})
+	if err == nil && r.status != http.StatusPreconditionFailed {
+		err = writeStatus(r.status)
+	}
+	if err != nil {
+		return "", fmt.Errorf("put object %s: %w", hash, err)
+	}
+	return hash, nil
+}
+
+// Get implements Objects.
+func (o *HTTPObjects) Get(ctx context.Context, hash string) ([]byte, error) {
+	r, err := o.c.do(ctx, call{method: http.MethodGet, path: PathObjects + url.PathEscape(hash)})
+	if err == nil {
+		err = readStatus(r.status)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("get object %s: %w", hash, err)
+	}
+	if got := Hash(r.body); got != hash {
+		return nil, fmt.Errorf("get object %s: %w: the body has hash %s", hash, ErrUnavailable, got)
+	}
+	return r.body, nil
+}
+
+// Hash returns the name of an object with the given content.
+func Hash(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/process/platform/http_test.go
@@ -0,0 +1,232 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
+	"github.com/wigeoncleat/wigeoncleat/internal/standin/memory"
+	"github.com/wigeoncleat/wigeoncleat/internal/standin/platformserver"
+)
+
+// callTimeout is long for a call on loopback and short for tests that wait for it.
+const callTimeout = 150 * time.Millisecond
+
+type fixture struct {
+	memory  *memory.Platform
+	server  *platformserver.Server
+	http    *httptest.Server
+	table   *platform.HTTPTable
+	objects *platform.HTTPObjects
+}
+
+func newFixture(t *testing.T) *fixture {
+	m := memory.New()
+	f := &fixture{memory: m, server: platformserver.New(m)}
+	f.http = httptest.NewServer(f.server)
+	t.Cleanup(f.http.Close)
+	var err error
+	f.table, err = platform.NewHTTPTable(f.http.URL, callTimeout)
+	require.NoError(t, err)
+	f.objects, err = platform.NewHTTPObjects(f.http.URL, callTimeout)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = f.table.Close(); _ = f.objects.Close() })
+	return f
+}
+
+func (f *fixture) faults(t *testing.T, faults platformserver.Faults) {
+	require.NoError(t, f.server.SetFaults(faults))
+}
+
+// Guards against a condition that is lost on the wire: a write that must not apply would overwrite another operator's.
+func TestConditionsHold(t *testing.T) {
+	f, ctx := newFixture(t), t.Context()
+	const key = "head/site a?&=%2F\"#/ü"
+	first, err := f.table.Put(ctx, key, []byte("one"), platform.Condition{Absent: true})
+	require.NoError(t, err)
+	_, err = f.table.Put(ctx, key, []byte("two"), platform.Condition{Absent: true})
+	require.ErrorIs(t, err, platform.ErrConflict)
+	second, err := f.table.Put(ctx, key, []byte("two"), platform.Condition{Version: first})
+	require.NoError(t, err)
+	_, err = f.table.Put(ctx, key, []byte("three"), platform.Condition{Version: first})
+	require.ErrorIs(t, err, platform.ErrConflict)
+	_, err = f.table.Put(ctx, key, nil, platform.Condition{Absent: true, Version: second})
+	require.ErrorIs(t, err, platform.ErrConflict)
+
+	_, err = f.table.Commit(ctx, []platform.Write{
+		{Key: "other", Value: []byte("x"), Cond: platform.Condition{Absent: true}},
+		{Key: key, Value: []byte("three"), Cond: platform.Condition{Version: first}},
+	})
+	require.ErrorIs(t, err, platform.ErrConflict)
+	_, err = f.table.Get(ctx, "other")
+	require.ErrorIs(t, err, platform.ErrNotFound, "half of a transaction was applied")
+	row, err := f.table.Get(ctx, key)
+	require.NoError(t, err)
+	require.Equal(t, platform.Row{Key: key, Value: []byte("two"), Version: second}, row)
+	rows, err := f.table.List(ctx, "head/", 10)
+	require.NoError(t, err)
+	require.Equal(t, []platform.Row{row}, rows)
+}
+
+// Guards against a write that took effect and is reported as not written, and against doubt where there is a proof: each
+// fault must give the error that the platform interface promises, for every kind of write.
+func TestWriteFailures(t *testing.T) {
+	cases := []struct {
+		name    string
+		faults  platformserver.Faults
+		want    error
+		applied bool
+	}{
+		{"refused", platformserver.Faults{Down: true}, platform.ErrUnavailable, false},
+		{"hang", platformserver.Faults{Hang: true}, platform.ErrInDoubt, false},
+		{"slow", platformserver.Faults{Delay: "10s"}, platform.ErrInDoubt, false},
+		{"answer lost", platformserver.Faults{LoseAnswer: true}, platform.ErrInDoubt, true},
+		{"answer hangs", platformserver.Faults{HangAnswer: true}, platform.ErrInDoubt, true},
+		{"answer truncated", platformserver.Faults{Truncate: true}, platform.ErrInDoubt, true},
+		{"internal error", platformserver.Faults{Status: 500}, platform.ErrInDoubt, true},
+		{"gateway timeout", platformserver.Faults{Status: 504}, platform.ErrInDoubt, true},
+		{"redirect", platformserver.Faults{Status: 303}, platform.ErrInDoubt, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.faults(t, c.faults)
+			ctx := t.Context()
+			_, putErr := f.table.Put(ctx, "put", []byte("x"), platform.Condition{Absent: true})
+			_, commitErr := f.table.Commit(ctx, []platform.Write{{Key: "commit", Value: []byte("x")}})
+			_, objectErr := f.objects.Put(ctx, []byte("body"))
+			f.faults(t, platformserver.Faults{})
+			for _, err := range []error{putErr, commitErr, objectErr} {
+				requireOnly(t, err, c.want)
+			}
+			for _, key := range []string{"put", "commit"} {
+				_, err := f.memory.Get(ctx, key)
+				require.Equal(t, c.applied, err == nil)
+			}
+			_, err := f.objects.Get(ctx, platform.Hash([]byte("body")))
+			require.Equal(t, c.applied, err == nil)
+		})
+	}
+}
+
+// requireOnly checks that an error is exactly one of the errors that callers distinguish.
+func requireOnly(t *testing.T, err, want error) {
+	t.Helper()
+	for _, e := range []error{platform.ErrNotFound, platform.ErrConflict, platform.ErrUnavailable, platform.ErrInDoubt} {
+		require.Equal(t, e == want, errors.Is(err, e), "%v", err)
+	}
+}
+
+// Guards against doubt after a write that was provably not sent: new keys could then not be rejected as "not run".
+func TestConnectionRefusedIsNoDoubt(t *testing.T) {
+	f, ctx := newFixture(t), t.Context()
+	_, err := f.table.Put(ctx, "a", nil, platform.Condition{}) // leaves a connection that the outage closes
+	require.NoError(t, err)
+	f.http.Close()
+	// The first write may go out on that connection before the client notices the close, which is a write in doubt.
+	if _, err = f.table.Put(ctx, "a", nil, platform.Condition{}); errors.Is(err, platform.ErrInDoubt) {
+		requireOnly(t, err, platform.ErrInDoubt)
+	} else {
+		requireOnly(t, err, platform.ErrUnavailable)
+	}
+	for range 3 {
+		_, err = f.table.Put(ctx, "a", nil, platform.Condition{})
+		requireOnly(t, err, platform.ErrUnavailable)
+	}
+	_, err = f.objects.Put(ctx, nil)
+	requireOnly(t, err, platform.ErrUnavailable)
+}
+
+// Guards against doubt when the context ended before a connection was there, and against a call that outlives its context.
+func TestContextEnds(t *testing.T) {
+	f := newFixture(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := f.table.Put(ctx, "a", nil, platform.Condition{})
+	requireOnly(t, err, platform.ErrUnavailable)
+
+	f.faults(t, platformserver.Faults{Hang: true})
+	ctx, cancel = context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	_, err = f.table.Get(ctx, "a")
+	requireOnly(t, err, platform.ErrUnavailable)
+	require.Less(t, time.Since(start), callTimeout)
+}
+
+// Guards against reads that take a failure for an absent row or a part of a response for the whole.
+func TestReadFailures(t *testing.T) {
+	for name, faults := range map[string]platformserver.Faults{
+		"refused": {Down: true}, "hang": {Hang: true}, "truncated": {Truncate: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, ctx := newFixture(t), t.Context()
+			_, err := f.memory.Put(ctx, "a", []byte("value"), platform.Condition{})
+			require.NoError(t, err)
+			hash, err := f.objects.Put(ctx, []byte("body"))
+			require.NoError(t, err)
+			f.faults(t, faults)
+			_, err = f.table.Get(ctx, "a")
+			requireOnly(t, err, platform.ErrUnavailable)
+			_, err = f.table.List(ctx, "", 10)
+			requireOnly(t, err, platform.ErrUnavailable)
+			_, err = f.objects.Get(ctx, hash)
+			requireOnly(t, err, platform.ErrUnavailable)
+		})
+	}
+}
+
+// Guards against a faulty platform: a response without a usable version, with a wrong number of versions, a body of
+// another object, or a connection that closes before the response.
+func TestFaultyPlatform(t *testing.T) {
+	hash := platform.Hash([]byte("body"))
+	var handler http.HandlerFunc
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler(w, r) }))
+	defer server.Close()
+	table, err := platform.NewHTTPTable(server.URL+"/", callTimeout)
+	require.NoError(t, err)
+	objects, err := platform.NewHTTPObjects(server.URL, callTimeout)
+	require.NoError(t, err)
+	ctx := t.Context()
+	write := []platform.Write{{Key: "a"}}
+	handler = func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("ETag", `W/"1"`)
+		_, _ = w.Write([]byte(`{"versions":["1","2"]}`))
+	}
+	_, err = table.Get(ctx, "a")
+	requireOnly(t, err, platform.ErrUnavailable)
+	_, err = table.Put(ctx, "a", nil, platform.Condition{})
+	requireOnly(t, err, platform.ErrInDoubt)
+	_, err = table.Commit(ctx, write)
+	requireOnly(t, err, platform.ErrInDoubt)
+	_, err = objects.Get(ctx, hash)
+	requireOnly(t, err, platform.ErrUnavailable)
+
+	// A redirected write must not be followed as a read whose success would count as that of the write.
+	handler = func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			http.Redirect(w, r, "/elsewhere", http.StatusSeeOther)
+			return
+		}
+		w.Header().Set("ETag", `"1"`)
+	}
+	_, err = table.Put(ctx, "a", nil, platform.Condition{})
+	requireOnly(t, err, platform.ErrInDoubt)
+
+	handler = func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.(*net.TCPConn).SetLinger(0) // resets the connection
+			_ = conn.Close()
+		}
+	}
+	_, err = table.Commit(ctx, write)
+	requireOnly(t, err, platform.ErrInDoubt)
+}
--- /dev/null
+++ b/internal/process/platform/resolve.go
@@ -0,0 +1,106 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Change is a conditional write that can be recognised when the row is read back.
+type Change struct {
+	Key   string
+	Value []byte
+	Cond  Condition
+	// ID is unique to the change and part of Value. A writer that replaces the row may keep the ID in its own value as
+	// evidence that this change took effect.
+	ID string
+	// WriteOnce says that the row is never written again once it exists, as is the case for claims. A row without the ID
+	// then proves that the change did not take effect and never will.
+	WriteOnce bool
+}
+
+const (
+	// The pause before a repeat starts short, because most answers are lost singly, and grows to a second, so that
+	// 2,300 nodes add at most about 2,300 calls a second to a platform that comes back from an outage.
+	firstPause = 20 * time.Millisecond
+	maxPause   = time.Second
+)
+
+// ResolvePut writes the change and settles a write in doubt: it reads the row back and repeats the write under the same
+// condition until one of them gives a definite result or ctx ends.
+//
+// On success it returns the row as last known: the change itself, or a later row that contains the change's ID. It fails
+// with ErrConflict or ErrUnavailable if the change did not take effect and never will, and with ErrInDoubt otherwise, in
+// particular if another writer replaced the row between a lost answer and the read-back without keeping the ID.
+func ResolvePut(ctx context.Context, t Table, c Change) (Row, error) {
+	if err := c.check(); err != nil {
+		return Row{}, err
+	}
+	version, err := t.Put(ctx, c.Key, c.Value, c.Cond)
+	for pause := firstPause; ; pause = min(2*pause, maxPause) {
+		if err == nil {
+			return Row{Key: c.Key, Value: c.Value, Version: version}, nil
+		}
+		if pause == firstPause && !errors.Is(err, ErrInDoubt) {
+			return Row{}, err // the only attempt failed definitely
+		}
+		row, settled, readErr := c.readBack(ctx, t)
+		if settled {
+			return row, readErr
+		}
+		if !sleep(ctx, pause) {
+			// The causes are not wrapped: a conflict or an outage of a repeat says nothing about the first attempt.
+			return Row{}, fmt.Errorf("put %q: %w: %w (write: %v; read-back: %v)", c.Key, ErrInDoubt, ctx.Err(), err, readErr)
+		}
+		if readErr != nil {
+			continue // the row must be read before the write is repeated
+		}
+		version, err = t.Put(ctx, c.Key, c.Value, c.Cond)
+	}
+}
+
+func (c Change) check() error {
+	if c.ID == "" || !bytes.Contains(c.Value, []byte(c.ID)) {
+		return fmt.Errorf("put %q: the value does not contain the change ID %q", c.Key, c.ID)
+	}
+	if !c.Cond.Absent && c.Cond.Version == "" {
+		return fmt.Errorf("put %q: an unconditional write cannot be repeated safely", c.Key)
+	}
+	return nil
+}
+
+// readBack reads the row after a write in doubt. It reports whether the result of the change is settled.
+func (c Change) readBack(ctx context.Context, t Table) (Row, bool, error) {
+	row, err := t.Get(ctx, c.Key)
+	switch {
+	case errors.Is(err, ErrNotFound):
+		if c.Cond.Absent {
+			return Row{}, false, nil // the condition still holds: repeat
+		}
+		return Row{}, true, fmt.Errorf("put %q: %w: the row was deleted", c.Key, ErrInDoubt)
+	case err != nil:
+		return Row{}, false, err
+	case bytes.Contains(row.Value, []byte(c.ID)):
+		return row, true, nil
+	case !c.Cond.Absent && row.Version == c.Cond.Version:
+		return Row{}, false, nil
+	case c.WriteOnce && c.Cond.Absent:
+		return row, true, fmt.Errorf("put %q: %w: another change took effect", c.Key, ErrConflict)
+	default:
+		return row, true, fmt.Errorf("put %q: %w: another writer replaced the row at version %s", c.Key, ErrInDoubt, row.Version)
+	}
+}
+
+// sleep waits and reports whether ctx is still open.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/process/platform/wire.go
@@ -0,0 +1,63 @@
+package platform
+
+import (
+	"net/url"
+	"strings"
+)
+
+// The wire format of the platform, which docs/platform.md describes. The stand-in serves the same format.
+const (
+	// PathRow is the path of one row below the table URL; its key is the query parameter ParamKey.
+	PathRow = "/row"
+	// PathRows is the path of the list of rows, with the query parameters ParamPrefix and ParamLimit.
+	PathRows = "/rows"
+	// PathTransaction is the path of transactions.
+	PathTransaction = "/transaction"
+	// PathObjects is the path of objects below the object store URL, followed by the hash.
+	PathObjects = "/objects/"
+
+	ParamKey    = "key"
+	ParamPrefix = "prefix"
+	ParamLimit  = "limit"
+)
+
+// WireRow is a row in a list response. JSON encodes the value in base64.
+type WireRow struct {
+	Key     string  `json:"key"`
+	Value   []byte  `json:"value"`
+	Version Version `json:"version"`
+}
+
+// WireWrite is one write of a transaction.
+type WireWrite struct {
+	Key     string  `json:"key"`
+	Value   []byte  `json:"value"`
+	Absent  bool    `json:"absent,omitempty"`
+	Version Version `json:"version,omitempty"`
+}
+
+// WireTransaction is the body of a transaction request.
+type WireTransaction struct {
+	Writes []WireWrite `json:"writes"`
+}
+
+// WireVersions is the body of the response to a transaction: the new version of each write, in order.
+type WireVersions struct {
+	Versions []Version `json:"versions"`
+}
+
+// ETag returns the entity tag of a version.
+func ETag(v Version) string { return `"` + url.PathEscape(string(v)) + `"` }
+
+// ParseETag returns the version of a strong entity tag. A weak tag cannot guard a write and is refused.
+func ParseETag(tag string) (Version, bool) {
+	inner, ok := strings.CutPrefix(tag, `"`)
+	if !ok {
+		return "", false
+	}
+	if inner, ok = strings.CutSuffix(inner, `"`); !ok || inner == "" {
+		return "", false
+	}
+	v, err := url.PathUnescape(inner)
+	return Version(v), err == nil
+}
