--- /dev/null
+++ b/cmd/wigeon-standin/main.go
@@ -0,0 +1,40 @@
+// Command wigeon-standin runs fakes of the systems around the nodes for tests and trials. Each subcommand is in a file of
+// its own and registers itself.
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+)
+
+// commands are the registered subcommands.
+var commands []*cli.Command
+
+// register adds a subcommand. It is called by the init function of the subcommand's file.
+func register(c *cli.Command) { commands = append(commands, c) }
+
+func main() {
+	slog.SetDefault(slog.New(slog.NewJSONHandler(os.Stderr, nil)))
+	// Log lines of the HTTP library have no event number; its errors are returned and logged here.
+	klog.SetLogger(klog.NewStdLogger(io.Discard))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	app := &cli.Command{
+		Name:     "wigeon-standin",
+		Usage:    "fakes for tests and trials; never part of a deployment",
+		Commands: commands,
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		event.Log(slog.Default(), event.CommandFailed, slog.String("error", err.Error()))
+		os.Exit(1)
+	}
+}
