--- a/internal/version/policy/diff.go
+++ b/internal/version/policy/diff.go
@@ -28,18 +28,19 @@
 // another file or line, or is written in another unit, is no difference. Both sets must be free of findings of severity
 // error; otherwise Diff returns the findings with an error that wraps ErrRejected.
 func Diff(old, new Set) ([]Difference, []Finding, error) {
-	before, faults := old.sites()
-	after, newFaults := new.sites()
-	findings := append(faults, newFaults...)
+	oldSites, findings := old.resolve()
+	newSites, faults := new.resolve()
+	findings = append(findings, faults...)
 	if schema.HasErrors(findings) {
 		return nil, findings, fmt.Errorf("%w: %s", ErrRejected, firstError(findings))
 	}
 	names := map[string]bool{}
-	for name := range before {
-		names[name] = true
+	before, after := map[string]*schema.Values{}, map[string]*schema.Values{}
+	for _, r := range oldSites {
+		before[r.name], names[r.name] = r.values, true
 	}
-	for name := range after {
-		names[name] = true
+	for _, r := range newSites {
+		after[r.name], names[r.name] = r.values, true
 	}
 	var out []Difference
 	for _, site := range slices.Sorted(maps.Keys(names)) {
@@ -48,23 +49,6 @@
 	return out, findings, nil
 }
 
-// sites resolves the set for each of its sites.
-func (s Set) sites() (map[string]*schema.Values, []Finding) {
-	out := map[string]*schema.Values{}
-	var findings []Finding
-	for _, overlay := range s.Overlays {
-		values, faults := resolve(s.Base, overlay)
-		findings = append(findings, faults...)
-		site := values.One("site")
-		name := site.Get("name").Text
-		if out[name] != nil && !schema.HasErrors(faults) {
-			findings = append(findings, site.Finding("name", "two overlays are for site %s", name))
-		}
-		out[name] = values
-	}
-	return out, findings
-}
-
 func diffSite(site string, before, after *schema.Values) []Difference {
 	type id struct{ section, key string }
 	index := func(v *schema.Values) (map[id]schema.Setting, []id) {
