--- a/cmd/wigeon-standin/main.go
+++ b/cmd/wigeon-standin/main.go
@@ -1,23 +1,36 @@
-// Command wigeon-standin runs fakes for tests and trials.
-//
-// Exit codes: 0 after a graceful stop, 1 on an error.
+// Command wigeon-standin runs fakes of the systems around the nodes for tests and trials. Each subcommand is in a file of
+// its own and registers itself.
 package main
 
 import (
 	"context"
-	"fmt"
+	"io"
+	"log/slog"
 	"os"
 
+	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/urfave/cli/v3"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 )
 
-// commands are the subcommands. Each file of a subcommand adds its own in an init function.
+// commands are the registered subcommands.
 var commands []*cli.Command
 
+// register adds a subcommand. It is called by the init function of the subcommand's file.
+func register(c *cli.Command) { commands = append(commands, c) }
+
 func main() {
-	root := &cli.Command{Name: "wigeon-standin", Usage: "run fakes for tests and trials", Commands: commands}
-	if err := root.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "wigeon-standin:", err)
+	slog.SetDefault(slog.New(slog.NewJSONHandler(os.Stderr, nil)))
+	// Log lines of the HTTP library have no event number; its errors are returned and logged here.
+	klog.SetLogger(klog.NewStdLogger(io.Discard))
+	app := &cli.Command{
+		Name:     "wigeon-standin",
+		Usage:    "fakes for tests and trials; never part of a deployment",
+		Commands: commands,
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		event.Log(slog.Default(), event.CommandFailed, slog.String("error", err.Error()))
 		os.Exit(1)
 	}
 }
--- a/cmd/wigeon-standin/target.go
+++ b/cmd/wigeon-standin/target.go
@@ -13,7 +13,7 @@
 )
 
 func init() {
-	commands = append(commands, &cli.Command{
+	register(&cli.Command{
 		Name:   "target",
 		Usage:  "run a fake target until SIGTERM or SIGINT, then drain it; a second signal ends it at once",
 		Flags:  targetFlags(),
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -30,18 +30,18 @@
 		return
 	}
 	for _, site := range []Site{Haetsal(), Gnomon()} {
-		if *siteName != "" && site.Name != *siteName {
-			continue
-		}
 		for _, s := range Scenarios() {
-			if *scenario != "" && s.Name != *scenario {
-				continue
-			}
 			for _, system := range []System{Naive, Real} {
-				start := time.Now()
-				f := run(t, site, system, s)
-				fmt.Printf("%s/%s\t%s\tgoodput %.3f orders %.4f recovery %.2f wasted %.3f attempts %d dup %d falsenotrun %d mixed %d n %d (%.1fs)\n",
-					site.Name, s.Name, system, f.Goodput, f.OrderSuccess, f.Recovery, f.Wasted, f.Attempts, f.Duplicates, f.FalseNotRun, f.Mixed, f.Requests, time.Since(start).Seconds())
+				if *siteName != "" && site.Name != *siteName || *scenario != "" && s.Name != *scenario {
+					continue
+				}
+				t.Run(fmt.Sprintf("%s/%s/%s", site.Name, s.Name, system), func(t *testing.T) {
+					t.Parallel()
+					start := time.Now()
+					f := run(t, site, system, s)
+					t.Logf("goodput %.3f orders %.4f recovery %.2f wasted %.3f attempts %d dup %d falsenotrun %d mixed %d n %d (%.1fs)",
+						f.Goodput, f.OrderSuccess, f.Recovery, f.Wasted, f.Attempts, f.Duplicates, f.FalseNotRun, f.Mixed, f.Requests, time.Since(start).Seconds())
+				})
 			}
 		}
 	}
