--- /dev/null
+++ b/cmd/wigeoncleat-node/main.go
@@ -0,0 +1,102 @@
+// Command wigeoncleat-node runs the node beside a target.
+//
+// Exit codes: 0 after a graceful stop, 1 on an error, 2 when the settings are rejected, 3 when a graceful stop cut off
+// requests.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/node"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/settings"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/schema"
+)
+
+const (
+	exitFailed   = 1
+	exitSettings = 2
+	exitCut      = 3
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "wigeoncleat-node",
+		Usage: "run the node beside a target until SIGTERM, then stop gracefully; a second signal stops at once",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Required: true, Usage: "settings `FILE` (INI), see docs/settings.md"},
+		},
+		Action: run,
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "wigeoncleat-node:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	switch {
+	case errors.Is(err, settings.ErrRejected):
+		return exitSettings
+	case errors.Is(err, node.ErrCut):
+		return exitCut
+	default:
+		return exitFailed
+	}
+}
+
+func run(_ context.Context, c *cli.Command) error {
+	s, err := loadSettings(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: s.LogLevel}))
+	slog.SetDefault(log)
+	// Log lines of the HTTP library have no event number; its errors are returned and logged by the node.
+	klog.SetLogger(klog.NewStdLogger(io.Discard))
+	event.Log(log, event.SettingsRead, slog.String("file", c.String("settings")))
+
+	ctx, hurry, stop := signalContexts()
+	defer stop()
+	return node.Serve(ctx, hurry, s, log)
+}
+
+func loadSettings(name string) (*settings.Settings, error) {
+	body, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	s, findings, err := settings.Load(schema.File{Name: name, Body: body})
+	for _, f := range findings {
+		fmt.Fprintln(os.Stderr, f)
+	}
+	return s, err
+}
+
+// signalContexts returns a context that ends at the first SIGTERM or SIGINT, and one that ends at the second.
+func signalContexts() (ctx, hurry context.Context, stop func()) {
+	ctx, first := context.WithCancel(context.Background())
+	hurry, second := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		first()
+		<-signals
+		second()
+	}()
+	return ctx, hurry, func() {
+		first()
+		second()
+	}
+}
--- a/internal/connection/link/inbound.go
+++ b/internal/connection/link/inbound.go
@@ -141,7 +141,7 @@
 		return
 	}
 	if err := s.body.Add(f.Offset, f.Part); err != nil {
-		delete(in.streams, f.Stream)
+		delete(in.streams, f.Stream) // a later part must not start what is reported as not run
 		in.respond(f.Stream, s.req.ID, message.Refuse(message.ReasonInvalid, message.Errorf(message.StepAccept, in.cfg.Self.Address, "%v", err)))
 		return
 	}
@@ -158,14 +158,19 @@
 	ctx, s.cancel = context.WithDeadline(ctx, s.req.Deadline)
 	in.running.Go(func() {
 		r := in.handler.HandleRequest(ctx, in.peer, s.req)
-		in.mu.Lock()
-		delete(in.streams, id)
-		in.mu.Unlock()
 		s.cancel()
 		in.respond(id, s.req.ID, r)
 	})
 }
 
+// forget removes a stream whose response was written. Until then the stream counts as active, so that a graceful stop
+// waits for the response to leave.
+func (in *inbound) forget(id uint64) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	delete(in.streams, id)
+}
+
 func (in *inbound) handleCancel(f *wire.Cancel) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -191,7 +196,7 @@
 			return
 		}
 	}
-	in.writer.enqueue(&outgoing{frames: frames})
+	in.writer.enqueue(&outgoing{frames: frames, after: func() { in.forget(stream) }})
 }
 
 func (in *inbound) post(f wire.Frame) {
--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -248,6 +248,28 @@
 	}
 }
 
+// drainPoll is the time between two looks at the links during a graceful stop.
+const drainPoll = 10 * time.Millisecond
+
+// Drain tells every peer to send no more requests and waits until all responses have been written, or ctx ends. It
+// returns the number of requests that were not answered.
+func (p *Pool) Drain(ctx context.Context) int {
+	p.GoAway()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for {
+		active := p.Active()
+		if active == 0 {
+			return 0
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return active
+		}
+	}
+}
+
 // Active returns the number of requests of peers that have not been answered.
 func (p *Pool) Active() int {
 	p.mu.Lock()
--- a/internal/connection/link/writer.go
+++ b/internal/connection/link/writer.go
@@ -19,6 +19,7 @@
 type outgoing struct {
 	frames [][]byte
 	state  atomic.Int32
+	after  func() // called when all frames were written or the connection failed; may be nil
 }
 
 // withdraw reports whether the message was taken back before any byte of it was written.
@@ -74,7 +75,11 @@
 			if !o.state.CompareAndSwap(stateQueued, stateWriting) {
 				continue
 			}
-			if err := w.write(ctx, o); err != nil {
+			err := w.write(ctx, o)
+			if o.after != nil {
+				o.after()
+			}
+			if err != nil {
 				return err
 			}
 		}
--- a/internal/measure/real.go
+++ b/internal/measure/real.go
@@ -38,13 +38,15 @@
 		mislead:   mislead,
 	}
 	n.Engine = engine.New(engine.Config{
-		Address: m.address, Service: m.service, Policy: w.policy, Confirmed: func() bool { return true },
+		Address: m.address, Service: m.service, Policy: w.policy, Confirmed: always, Ready: always,
 		Peers: sender{w, m}, Target: m.target, Admission: engine.Guard(n.control), Pickers: n.balancers,
 		Shedder: shed.New(), Keys: keys,
 	})
 	return n
 }
 
+func always() bool { return true }
+
 func zoneName(zone int) string { return "az" + strconv.Itoa(zone) }
 
 func (n *realNode) IssueKey() string { return n.keys.Issue(1)[0] }
--- a/internal/process/engine/deliver.go
+++ b/internal/process/engine/deliver.go
@@ -32,6 +32,9 @@
 	if req.Service != e.cfg.Service {
 		return e.refuse(message.ReasonNoTarget, message.StepAdmit, "this node's target serves %q, not %q", e.cfg.Service, req.Service)
 	}
+	if !e.cfg.Ready() {
+		return e.refuse(message.ReasonLeaving, message.StepAdmit, "target takes no work")
+	}
 	permit, refusal := e.cfg.Admission.Acquire(ctx, req.Priority, req.Deadline)
 	if refusal != nil {
 		if refusal.Err == nil {
--- a/internal/process/engine/engine.go
+++ b/internal/process/engine/engine.go
@@ -69,6 +69,7 @@
 	Service   string // of the target beside this node; empty if there is none
 	Policy    *atomic.Pointer[policy.Policy]
 	Confirmed func() bool // whether the configuration version is confirmed
+	Ready     func() bool // whether the target beside this node takes work
 	Peers     PeerSender
 	Target    Target
 	Admission Admission
--- a/internal/process/node/caller.go
+++ b/internal/process/node/caller.go
@@ -190,7 +190,8 @@
 }
 
 // requestHandler serves requests over HTTP.
-func (n *Node) requestHandler(serve serveFunc) http.Handler {
+func (n *Node) requestHandler(face string, serve serveFunc) http.Handler {
+	serve = n.instrument(face, serve)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		req, refusal := httpRequest(r, n.limits())
 		if refusal != nil {
@@ -203,7 +204,7 @@
 
 // callerHandler serves the caller interface.
 func (n *Node) callerHandler() http.Handler {
-	requests := n.requestHandler(n.engine.Serve)
+	requests := n.requestHandler("caller", n.engine.Serve)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == keysPath {
 			n.serveKeys(w, r)
--- /dev/null
+++ b/internal/process/node/node.go
@@ -0,0 +1,331 @@
+// Package node assembles the process that runs beside a target: its interfaces, the engine, the links to other nodes and
+// membership.
+//
+// All exported methods are safe for concurrent use.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/link"
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/engine"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/membership"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/metrics"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/once"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/settings"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
+
+// Options are the surroundings of a node.
+type Options struct {
+	Settings *settings.Settings
+	Log      *slog.Logger
+	Table    platform.Table   // nil without a platform
+	Objects  platform.Objects // nil without a platform
+}
+
+// Node is the process beside a target.
+type Node struct {
+	settings    *settings.Settings
+	log         *slog.Logger
+	incarnation uint64
+	opts        Options
+
+	policy    atomic.Pointer[policy.Policy]
+	keys      *once.Store
+	pool      *link.Pool
+	engine    *engine.Engine
+	control   *admission.Controller
+	balancers *engine.Balancers
+	target    *targetClient
+	metrics   *metrics.Metrics
+
+	announcements *membership.Announcements
+	members       *membership.Runner
+	ready         atomic.Bool // the target takes work
+	slots         atomic.Int64
+
+	updateMu sync.Mutex // orders updates of the balancers
+
+	leaving atomic.Bool
+	drain   chan struct{} // closed when an operator asks for a graceful stop
+	once    sync.Once     // closes drain
+}
+
+// New returns a node that is not started yet.
+func New(opts Options) (*Node, error) {
+	s := opts.Settings
+	n := &Node{
+		settings:      s,
+		log:           opts.Log,
+		opts:          opts,
+		incarnation:   uint64(time.Now().UnixMilli()),
+		announcements: new(membership.Announcements),
+		drain:         make(chan struct{}),
+		control:       admission.New(admission.Limits{Slots: 1, Connections: 1}),
+	}
+	keys, err := once.New(once.Options{Address: s.Node.PeerAddress, Incarnation: n.incarnation})
+	if err != nil {
+		return nil, fmt.Errorf("idempotency keys: %w", err)
+	}
+	n.keys = keys
+	if n.target, err = newTargetClient(context.Background(), s.Target.Address, n.policy.Load); err != nil {
+		return nil, err
+	}
+	if n.metrics, err = metrics.New(n.gauges); err != nil {
+		return nil, err
+	}
+	n.balancers = engine.NewBalancers(s.Node.AvailabilityZone, policy.New().Balance)
+	n.pool = link.NewPool(link.Config{
+		Self:              link.Peer{Address: s.Node.PeerAddress, Incarnation: n.incarnation, Zone: s.Node.AvailabilityZone},
+		HeartbeatInterval: s.Link.HeartbeatInterval,
+		HeartbeatTimeout:  s.Link.HeartbeatTimeout,
+		IdleTimeout:       s.Link.IdleTimeout,
+	}, link.WebSocketDialer(http.DefaultClient), n, n.log)
+	n.engine = engine.New(engine.Config{
+		Address:   s.Node.PeerAddress,
+		Service:   s.Target.Service,
+		Policy:    &n.policy,
+		Confirmed: n.confirmed,
+		Ready:     n.ready.Load,
+		Peers:     n.pool,
+		Target:    n.target,
+		Admission: engine.Guard(n.control),
+		Pickers:   n.balancers,
+		Shedder:   shed.New(),
+		Keys:      keys,
+		Binder:    newBinder(keys, opts.Table),
+	})
+	n.members = n.newMembers()
+	return n, nil
+}
+
+func newBinder(keys *once.Store, table platform.Table) *once.Binder {
+	if table == nil {
+		return nil
+	}
+	return once.NewBinder(keys, table, once.BinderOptions{})
+}
+
+func (n *Node) newMembers() *membership.Runner {
+	s := n.settings
+	r := membership.NewRunner(membership.Options{
+		Self: membership.Member{
+			Address:     s.Node.PeerAddress,
+			Caller:      s.Node.CallerAddress,
+			Instance:    rand.Uint64(),
+			Incarnation: n.incarnation,
+			Zone:        s.Node.AvailabilityZone,
+			Region:      s.Node.Region,
+		},
+		Seed:          rand.Uint64(),
+		Seeds:         s.Seeds,
+		Transport:     gossipTransport{n.pool},
+		Announcements: n.announcements,
+		Table:         n.opts.Table,
+		Logger:        n.log,
+	})
+	r.Subscribe(func(snap *membership.Snapshot, _ []membership.Event) { n.updateTargets(snap) })
+	return r
+}
+
+// gossipTransport sends membership messages over links.
+type gossipTransport struct{ pool *link.Pool }
+
+func (t gossipTransport) Send(ctx context.Context, peer string, payload []byte) error {
+	return t.pool.SendControl(ctx, peer, wire.ChannelGossip, payload)
+}
+
+// HandleRequest implements link.Handler.
+func (n *Node) HandleRequest(ctx context.Context, _ link.Peer, req *message.Request) *message.Response {
+	start := time.Now()
+	r := n.engine.HandlePeer(ctx, req)
+	n.metrics.Request("peer", r, time.Since(start))
+	return r
+}
+
+// HandleControl implements link.Handler.
+func (n *Node) HandleControl(from link.Peer, channel wire.Channel, payload []byte) {
+	if channel == wire.ChannelGossip {
+		n.members.Receive(from.Address, payload)
+	}
+}
+
+// confirmed reports whether the node may take new work under its configuration.
+func (n *Node) confirmed() bool { return n.policy.Load() != nil }
+
+// limits returns the limits on requests.
+func (n *Node) limits() policy.Limits {
+	if pol := n.policy.Load(); pol != nil {
+		return pol.Limits
+	}
+	return policy.New().Limits
+}
+
+// Apply puts a policy in force. A policy with a lower version than the present one is ignored.
+func (n *Node) Apply(pol *policy.Policy) {
+	old := n.policy.Load()
+	if old != nil && pol.Version < old.Version {
+		invariant.Check(invariant.VersionMonotonic, false, "version %d after %d", pol.Version, old.Version)
+		return
+	}
+	n.policy.Store(pol)
+	n.keys.SetValidity(pol.Once.KeyValidity)
+	n.balancers.SetPolicy(pol.Balance)
+	n.setLimits()
+}
+
+// rampTime is the time in which a target that has just become ready gets its full load.
+const rampTime = 5 * time.Second
+
+// setLimits derives the limits of admission from the policy and from what the target announced.
+func (n *Node) setLimits() {
+	pol := n.policy.Load()
+	if pol == nil {
+		return
+	}
+	svc, ok := pol.Services[n.settings.Target.Service]
+	if !ok {
+		return
+	}
+	own := *svc
+	if announced := int(n.slots.Load()); announced > 0 {
+		own.Slots = min(own.Slots, announced)
+	}
+	n.control.SetLimits(admission.LimitsOf(&own, pol.Queue, rampTime))
+}
+
+// Interfaces are the listeners of a node.
+type Interfaces struct {
+	Caller, Peer, Target, Admin net.Listener
+}
+
+// Listen opens the listeners that the settings name.
+func Listen(s *settings.Settings) (Interfaces, error) {
+	var i Interfaces
+	for _, l := range []struct {
+		into    *net.Listener
+		address string
+	}{
+		{&i.Caller, s.Node.CallerAddress},
+		{&i.Peer, s.Node.PeerAddress},
+		{&i.Target, s.Node.TargetInterfaceAddress},
+		{&i.Admin, s.Node.AdminAddress},
+	} {
+		opened, err := net.Listen("tcp", l.address)
+		if err != nil {
+			i.Close()
+			return Interfaces{}, fmt.Errorf("listen: %w", err)
+		}
+		*l.into = opened
+	}
+	return i, nil
+}
+
+// Close closes the listeners that are open.
+func (i Interfaces) Close() {
+	for _, l := range []net.Listener{i.Caller, i.Peer, i.Target, i.Admin} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// ErrCut reports a graceful stop that did not let all requests end.
+var ErrCut = errors.New("requests were cut off")
+
+// Run serves until ctx ends or an operator asks for a graceful stop, and then drains. A second end, by the context that
+// hurry returns, stops the drain.
+func (n *Node) Run(ctx context.Context, interfaces Interfaces, hurry context.Context) error {
+	servers := n.newServers(interfaces)
+	failed := servers.start()
+	background, stop := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	parts.Go(func() { n.members.Run(background) })
+	parts.Go(func() { n.watchTarget(background) })
+	event.Log(n.log, event.ProcessStarted, slog.String("peer_address", n.settings.Node.PeerAddress),
+		slog.String("caller_address", n.settings.Node.CallerAddress), slog.Uint64("incarnation", n.incarnation))
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		err = n.stop(hurry, servers)
+	case <-n.drain:
+		err = n.stop(hurry, servers)
+	}
+	stop()
+	servers.close()
+	n.pool.Close()
+	parts.Wait()
+	event.Log(n.log, event.ProcessStopped)
+	return err
+}
+
+// lingerTime is how long a node that is leaving goes on to refuse requests explicitly, so that callers and peers learn
+// of it from a response rather than from a closed connection.
+const lingerTime = time.Second
+
+// stop lets requests in flight end and then stops the servers.
+func (n *Node) stop(hurry context.Context, servers *servers) error {
+	event.Log(n.log, event.DrainStarted, slog.Int("active", n.engine.Active()))
+	n.leaving.Store(true)
+	n.engine.Leave()
+	n.control.StopAdmitting()
+	n.members.Drain()
+	ctx, cancel := context.WithTimeout(hurry, n.settings.Drain.Limit)
+	defer cancel()
+	cut := n.pool.Drain(ctx) + n.awaitIdle(ctx)
+	if err := n.members.Leave(ctx); err != nil {
+		event.Log(n.log, event.LeaveUnsent, slog.String("error", err.Error()))
+	}
+	if cut == 0 {
+		sleep(ctx, lingerTime)
+		servers.shutdown(ctx)
+	}
+	if cut > 0 {
+		event.Log(n.log, event.DrainCut, slog.Int("cut", cut))
+		return fmt.Errorf("graceful stop: %w: %d", ErrCut, cut)
+	}
+	return nil
+}
+
+// idlePoll is the time between two looks at the requests in flight during a graceful stop.
+const idlePoll = 10 * time.Millisecond
+
+// awaitIdle waits until no request is in flight, or ctx ends, and returns how many are left.
+func (n *Node) awaitIdle(ctx context.Context) int {
+	for n.engine.Active() > 0 {
+		if !sleep(ctx, idlePoll) {
+			return n.engine.Active()
+		}
+	}
+	return 0
+}
+
+// sleep waits for d and reports false if the context ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/process/node/servers.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/link"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/metrics"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// servers are the HTTP servers of a node.
+type servers struct {
+	log    *slog.Logger
+	all    []*khttp.Server
+	failed chan error
+	done   sync.WaitGroup
+}
+
+// newServer returns a server whose handler sees every request as it came. The router of the library would redirect paths
+// that are not clean, which are valid for targets.
+func newServer(l net.Listener, h http.Handler) *khttp.Server {
+	return khttp.NewServer(
+		khttp.Listener(l),
+		khttp.Timeout(0), // requests have deadlines of their own
+		khttp.Filter(func(http.Handler) http.Handler { return h }),
+	)
+}
+
+func (n *Node) newServers(i Interfaces) *servers {
+	peers := http.NewServeMux()
+	peers.Handle(link.Path, n.pool)
+	s := &servers{log: n.log, failed: make(chan error, 4)}
+	s.all = []*khttp.Server{
+		newServer(i.Caller, n.callerHandler()),
+		newServer(i.Peer, peers),
+		newServer(i.Target, n.ownHandler()),
+		newServer(i.Admin, n.adminHandler()),
+	}
+	return s
+}
+
+// start serves until the servers are closed. The channel gets the error of a server that fails.
+func (s *servers) start() <-chan error {
+	for _, srv := range s.all {
+		s.done.Go(func() {
+			err := srv.Start(context.Background())
+			if err != nil && !errors.Is(err, http.ErrServerClosed) {
+				event.Log(s.log, event.ServerFailed, slog.String("error", err.Error()))
+				s.failed <- fmt.Errorf("serve: %w", err)
+			}
+		})
+	}
+	return s.failed
+}
+
+// shutdown stops the servers after the requests that they serve.
+func (s *servers) shutdown(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, srv := range s.all {
+		wg.Go(func() { _ = srv.Shutdown(ctx) }) // what is left is closed by close
+	}
+	wg.Wait()
+}
+
+// close ends the servers at once.
+func (s *servers) close() {
+	for _, srv := range s.all {
+		_ = srv.Close()
+	}
+	s.done.Wait()
+}
+
+// Status is the response of the admin interface's status path.
+type Status struct {
+	Address          string                    `json:"address"`
+	Incarnation      uint64                    `json:"incarnation"`
+	AvailabilityZone string                    `json:"availability_zone"`
+	Site             string                    `json:"site"`
+	Service          string                    `json:"service"`
+	TargetReady      bool                      `json:"target_ready"`
+	Version          uint64                    `json:"version"`
+	Confirmed        bool                      `json:"confirmed"`
+	Leaving          bool                      `json:"leaving"`
+	Active           int                       `json:"active"`
+	InFlight         int                       `json:"in_flight"`
+	Limit            int                       `json:"limit"`
+	Threshold        message.Priority          `json:"threshold"`
+	LinksDialed      int                       `json:"links_dialed"`
+	LinksAccepted    int                       `json:"links_accepted"`
+	Members          map[string]map[string]int `json:"members"` // by service and state
+	Violations       map[invariant.Name]int64  `json:"violations"`
+}
+
+// status returns the present status.
+func (n *Node) status() Status {
+	s := n.settings.Node
+	load := n.control.Load()
+	dialed, accepted := n.pool.Links()
+	st := Status{
+		Address: s.PeerAddress, Incarnation: n.incarnation, AvailabilityZone: s.AvailabilityZone, Site: s.Site,
+		Service: n.settings.Target.Service, TargetReady: n.ready.Load(), Confirmed: n.confirmed(),
+		Leaving: n.leaving.Load(), Active: n.engine.Active(), InFlight: load.InFlight, Limit: load.Limit,
+		Threshold: n.control.Threshold(), LinksDialed: dialed, LinksAccepted: accepted,
+		Members: map[string]map[string]int{}, Violations: invariant.Counts(),
+	}
+	if pol := n.policy.Load(); pol != nil {
+		st.Version = pol.Version
+	}
+	for _, m := range n.members.Snapshot().Members {
+		if st.Members[m.Service] == nil {
+			st.Members[m.Service] = map[string]int{}
+		}
+		st.Members[m.Service][m.State.String()]++
+	}
+	return st
+}
+
+// gauges reads the values that the metrics show.
+func (n *Node) gauges() metrics.Gauges {
+	st := n.status()
+	g := metrics.Gauges{
+		Active: int64(st.Active), InFlight: int64(st.InFlight), Limit: int64(st.Limit), Threshold: int64(st.Threshold),
+		Version: int64(st.Version), Links: int64(st.LinksDialed + st.LinksAccepted),
+	}
+	for _, states := range st.Members {
+		for _, count := range states {
+			g.Members += int64(count)
+		}
+	}
+	return g
+}
+
+// adminHandler serves the admin interface.
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if n.leaving.Load() || !n.confirmed() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", n.metrics.Handler())
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, n.status()) })
+	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) {
+		n.once.Do(func() { close(n.drain) })
+		writeJSON(w, http.StatusAccepted, n.status())
+	})
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// instrument measures the requests of an interface.
+func (n *Node) instrument(face string, serve serveFunc) serveFunc {
+	return func(ctx context.Context, req *message.Request) *message.Response {
+		start := time.Now()
+		r := serve(ctx, req)
+		n.metrics.Request(face, r, time.Since(start))
+		return r
+	}
+}
