Bound the threshold by the smoothed demand of each rank

Cause: one interval of 100 ms of a small target holds a handful of departures, so a burst of orders looked like an overload and the threshold rose into the rank of orders although orders alone needed 60 % of the capacity. The threshold now rises into a rank only if that rank and the ones above demand at least 90 % of the capacity, averaged over a second. Ruled out: the order of the queue and displacement, which put orders first in every case looked at.

--- a/internal/process/admission/gate.go
+++ b/internal/process/admission/gate.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -88,6 +89,9 @@
 	// keepShare is the number of arrivals that a raised threshold admits at least, as a share of the departures of the
 	// same interval. Less would leave slots idle as soon as the queue is empty.
 	keepShare = 0.9
+	// demandWeight is the weight of one interval in the smoothed demand and capacity, about a second in all. One interval
+	// of a small target holds too few requests to tell a burst of a rank from an overload.
+	demandWeight = 0.1
 	// firstStep is the first decrease of the threshold, as a number of priorities. The decrease doubles with each
 	// interval without pressure: from the top of four ranks to zero it takes 0.7 s.
 	firstStep = 8
@@ -101,6 +105,8 @@
 	step      int
 	pressure  float64            // refused requests per departure, smoothed
 	seen      [256]time.Duration // time of the last arrival per rank, plus one
+	demand    [256]float64       // arrivals per interval and rank, smoothed
+	capacity  float64            // departures per interval with all slots in use, smoothed
 	scratch   [sampleSize]message.Priority
 }
 
@@ -117,6 +123,7 @@
 	g.pressure += (refused/float64(max(1, m.departures)) - g.pressure) * gain
 
 	use, backlog := m.utilisation(), m.backlog/elapsed.Seconds()
+	g.measure(m, use, elapsed)
 	goal := queueGoal * float64(queueLength)
 	overload := m.turnedAway > 0 || backlog > 2*goal
 	switch {
@@ -127,7 +134,7 @@
 		if last := q.len() - 1; last >= 0 {
 			next = min(next, message.Priority(q.items[last].work.Priority.Rank())<<8|255)
 		}
-		g.threshold = max(g.threshold, next)
+		g.threshold = max(g.threshold, min(next, g.top()))
 	case g.threshold > 0 && use < lowerUtilisation && backlog <= goal:
 		g.lower(now, m, use)
 	default:
@@ -135,6 +142,38 @@
 	}
 }
 
+// measure updates the smoothed demand per rank and the capacity.
+func (g *gate) measure(m *meter, use float64, elapsed time.Duration) {
+	scale := float64(tickInterval) / float64(elapsed)
+	for rank := range g.demand {
+		g.demand[rank] *= 1 - demandWeight
+	}
+	n := min(m.arrivals, sampleSize)
+	for _, p := range m.sample[:n] {
+		g.demand[p.Rank()] += demandWeight * scale * float64(m.arrivals) / float64(n)
+	}
+	if use >= raiseUtilisation {
+		weight := demandWeight
+		if g.capacity == 0 {
+			weight = 1
+		}
+		g.capacity += weight * (scale*float64(m.departures) - g.capacity)
+	}
+}
+
+// top returns the highest threshold that the demand justifies: the lowest priority of the lowest rank that the target can
+// serve completely together with the ranks above it.
+func (g *gate) top() message.Priority {
+	sum, lowest := 0.0, message.MaxRank+1
+	for rank := message.MaxRank; rank >= 0; rank-- {
+		if sum += g.demand[rank]; sum >= keepShare*g.capacity {
+			break
+		}
+		lowest = rank
+	}
+	return message.Priority(min(lowest<<8, math.MaxUint16))
+}
+
 // samples returns the sorted priorities of the interval and the number of arrivals that each stands for.
 func (g *gate) samples(m *meter) ([]message.Priority, float64) {
 	n := min(m.arrivals, sampleSize)
