--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -34,5 +34,7 @@
 		ProcessStarted, ProcessStopped, DrainStarted, DrainCut, SettingsRead, InvariantFail, ServerFailed,
 		LinkOpened, LinkClosed, LinkSilent, LinkRefused, FrameInvalid,
 		TargetAnnounced, TargetLapsed,
+		MemberJoined, MemberReplaced, MemberSuspected, MemberDied, MemberLeft, SelfActive, SelfIsolated, SelfChecking,
+		SelfRefuted, SelfReplaced, SelfLeft, RegistrationFailed, LookupFailed, GossipInvalid,
 	}
 }
--- /dev/null
+++ b/internal/process/membership/graph.go
@@ -0,0 +1,176 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// fullMesh is the number of other members up to which every member is a neighbour. A small site gains nothing from a
+// sparse graph.
+const fullMesh = 8
+
+// point is the place of a member on the hash ring of its availability zone.
+type point struct {
+	hash    uint64
+	address string
+}
+
+func comparePoints(a, b point) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.address, b.address))
+}
+
+type zoneKey struct{ region, zone string }
+
+func compareZones(a, b zoneKey) int {
+	return cmp.Or(cmp.Compare(a.region, b.region), cmp.Compare(a.zone, b.zone))
+}
+
+// graph holds the live members on one hash ring per availability zone and chooses neighbours from them. The choice
+// depends on the set of members only, and a change of one member changes few choices.
+type graph struct {
+	zones map[zoneKey][]point
+	order []zoneKey // sorted
+	size  int
+}
+
+func newGraph() *graph { return &graph{zones: map[zoneKey][]point{}} }
+
+func (g *graph) add(k zoneKey, p point) {
+	ring, ok := g.zones[k]
+	if !ok {
+		i, _ := slices.BinarySearchFunc(g.order, k, compareZones)
+		g.order = slices.Insert(g.order, i, k)
+	}
+	i, found := slices.BinarySearchFunc(ring, p, comparePoints)
+	if !found {
+		g.zones[k] = slices.Insert(ring, i, p)
+		g.size++
+	}
+}
+
+func (g *graph) remove(k zoneKey, p point) {
+	ring := g.zones[k]
+	i, found := slices.BinarySearchFunc(ring, p, comparePoints)
+	if !found {
+		return
+	}
+	g.size--
+	if len(ring) == 1 {
+		delete(g.zones, k)
+		j, _ := slices.BinarySearchFunc(g.order, k, compareZones)
+		g.order = slices.Delete(g.order, j, j+1)
+		return
+	}
+	g.zones[k] = slices.Delete(ring, i, i+1)
+}
+
+// mix spreads a 64-bit value over all bits (the finalizer of splitmix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// neighbours returns the addresses that the member at self probes and updates. The member must be in the graph.
+func (g *graph) neighbours(c *Config, k zoneKey, self point) []string {
+	out := make([]string, 0, c.Successors+c.Far+c.OtherZones+c.OtherRegions)
+	add := func(address string) bool {
+		if address == self.address || slices.Contains(out, address) {
+			return false
+		}
+		out = append(out, address)
+		return true
+	}
+	if g.size <= fullMesh+1 {
+		for _, z := range g.order {
+			for _, p := range g.zones[z] {
+				add(p.address)
+			}
+		}
+		return out
+	}
+	zones, regions := g.following(k)
+	for i := range min(c.OtherZones, len(zones)) {
+		add(g.after(zones[i], self.hash))
+	}
+	for i := range min(c.OtherRegions, len(regions)) {
+		in := regions[i]
+		add(g.after(in[mix(self.hash+uint64(i))%uint64(len(in))], self.hash))
+	}
+	ring := g.zones[k]
+	at, _ := slices.BinarySearchFunc(ring, self, comparePoints)
+	for i, n := 1, 0; i < len(ring) && n < c.Successors; i++ {
+		if add(ring[(at+i)%len(ring)].address) {
+			n++
+		}
+	}
+	total := c.Successors + c.Far + c.OtherZones + c.OtherRegions
+	g.addFar(ring, self, total, add, &out)
+	// A zone with few members has too few neighbours of its own; the rest comes from the zones that follow.
+	for i := uint64(1); len(out) < min(total, g.size-1) && i < 64; i++ {
+		z := g.order[mix(self.hash+i)%uint64(len(g.order))]
+		add(g.after(z, mix(self.hash^i)))
+	}
+	return out
+}
+
+// addFar adds the members of the own zone with the smallest hash of the pair until there are total neighbours.
+func (g *graph) addFar(ring []point, self point, total int, add func(string) bool, out *[]string) {
+	used := map[string]bool{self.address: true}
+	for _, a := range *out {
+		used[a] = true
+	}
+	for len(*out) < total {
+		best, lowest := -1, uint64(0)
+		for i, p := range ring {
+			h := mix(self.hash*3 + p.hash)
+			if !used[p.address] && (best < 0 || h < lowest) {
+				best, lowest = i, h
+			}
+		}
+		if best < 0 {
+			return
+		}
+		used[ring[best].address] = true
+		add(ring[best].address)
+	}
+}
+
+// following returns the other zones of the region and the zones of the other regions, each in cyclic order from the
+// zone at k. Since every zone links to the next one and every region to the next one, the graph stays connected.
+func (g *graph) following(k zoneKey) (zones []zoneKey, regions [][]zoneKey) {
+	at, _ := slices.BinarySearchFunc(g.order, k, compareZones)
+	first := len(g.order)
+	for i, z := range g.order {
+		if z.region == k.region {
+			first = min(first, i)
+		}
+	}
+	for i := range len(g.order) {
+		z := g.order[(first+i)%len(g.order)]
+		if z.region == k.region {
+			zones = append(zones, z)
+			continue
+		}
+		if n := len(regions); n > 0 && regions[n-1][0].region == z.region {
+			regions[n-1] = append(regions[n-1], z)
+		} else {
+			regions = append(regions, []zoneKey{z})
+		}
+	}
+	own := at - first
+	return append(slices.Clone(zones[own+1:]), zones[:own]...), regions
+}
+
+// after returns the member of the zone that follows the hash on the ring.
+func (g *graph) after(k zoneKey, hash uint64) string {
+	ring := g.zones[k]
+	i, _ := slices.BinarySearchFunc(ring, point{hash: hash}, comparePoints)
+	return ring[i%len(ring)].address
+}
+
+func hashAddress(address string) uint64 { return xxhash.Sum64String(address) }
--- /dev/null
+++ b/internal/process/membership/machine_test.go
@@ -0,0 +1,182 @@
+package membership
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against members that a start through one seed leaves out, and against views that differ afterwards.
+func TestJoinThroughSeed(t *testing.T) {
+	t.Parallel()
+	s := newSim(1, Config{})
+	for i := range 30 {
+		s.start(i, 0, simAddress(0))
+	}
+	s.require(t, s.run(20*time.Second, s.agree), "views differ after the start")
+}
+
+// Guards against dead members that stay in the view and against live ones that are removed with them.
+func TestKillIsFound(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(10) {
+		s := newSim(seed, Config{})
+		s.cluster(50)
+		s.run(2*time.Second, nil)
+		s.nodes[7].killed, s.nodes[16].killed = true, true
+		s.require(t, s.run(20*time.Second, func() bool {
+			return s.all(simAddress(7), in(Dead)) && s.all(simAddress(16), in(Dead))
+		}), "deaths not known by all")
+		s.require(t, s.run(10*time.Second, s.agree), "views differ after deaths")
+		s.require(t, s.count(MemberDied, "") == 2*48, "somebody else was declared dead")
+	}
+}
+
+// Guards against a node that goes on as a member after a long pause without asking, and against one that stays dead.
+func TestPauseAndResume(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(10) {
+		s := newSim(seed, Config{})
+		s.cluster(50)
+		s.run(2*time.Second, nil)
+		n := s.nodes[int(seed)]
+		n.paused = true
+		s.require(t, s.run(20*time.Second, func() bool { return s.all(n.address, in(Dead)) }), "pause not noticed")
+		n.paused = false
+		n.Tick(s.now)
+		s.require(t, n.status == StatusChecking, "resumed node counts itself as a member at once")
+		s.collect(n)
+		s.require(t, s.run(5*time.Second, s.agree), "resumed node is not a member again")
+		s.require(t, s.count(SelfRefuted, "") == 1, "resumed node did not refute its death once")
+	}
+}
+
+// Guards against a resumed process that takes its address back from its replacement.
+func TestResumedNodeFindsReplacement(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(10) {
+		s := newSim(seed, Config{})
+		s.cluster(30)
+		s.run(2*time.Second, nil)
+		old := s.nodes[3]
+		old.paused = true
+		s.run(time.Duration(seed)*time.Second, nil)
+		fresh := s.start(3, -time.Hour, simAddress(8))
+		s.run(5*time.Second, nil)
+		old.paused = false
+		s.require(t, s.run(5*time.Second, func() bool { return old.status == StatusReplaced }), "old process goes on")
+		s.require(t, s.run(20*time.Second, s.agree), "views differ after a replacement")
+		s.require(t, fresh.status == StatusActive, "replacement does not serve")
+		m, _ := s.nodes[5].Member(old.address)
+		s.require(t, m.Instance == fresh.self.Instance, "the old process is still the member")
+		s.require(t, m.Born > old.self.Incarnation, "incarnations of the old process belong to the new one")
+	}
+}
+
+// Guards against a replacement with a clock that is behind and whose statements are therefore ignored.
+func TestReplacementWithClockBehind(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(10) {
+		s := newSim(seed, Config{})
+		s.cluster(30)
+		s.run(time.Second, nil)
+		s.nodes[4].killed = true
+		s.run(time.Duration(seed)*500*time.Millisecond, nil)
+		fresh := s.start(4, -24*time.Hour, simAddress(1), simAddress(2))
+		s.require(t, s.run(20*time.Second, s.agree), "replacement is not a member")
+		m, _ := s.nodes[9].Member(fresh.address)
+		s.require(t, m.Instance == fresh.self.Instance && m.State == Ready, "replacement is not known")
+		s.require(t, m.Born > s.nodes[4].self.Incarnation, "incarnations do not increase")
+	}
+}
+
+// isolate returns a cut between the members that the function selects and all others.
+func isolate(inside func(address string) bool) func(from, to string) bool {
+	return func(from, to string) bool { return inside(from) != inside(to) }
+}
+
+// Guards against partitions that never heal, members that are lost in them, and members that died or left in a partition
+// and come back when it heals.
+func TestPartitionsHeal(t *testing.T) {
+	t.Parallel()
+	parts := []struct {
+		name   string
+		inside func(s *sim, a string) bool
+	}{
+		{"VM", func(_ *sim, a string) bool { return a == simAddress(0) }},
+		{"availability zone", func(s *sim, a string) bool { return s.place[a].zone == "zone-4" }},
+		{"region", func(s *sim, a string) bool { return s.place[a].region == "region-1" }},
+	}
+	for i, p := range parts {
+		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSim(uint64(100+i), Config{})
+			s.cluster(18)
+			s.run(5*time.Second, nil)
+			s.cut = isolate(func(a string) bool { return p.inside(s, a) })
+			s.pass(2 * time.Minute)
+			s.nodes[6].killed = true
+			s.nodes[13].Leave(s.now)
+			s.collect(s.nodes[13])
+			s.pass(time.Hour - 2*time.Minute)
+			s.cut = nil
+			healed := s.now
+			s.require(t, s.run(5*time.Minute, s.agree), "views differ after healing")
+			t.Logf("healed %v after the cut ended", s.now.Sub(healed))
+			s.require(t, s.all(simAddress(6), in(Dead, 0)), "a dead member came back")
+			s.require(t, s.all(simAddress(13), in(Left, Dead, 0)), "a member that left came back")
+		})
+	}
+}
+
+// Guards against live members that are removed because some links lose everything in one direction.
+func TestSilentOneWayLinks(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(10) {
+		s := newSim(seed, Config{})
+		s.cluster(40)
+		bad := map[[2]string]bool{}
+		for range 60 {
+			bad[[2]string{simAddress(s.rng.IntN(40)), simAddress(s.rng.IntN(40))}] = true
+		}
+		s.cut = func(from, to string) bool { return bad[[2]string{from, to}] }
+		s.pass(2 * time.Minute)
+		s.require(t, s.count(MemberDied, "") == 0, "a live member was declared dead")
+		s.cut = nil
+		s.require(t, s.run(30*time.Second, s.agree), "views differ")
+	}
+}
+
+// Guards against a leave that some members learn of late, under message loss.
+func TestLeaveIsKnown(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(10) {
+		s := newSim(seed, Config{})
+		s.cluster(60)
+		s.loss = 0.01
+		s.run(3*time.Second, nil)
+		n := s.nodes[11]
+		n.Leave(s.now)
+		s.collect(n)
+		s.require(t, s.run(3*time.Second, func() bool { return s.all(n.address, in(Left)) }), "leave not known by all")
+	}
+}
+
+// Guards against a record of a dead member's life that a paused node brings back.
+func TestStaleGossipDoesNotResurrect(t *testing.T) {
+	t.Parallel()
+	cfg := Config{DeadRetention: 10 * time.Minute}
+	for _, pause := range []time.Duration{30 * time.Second, 7 * time.Minute, 15 * time.Minute} {
+		s := newSim(uint64(pause), cfg)
+		s.cluster(30)
+		s.run(time.Second, nil)
+		s.nodes[2].paused = true
+		s.nodes[20].killed = true
+		s.pass(pause)
+		s.require(t, s.all(simAddress(20), in(Dead, 0)), "death not known by all")
+		s.nodes[2].paused = false
+		before := s.count(MemberJoined, simAddress(20))
+		s.require(t, s.run(2*time.Minute, s.agree), "views differ after the pause")
+		s.require(t, s.all(simAddress(20), in(Dead, 0)), "a dead member came back")
+		s.require(t, s.count(MemberJoined, simAddress(20)) == before, "a dead member was a member for a while")
+	}
+}
--- /dev/null
+++ b/internal/process/membership/member.go
@@ -0,0 +1,65 @@
+package membership
+
+import "strconv"
+
+// State is the state of a member. Starting, Ready and Draining are statements of the member about its target.
+type State uint8
+
+// States of a member.
+const (
+	Joining  State = iota + 1 // the node runs and has not met a peer yet
+	Starting                  // the node is a member; its target takes no work yet, or stopped announcing itself
+	Ready                     // the target takes work
+	Draining                  // the target completes its work and takes no more
+	Suspect                   // probes failed; the member can refute this
+	Dead                      // the suspicion was not refuted in time
+	Left                      // the member left by its own statement
+)
+
+var stateNames = [...]string{"unknown", "joining", "starting", "ready", "draining", "suspect", "dead", "left"}
+
+// String returns the name of the state.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "state " + strconv.Itoa(int(s))
+}
+
+// Live reports whether a member in this state may still be reached. Suspect members are live.
+func (s State) Live() bool { return s >= Joining && s <= Suspect }
+
+// rank orders statements about one incarnation.
+func (s State) rank() int {
+	switch s {
+	case Suspect:
+		return 1
+	case Dead:
+		return 2
+	case Left:
+		return 3
+	default:
+		return 0
+	}
+}
+
+// Member is what is known about one node.
+type Member struct {
+	Address     string // of the peer interface; identifies the member
+	Caller      string // address of the caller interface
+	Instance    uint64 // random number of the process
+	Incarnation uint64 // number of the member's last statement, initially its start in Unix milliseconds
+	Born        uint64 // first incarnation of the process; smaller ones belong to processes that no longer run
+	Meta        uint64 // incarnation at which anything but the state changed last
+	Zone        string // availability zone
+	Region      string
+	Service     string // of the target beside the node; empty while there is none
+	Slots       int    // requests that the target runs at once
+	State       State
+	Stated      State // the member's own last statement, also while it is suspect or dead
+}
+
+// Owns reports whether the incarnation belongs to the process that runs at the address now.
+func (m *Member) Owns(incarnation uint64) bool {
+	return incarnation >= m.Born && incarnation <= m.Incarnation
+}
--- /dev/null
+++ b/internal/process/membership/message.go
@@ -0,0 +1,165 @@
+package membership
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Kind is the type of a message.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	KindPing    Kind = iota + 1 // Seq
+	KindAck                     // Seq; Target if a relay passes it on
+	KindPingReq                 // Seq, Target: probe Target for the sender
+	KindGossip                  // Updates, to be forwarded once
+	KindJoin                    // Updates: the sender's own record; answered with the whole view
+	KindSync                    // Updates from a comparison of views; not forwarded unless new
+	KindDigest                  // Hash of the sender's view
+	KindBuckets                 // Buckets: hashes of the parts of the sender's view
+	KindSummary                 // Mask of the parts that differ; Updates without Info for all live members in them
+	KindWant                    // Wants: addresses whose complete records the sender lacks
+	KindNotice                  // Updates: what the sender holds about the receiver, which the receiver must act on
+	kindEnd
+)
+
+// Limits of a message, which bound the memory that one message can make a node allocate.
+const (
+	maxMessage = 64 << 10
+	maxUpdates = 4096
+	maxText    = 255
+	// updatesPerMessage keeps a message with complete records below 16 KiB, the size from which frames of requests on
+	// the same connection would wait noticeably.
+	updatesPerMessage = 100
+	// briefsPerMessage is the same limit for updates without Info.
+	briefsPerMessage = 400
+)
+
+// ErrInvalid reports a message that does not have the expected form.
+var ErrInvalid = errors.New("invalid membership message")
+
+// Message is one message between two nodes. The transport tells the receiver the sender's address.
+type Message struct {
+	Kind        Kind     `cbor:"1,keyasint"`
+	Incarnation uint64   `cbor:"2,keyasint,omitempty"` // of the sender
+	Seq         uint32   `cbor:"3,keyasint,omitempty"`
+	Target      string   `cbor:"4,keyasint,omitempty"`
+	Updates     []Update `cbor:"5,keyasint,omitempty"`
+	Hash        uint64   `cbor:"6,keyasint,omitempty"`
+	Buckets     []byte   `cbor:"7,keyasint,omitempty"`
+	Wants       []string `cbor:"8,keyasint,omitempty"`
+	Mask        uint64   `cbor:"9,keyasint,omitempty"`
+	Last        bool     `cbor:"10,keyasint,omitempty"` // the last part of the view that answers a join
+}
+
+// Update is a statement about one member.
+type Update struct {
+	Address     string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	State       State  `cbor:"3,keyasint"`
+	SinceBorn   uint64 `cbor:"4,keyasint,omitempty"` // Incarnation - Member.Born
+	SinceMeta   uint64 `cbor:"5,keyasint,omitempty"` // Incarnation - Member.Meta
+	Info        *Info  `cbor:"6,keyasint,omitempty"` // absent where the receiver should have it
+	Age         uint32 `cbor:"7,keyasint,omitempty"` // seconds since a member died or left
+}
+
+// Info is the part of a record that changes rarely.
+type Info struct {
+	Caller   string `cbor:"1,keyasint,omitempty"`
+	Instance uint64 `cbor:"2,keyasint"`
+	Zone     string `cbor:"3,keyasint,omitempty"`
+	Region   string `cbor:"4,keyasint,omitempty"`
+	Service  string `cbor:"5,keyasint,omitempty"`
+	Slots    int    `cbor:"6,keyasint,omitempty"`
+	Stated   State  `cbor:"7,keyasint,omitempty"` // only where it differs from the state
+}
+
+func (u *Update) born() uint64 { return u.Incarnation - u.SinceBorn }
+func (u *Update) meta() uint64 { return u.Incarnation - u.SinceMeta }
+
+// brief returns the record of a member without its rarely changing part.
+func (m *Member) brief() Update {
+	return Update{
+		Address: m.Address, Incarnation: m.Incarnation, State: m.State,
+		SinceBorn: m.Incarnation - m.Born, SinceMeta: m.Incarnation - m.Meta,
+	}
+}
+
+// full returns the complete record of a member.
+func (m *Member) full() Update {
+	u := m.brief()
+	u.Info = &Info{
+		Caller: m.Caller, Instance: m.Instance, Zone: m.Zone, Region: m.Region, Service: m.Service, Slots: m.Slots,
+	}
+	if m.Stated != m.State {
+		u.Info.Stated = m.Stated
+	}
+	return u
+}
+
+var decoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxUpdates, MaxMapPairs: 64, MaxNestedLevels: 8,
+		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}()
+
+// Encode returns the wire form of the message.
+func (m *Message) Encode() ([]byte, error) {
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode membership message: %w", err)
+	}
+	return b, nil
+}
+
+// Decode reads a message from its wire form.
+func Decode(b []byte) (*Message, error) {
+	if len(b) > maxMessage {
+		return nil, fmt.Errorf("%w: %d bytes", ErrInvalid, len(b))
+	}
+	m := &Message{}
+	if err := decoder.Unmarshal(b, m); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	if m.Kind == 0 || m.Kind >= kindEnd {
+		return nil, fmt.Errorf("%w: kind %d", ErrInvalid, m.Kind)
+	}
+	if len(m.Buckets) != 0 && len(m.Buckets) != buckets*bucketBytes {
+		return nil, fmt.Errorf("%w: %d bytes of bucket hashes", ErrInvalid, len(m.Buckets))
+	}
+	for i := range m.Updates {
+		if err := m.Updates[i].check(); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+func (u *Update) check() error {
+	if u.Address == "" || len(u.Address) > maxText {
+		return fmt.Errorf("%w: address of %d bytes", ErrInvalid, len(u.Address))
+	}
+	if u.State < Joining || u.State > Left {
+		return fmt.Errorf("%w: state %d", ErrInvalid, u.State)
+	}
+	// The largest incarnation is rejected because a refutation could not exceed it.
+	if u.SinceBorn > u.Incarnation || u.SinceMeta > u.SinceBorn || u.Incarnation == ^uint64(0) {
+		return fmt.Errorf("%w: incarnation %d of %q", ErrInvalid, u.Incarnation, u.Address)
+	}
+	i := u.Info
+	if i == nil {
+		return nil
+	}
+	if max(len(i.Caller), len(i.Zone), len(i.Region), len(i.Service)) > maxText || i.Slots < 0 || i.Stated > Left {
+		return fmt.Errorf("%w: record of %q", ErrInvalid, u.Address)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/process/membership/message_test.go
@@ -0,0 +1,103 @@
+package membership
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func sampleMember() *Member {
+	return &Member{
+		Address: "10.11.12.13:7400", Caller: "10.11.12.13:8000", Instance: 1 << 63, Incarnation: 1_800_000_000_123,
+		Born: 1_800_000_000_120, Meta: 1_800_000_000_121, Zone: "zone-4", Region: "region-1", Service: "stock-ordering",
+		Slots: 40, State: Suspect, Stated: Ready,
+	}
+}
+
+func sampleMessages() []*Message {
+	m := sampleMember()
+	return []*Message{
+		{Kind: KindPing, Incarnation: m.Incarnation, Seq: 70_000},
+		{Kind: KindAck, Incarnation: m.Incarnation, Seq: 70_000, Target: m.Address},
+		{Kind: KindGossip, Incarnation: m.Incarnation, Updates: []Update{m.brief()}},
+		{Kind: KindSync, Incarnation: m.Incarnation, Updates: []Update{m.full()}, Last: true},
+		{Kind: KindBuckets, Incarnation: m.Incarnation, Buckets: make([]byte, buckets*bucketBytes)},
+		{Kind: KindSummary, Incarnation: m.Incarnation, Mask: 5, Updates: []Update{m.brief()}},
+		{Kind: KindWant, Incarnation: m.Incarnation, Wants: []string{m.Address}},
+		{Kind: KindDigest, Incarnation: m.Incarnation, Hash: 77},
+	}
+}
+
+// Guards against fields that get lost on the way, and against messages that outgrow the traffic limit.
+func TestMessageRoundTrip(t *testing.T) {
+	for _, want := range sampleMessages() {
+		b, err := want.Encode()
+		require.NoError(t, err)
+		got, err := Decode(b)
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+		t.Logf("kind %d: %d bytes", want.Kind, len(b))
+	}
+	m := sampleMember()
+	full, brief := m.full(), m.brief()
+	b, _ := (&Message{Kind: KindGossip, Updates: []Update{brief}}).Encode()
+	require.LessOrEqual(t, len(b), 50)
+	b, _ = (&Message{Kind: KindGossip, Updates: []Update{full}}).Encode()
+	require.LessOrEqual(t, len(b), 130)
+}
+
+// Guards against messages that make a node allocate without bound or hold a record that cannot be refuted.
+func TestDecodeRejects(t *testing.T) {
+	change := func(f func(*Update)) *Message {
+		u := sampleMember().full()
+		f(&u)
+		return &Message{Kind: KindGossip, Updates: []Update{u}}
+	}
+	for name, m := range map[string]*Message{
+		"kind":        {Kind: kindEnd},
+		"buckets":     {Kind: KindBuckets, Buckets: []byte{1}},
+		"address":     change(func(u *Update) { u.Address = "" }),
+		"state":       change(func(u *Update) { u.State = 0 }),
+		"incarnation": change(func(u *Update) { u.Incarnation = ^uint64(0) }),
+		"born":        change(func(u *Update) { u.SinceBorn = u.Incarnation + 1 }),
+		"text":        change(func(u *Update) { u.Info.Zone = strings.Repeat("z", maxText+1) }),
+		"slots":       change(func(u *Update) { u.Info.Slots = -1 }),
+	} {
+		b, err := m.Encode()
+		require.NoError(t, err)
+		_, err = Decode(b)
+		require.ErrorIs(t, err, ErrInvalid, name)
+	}
+	_, err := Decode(make([]byte, maxMessage+1))
+	require.ErrorIs(t, err, ErrInvalid)
+}
+
+// Guards against panics of the decoder and of the machine on messages that a faulty peer sends.
+func FuzzReceive(f *testing.F) {
+	for _, m := range sampleMessages() {
+		b, err := m.Encode()
+		require.NoError(f, err)
+		f.Add(b)
+	}
+	f.Add([]byte{0xa1, 0x01, 0x18})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			return
+		}
+		s := newSim(1, Config{})
+		s.cluster(3)
+		n := s.nodes[0]
+		for range 2 {
+			n.Receive(s.now, simAddress(1), m)
+			n.Tick(s.now.Add(simTick))
+		}
+		out, _ := n.Take()
+		for _, e := range out {
+			_, err := e.Message.Encode()
+			require.NoError(t, err)
+		}
+		require.NotContains(t, n.members, n.address)
+	})
+}
--- /dev/null
+++ b/internal/process/membership/probe.go
@@ -0,0 +1,156 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// probe is an outstanding probe of a neighbour.
+type probe struct {
+	seq        uint32
+	target     string
+	sent       time.Time
+	stated     uint64 // incarnation of the target then
+	indirect   bool   // relays were asked
+	heardOther bool   // a message of another member arrived since the probe was sent
+}
+
+// relay is an outstanding probe on behalf of another member.
+type relay struct {
+	seq     uint32 // of the ping to the target
+	origin  string
+	wanted  uint32 // sequence number of the origin's request
+	target  string
+	expires time.Time
+}
+
+func (m *Machine) nextSeq() uint32 {
+	m.seq++
+	return m.seq
+}
+
+// probeNext probes one neighbour, in turn.
+func (m *Machine) probeNext() {
+	near := m.Neighbours()
+	if len(near) == 0 || m.status == StatusJoining {
+		return
+	}
+	m.turn++
+	target := near[m.turn%len(near)]
+	if slices.ContainsFunc(m.probes, func(p probe) bool { return p.target == target }) {
+		return
+	}
+	m.probes = append(m.probes, probe{seq: m.nextSeq(), target: target, sent: m.now, stated: m.members[target].Incarnation})
+	m.send(target, &Message{Kind: KindPing, Seq: m.seq})
+}
+
+// failAfter is the time until a probe has failed, as a multiple of ProbeTimeout: one for the direct probe and two for
+// the relays, whose way is twice as long.
+const failAfter = 3
+
+func (m *Machine) checkProbes() {
+	m.relays = slices.DeleteFunc(m.relays, func(r relay) bool { return !m.now.Before(r.expires) })
+	for i := 0; i < len(m.probes); {
+		p := &m.probes[i]
+		age := m.now.Sub(p.sent)
+		if age >= failAfter*m.cfg.ProbeTimeout {
+			failed := *p
+			m.probes = slices.Delete(m.probes, i, i+1)
+			m.probeFailed(&failed)
+			continue
+		}
+		if age >= m.cfg.ProbeTimeout && !p.indirect {
+			p.indirect = true
+			m.askRelays(p)
+		}
+		i++
+	}
+}
+
+func (m *Machine) askRelays(p *probe) {
+	near := slices.Clone(m.Neighbours())
+	m.rng.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	asked := 0
+	for _, r := range near {
+		if asked == m.cfg.Relays {
+			return
+		}
+		if e := m.members[r]; r == p.target || e == nil || e.State == Suspect {
+			continue
+		}
+		m.send(r, &Message{Kind: KindPingReq, Seq: p.seq, Target: p.target})
+		asked++
+	}
+}
+
+// relay probes the target of a request for an indirect probe.
+func (m *Machine) relay(from string, msg *Message) {
+	if msg.Target == m.self.Address {
+		m.send(from, &Message{Kind: KindAck, Seq: msg.Seq, Target: msg.Target})
+		return
+	}
+	seq := m.nextSeq()
+	m.relays = append(m.relays, relay{
+		seq: seq, origin: from, wanted: msg.Seq, target: msg.Target, expires: m.now.Add(failAfter * m.cfg.ProbeTimeout),
+	})
+	m.send(msg.Target, &Message{Kind: KindPing, Seq: seq})
+}
+
+func (m *Machine) ack(from string, msg *Message) {
+	m.confirmCheck(from)
+	for _, r := range m.relays {
+		if r.seq == msg.Seq && r.target == from {
+			m.send(r.origin, &Message{Kind: KindAck, Seq: r.wanted, Target: from})
+		}
+	}
+	m.probes = slices.DeleteFunc(m.probes, func(p probe) bool {
+		return p.seq == msg.Seq && (p.target == from || p.target == msg.Target)
+	})
+}
+
+// probeFailed suspects the target. A node that has heard nobody else since it sent the probe is probably cut off itself
+// and suspects nobody; only in a site of two nodes is there nobody else to hear.
+func (m *Machine) probeFailed(p *probe) {
+	e := m.members[p.target]
+	if e == nil || !e.State.Live() || e.State == Suspect {
+		return
+	}
+	if e.Incarnation != p.stated {
+		return // the target made a statement after the probe was sent, so the failure says nothing about it
+	}
+	others := m.graph.size - 2
+	if m.status != StatusActive || (others > 0 && !p.heardOther) {
+		return
+	}
+	u := e.brief()
+	u.State = Suspect
+	m.change(e, &u, Suspect, "")
+	e.notice = m.now
+	m.push(e.Address, false)
+}
+
+// checkSuspects tells suspects about the suspicion and declares those dead that have not refuted it in time.
+func (m *Machine) checkSuspects() {
+	if len(m.suspects) == 0 || m.status != StatusActive {
+		return
+	}
+	for _, a := range sortedKeys(m.suspects) {
+		e := m.suspects[a]
+		if !m.now.Before(e.deadline) {
+			u := e.brief()
+			u.State = Dead
+			m.change(e, &u, Dead, "")
+			m.push(a, false)
+			continue
+		}
+		if !e.notice.IsZero() && !m.now.Before(e.notice) {
+			e.notice = m.now.Add(m.cfg.NoticeInterval)
+			m.notify(e)
+		}
+	}
+}
+
+// notify tells a member what is held about it.
+func (m *Machine) notify(e *entry) {
+	m.send(e.Address, &Message{Kind: KindNotice, Updates: []Update{m.complete(e)}})
+}
--- /dev/null
+++ b/internal/process/membership/register.go
@@ -0,0 +1,128 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
+)
+
+// KeyPrefix is the prefix of the keys of registrations. The availability zone and the address follow.
+const KeyPrefix = "members/"
+
+const (
+	// rowsPerLookup bounds one reading of registrations. Rows of members that are gone are never deleted, so that a
+	// reading must see more rows than it needs.
+	rowsPerLookup = 512
+	// seedsPerLookup is the number of latest registrations that a node tries to join through.
+	seedsPerLookup = 16
+)
+
+// registration is the value of a row.
+type registration struct {
+	Address string `cbor:"1,keyasint"`
+	Time    int64  `cbor:"2,keyasint"` // Unix seconds
+}
+
+// keepRegistered registers the node rarely, and reads the registrations of others when it starts and while it reaches
+// nobody. It does neither otherwise, since 2,300 nodes share the few writes and reads of the platform.
+func (r *Runner) keepRegistered(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.opt.Seed, hashAddress(r.opt.Self.Address)+1))
+	var nextLookup, nextRegister time.Time
+	ticker := time.NewTicker(r.opt.TickInterval)
+	defer ticker.Stop()
+	for {
+		now := time.Now()
+		status, alone := r.reach()
+		if (alone || status == StatusJoining || status == StatusIsolated) && !now.Before(nextLookup) {
+			nextLookup = now.Add(around(rng, r.opt.LookupInterval))
+			r.lookup(ctx, rng)
+		}
+		if status == StatusActive && !now.Before(nextRegister) {
+			nextRegister = now.Add(around(rng, r.opt.RegisterInterval))
+			if err := r.register(ctx); err != nil && ctx.Err() == nil {
+				event.Log(r.opt.Logger, event.RegistrationFailed, slog.String("error", err.Error()))
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// around returns a time that is up to 20 % shorter or longer than d.
+func around(rng *rand.Rand, d time.Duration) time.Duration {
+	return d*4/5 + time.Duration(rng.Int64N(int64(d)*2/5+1))
+}
+
+// reach returns the status and whether the node knows no live peer.
+func (r *Runner) reach() (Status, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.status, r.machine.graph.size <= 1
+}
+
+func registrationKey(zone, address string) string { return KeyPrefix + zone + "/" + address }
+
+func (r *Runner) register(ctx context.Context) error {
+	value, err := cbor.Marshal(registration{Address: r.opt.Self.Address, Time: time.Now().Unix()})
+	if err != nil {
+		return fmt.Errorf("encode registration: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.opt.TableTimeout)
+	defer cancel()
+	// A write in doubt is not read back: it is idempotent and the next one follows in minutes.
+	if _, err := r.opt.Table.Put(ctx, registrationKey(r.opt.Self.Zone, r.opt.Self.Address), value, platform.Condition{}); err != nil {
+		return fmt.Errorf("register: %w", err)
+	}
+	return nil
+}
+
+// lookup reads the registrations of the own availability zone, or of all if there is none, and adds the latest to the
+// seeds.
+func (r *Runner) lookup(ctx context.Context, rng *rand.Rand) {
+	seeds, err := r.read(ctx, KeyPrefix+r.opt.Self.Zone+"/")
+	if err == nil && len(seeds) == 0 {
+		seeds, err = r.read(ctx, KeyPrefix)
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			event.Log(r.opt.Logger, event.LookupFailed, slog.String("error", err.Error()))
+		}
+		return
+	}
+	rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	r.do(func(now time.Time) { r.machine.AddSeeds(now, seeds) })
+}
+
+func (r *Runner) read(ctx context.Context, prefix string) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.opt.TableTimeout)
+	defer cancel()
+	rows, err := r.opt.Table.List(ctx, prefix, rowsPerLookup)
+	if err != nil {
+		return nil, fmt.Errorf("read registrations: %w", err)
+	}
+	found := make([]registration, 0, len(rows))
+	for _, row := range rows {
+		var reg registration
+		if err := cbor.Unmarshal(row.Value, &reg); err != nil || reg.Address == "" || reg.Address == r.opt.Self.Address {
+			continue // one invalid row must not keep the node from joining through the others
+		}
+		found = append(found, reg)
+	}
+	slices.SortStableFunc(found, func(a, b registration) int { return int(b.Time - a.Time) })
+	found = found[:min(len(found), seedsPerLookup)]
+	seeds := make([]string, len(found))
+	for i := range found {
+		seeds[i] = found[i].Address
+	}
+	return seeds, nil
+}
--- /dev/null
+++ b/internal/process/membership/runner.go
@@ -0,0 +1,263 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
+)
+
+// Transport sends messages to the nodes at other addresses. Send may dial; it returns when the message was handed over
+// or ctx ended. A lost message is no fault. Send must be safe for concurrent use.
+type Transport interface {
+	Send(ctx context.Context, peer string, payload []byte) error
+}
+
+// Options of a runner. Self, Transport and Seed are required.
+type Options struct {
+	Config        Config
+	Self          Member // addresses, instance, availability zone and region
+	Seed          uint64 // of the random choices
+	Seeds         []string
+	Transport     Transport
+	Announcements *Announcements // of the target beside the node; nil if there is none
+	Table         platform.Table // nil: the node joins through Seeds only
+	Logger        *slog.Logger   // default slog.Default()
+
+	// TickInterval is the time between two ticks of the machine. Default 50 ms.
+	TickInterval time.Duration
+	// SendTimeout bounds one call of Transport.Send. Default 2 s.
+	SendTimeout time.Duration
+	// RegisterInterval is the mean time between two registrations in the table; each is up to 20 % earlier or later.
+	// Default 5 min, which makes about 8 writes a second with 2,300 members.
+	RegisterInterval time.Duration
+	// LookupInterval is the mean time between two readings of the registrations while no peer is reachable. Default 15 s.
+	LookupInterval time.Duration
+	// TableTimeout bounds one call of the table. Default 5 s.
+	TableTimeout time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	orDefault(&o.TickInterval, 50*time.Millisecond)
+	orDefault(&o.SendTimeout, 2*time.Second)
+	orDefault(&o.RegisterInterval, 5*time.Minute)
+	orDefault(&o.LookupInterval, 15*time.Second)
+	orDefault(&o.TableTimeout, 5*time.Second)
+	if o.Logger == nil {
+		o.Logger = slog.Default()
+	}
+	if o.Announcements == nil {
+		o.Announcements = &Announcements{}
+	}
+	return o
+}
+
+// Runner drives the machine of one node in real time. All methods are safe for concurrent use. Snapshot takes no lock.
+type Runner struct {
+	opt      Options
+	snapshot atomic.Pointer[Snapshot]
+	draining atomic.Bool
+	wake     chan struct{} // capacity 1
+
+	mu      sync.Mutex // guards the machine and what it has put out
+	machine *Machine
+	events  []Event
+
+	senders   senders
+	subMu     sync.Mutex
+	subs      map[int]func(*Snapshot, []Event)
+	nextSub   int
+	published time.Time // used by Run only
+	lapsed    bool      // used by Run only
+}
+
+// NewRunner returns a runner that has not started.
+func NewRunner(opt Options) *Runner {
+	opt = opt.withDefaults()
+	r := &Runner{
+		opt: opt, machine: New(opt.Config, opt.Self, opt.Seed, time.Now()), wake: make(chan struct{}, 1),
+		subs: map[int]func(*Snapshot, []Event){},
+	}
+	r.senders.init(opt.Transport, opt.SendTimeout)
+	r.snapshot.Store(r.machine.Snapshot())
+	return r
+}
+
+// Snapshot returns the last published view. It is at most one tick old.
+func (r *Runner) Snapshot() *Snapshot { return r.snapshot.Load() }
+
+// Dropped returns the number of messages that were not sent because too many were waiting for the same peer.
+func (r *Runner) Dropped() int64 { return r.senders.dropped.Load() }
+
+// Subscribe calls f with every new snapshot that has events, and with the events. The calls come one after another from
+// the goroutine of Run, so f must not block. The returned function ends the subscription.
+func (r *Runner) Subscribe(f func(*Snapshot, []Event)) (cancel func()) {
+	r.subMu.Lock()
+	defer r.subMu.Unlock()
+	id := r.nextSub
+	r.nextSub++
+	r.subs[id] = f
+	return func() {
+		r.subMu.Lock()
+		defer r.subMu.Unlock()
+		delete(r.subs, id)
+	}
+}
+
+// Receive handles a payload that the peer at the given address sent. The payload is not kept.
+func (r *Runner) Receive(from string, payload []byte) {
+	msg, err := Decode(payload)
+	if err != nil {
+		event.Log(r.opt.Logger, event.GossipInvalid, slog.String("peer", from), slog.String("error", err.Error()))
+		return
+	}
+	r.do(func(now time.Time) { r.machine.Receive(now, from, msg) })
+}
+
+// do calls f with the machine locked and sends what the machine puts out.
+func (r *Runner) do(f func(now time.Time)) {
+	r.mu.Lock()
+	f(time.Now())
+	out, events := r.machine.Take()
+	r.events = append(r.events, events...)
+	r.mu.Unlock()
+	for _, e := range out {
+		r.senders.send(e)
+	}
+	if len(events) > 0 {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run drives the machine until ctx ends. It returns after its goroutines have ended.
+func (r *Runner) Run(ctx context.Context) {
+	inner, cancel := context.WithCancel(ctx)
+	defer r.senders.stop()
+	defer cancel()
+	r.senders.start(inner)
+	r.do(func(now time.Time) { r.machine.Join(now, r.opt.Seeds) })
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	if r.opt.Table != nil {
+		wg.Go(func() { r.keepRegistered(inner) })
+	}
+	ticker := time.NewTicker(r.opt.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			target := r.target()
+			r.do(func(now time.Time) {
+				r.machine.Tick(now)
+				r.machine.Announce(now, target)
+			})
+		case <-r.wake:
+		}
+		r.publish()
+	}
+}
+
+// target returns what the own member states about the target beside the node.
+func (r *Runner) target() Target {
+	t, lapsed := r.opt.Announcements.Current(time.Now())
+	if lapsed && !r.lapsed {
+		event.Log(r.opt.Logger, event.TargetLapsed, slog.String("service", t.Service))
+	}
+	r.lapsed = lapsed
+	if r.draining.Load() {
+		t.State = Draining
+	}
+	return t
+}
+
+// Drain makes the member state that its target takes no more work, whatever the target announces.
+func (r *Runner) Drain() {
+	r.draining.Store(true)
+	target, _ := r.opt.Announcements.Current(time.Now())
+	target.State = Draining
+	r.do(func(now time.Time) { r.machine.Announce(now, target) })
+}
+
+// Leave states that the node leaves and waits until the statement was handed to the transport or ctx ends. Run must
+// still be running.
+func (r *Runner) Leave(ctx context.Context) error {
+	r.do(r.leave)
+	if err := r.senders.idle(ctx); err != nil {
+		return fmt.Errorf("leave: %w", err)
+	}
+	return nil
+}
+
+func (r *Runner) leave(now time.Time) { r.machine.Leave(now) }
+
+// minPublish is the shortest time between two snapshots. When a partition heals, thousands of changes arrive within
+// seconds, and a snapshot of 2,300 members takes about a millisecond.
+const minPublish = 20 * time.Millisecond
+
+// publish makes the changes since the last call visible and tells the subscribers.
+func (r *Runner) publish() {
+	now := time.Now()
+	r.mu.Lock()
+	events := r.events
+	wait := minPublish
+	if len(events) == 0 {
+		wait = snapshotInterval
+	}
+	if now.Sub(r.published) < wait {
+		r.mu.Unlock()
+		return // the next tick publishes what is left
+	}
+	r.events = nil
+	s := r.machine.Snapshot()
+	r.mu.Unlock()
+	r.published = now
+	r.snapshot.Store(s)
+	if len(events) == 0 {
+		return
+	}
+	for i := range events {
+		r.log(&events[i])
+	}
+	r.subMu.Lock()
+	subs := make([]func(*Snapshot, []Event), 0, len(r.subs))
+	for _, f := range r.subs {
+		subs = append(subs, f)
+	}
+	r.subMu.Unlock()
+	for _, f := range subs {
+		f(s, events)
+	}
+}
+
+var memberEvents = map[EventKind]event.Event{
+	MemberJoined: event.MemberJoined, MemberReplaced: event.MemberReplaced, MemberSuspected: event.MemberSuspected,
+	MemberDied: event.MemberDied, MemberLeft: event.MemberLeft, SelfRefuted: event.SelfRefuted,
+}
+
+var selfEvents = map[Status]event.Event{
+	StatusActive: event.SelfActive, StatusIsolated: event.SelfIsolated, StatusChecking: event.SelfChecking,
+	StatusReplaced: event.SelfReplaced, StatusLeft: event.SelfLeft,
+}
+
+func (r *Runner) log(e *Event) {
+	kind, ok := memberEvents[e.Kind]
+	if e.Kind == SelfChanged {
+		kind, ok = selfEvents[e.Self]
+	}
+	if !ok {
+		return
+	}
+	event.Log(r.opt.Logger, kind, slog.String("member", e.Member.Address), slog.Uint64("incarnation", e.Member.Incarnation),
+		slog.String("state", e.Member.State.String()), slog.String("zone", e.Member.Zone),
+		slog.String("service", e.Member.Service))
+}
--- /dev/null
+++ b/internal/process/membership/self.go
@@ -0,0 +1,329 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// Status says whether this node may count itself as a member.
+type Status uint8
+
+// Statuses of a node.
+const (
+	StatusJoining  Status = iota + 1 // has met no peer yet
+	StatusActive                     // is a member
+	StatusIsolated                   // has heard nobody for IsolationTimeout
+	StatusChecking                   // was paused and does not know yet whether it was declared dead or replaced
+	StatusReplaced                   // another process runs at its address; final
+	StatusLeft                       // left by its own statement; final
+)
+
+var statusNames = [...]string{"unknown", "joining", "active", "isolated", "checking", "replaced", "left"}
+
+// String returns the name of the status.
+func (s Status) String() string {
+	if int(s) < len(statusNames) {
+		return statusNames[s]
+	}
+	return "invalid"
+}
+
+// Self is what a node knows about itself.
+type Self struct {
+	Member Member
+	Status Status
+}
+
+// Self returns this node's own record and status.
+func (m *Machine) Self() Self { return Self{Member: m.self, Status: m.status} }
+
+func (m *Machine) setStatus(s Status) {
+	if m.status == s {
+		return
+	}
+	m.status = s
+	m.emit(SelfChanged, m.self)
+}
+
+// toggleSelf adds the own record to the hash of the view, or removes it.
+func (m *Machine) toggleSelf() {
+	if m.self.State.Live() {
+		m.buckets[bucketOf(m.selfHash)] ^= recordHash(m.selfHash, m.self.Incarnation, m.self.State)
+	}
+}
+
+// state changes the own record by f under a new incarnation and pushes it.
+func (m *Machine) state(above uint64, f func(*Member)) {
+	m.toggleSelf()
+	before := m.self
+	m.self.Incarnation = max(m.self.Incarnation, above) + 1
+	f(&m.self)
+	m.self.Stated = m.self.State
+	if m.self.Service != before.Service || m.self.Slots != before.Slots || m.self.Born != before.Born {
+		m.self.Meta = m.self.Incarnation
+	}
+	m.toggleSelf()
+	m.push(m.self.Address, m.self.Meta == m.self.Incarnation || before.State == Joining)
+}
+
+// Announce states what the target beside this node serves. The zero Target says that no target announces itself.
+func (m *Machine) Announce(now time.Time, t Target) {
+	m.advance(now)
+	if m.status == StatusReplaced || m.status == StatusLeft {
+		return
+	}
+	s := t.State
+	if s < Starting || s > Draining {
+		s = Starting
+	}
+	if m.self.Service == t.Service && m.self.Slots == t.Slots && m.announced == s {
+		return
+	}
+	m.announced = s
+	if m.status == StatusJoining {
+		// The state is pushed when the node has joined.
+		m.self.Service, m.self.Slots = t.Service, t.Slots
+		return
+	}
+	m.state(0, func(self *Member) { self.Service, self.Slots, self.State = t.Service, t.Slots, s })
+	m.flush()
+}
+
+// Leave states that this node leaves. The machine goes on to answer, so that the statement spreads.
+func (m *Machine) Leave(now time.Time) {
+	m.advance(now)
+	if m.status == StatusReplaced || m.status == StatusLeft {
+		return
+	}
+	m.state(0, func(self *Member) { self.State = Left })
+	m.setStatus(StatusLeft)
+	m.flushed = time.Time{}
+	m.flush()
+}
+
+// Join makes the node join through any of the seed addresses.
+func (m *Machine) Join(now time.Time, seeds []string) {
+	m.AddSeeds(now, seeds)
+	m.nextJoin = now
+	m.join()
+}
+
+// AddSeeds adds addresses to join through.
+func (m *Machine) AddSeeds(now time.Time, seeds []string) {
+	m.advance(now)
+	for _, s := range seeds {
+		if s != m.self.Address && !slices.Contains(m.seeds, s) {
+			m.seeds = append(m.seeds, s)
+		}
+	}
+	if extra := len(m.seeds) - maxSeeds; extra > 0 {
+		m.seeds = slices.Delete(m.seeds, 0, extra)
+	}
+}
+
+// maxSeeds bounds the addresses to join through; the oldest are dropped.
+const maxSeeds = 256
+
+// seedsPerAttempt is the number of seeds that are asked at once, since some of them may be down.
+const seedsPerAttempt = 2
+
+// join asks seeds for their view until one has answered. A node that meets nobody is a member on its own after a while,
+// because the first node of a site has nobody to meet, and goes on asking.
+func (m *Machine) join() {
+	if m.synced || len(m.seeds) == 0 && m.status != StatusJoining || m.now.Before(m.nextJoin) {
+		return
+	}
+	m.nextJoin = m.now.Add(m.cfg.JoinInterval)
+	for range min(seedsPerAttempt, len(m.seeds)) {
+		to := m.seeds[m.rng.IntN(len(m.seeds))]
+		m.send(to, &Message{Kind: KindJoin, Updates: []Update{m.self.full()}})
+	}
+	if m.status == StatusJoining && m.now.Sub(m.started) >= m.cfg.AloneTimeout {
+		m.joined()
+	}
+}
+
+// handleJoin answers with the whole view. The sender's own record counts as gossip, so that it spreads.
+func (m *Machine) handleJoin(from string, msg *Message) {
+	for i := range msg.Updates {
+		if msg.Updates[i].Address == from {
+			m.apply(&msg.Updates[i], from, false)
+		}
+	}
+	updates := make([]Update, 0, len(m.members)+1)
+	updates = append(updates, m.self.full())
+	for _, a := range sortedKeys(m.members) {
+		if e := m.members[a]; a != from {
+			updates = append(updates, m.complete(e))
+		}
+	}
+	for len(updates) > updatesPerMessage {
+		m.send(from, &Message{Kind: KindSync, Updates: updates[:updatesPerMessage]})
+		updates = updates[updatesPerMessage:]
+	}
+	m.send(from, &Message{Kind: KindSync, Updates: updates, Last: true})
+	m.meet()
+	m.joined()
+}
+
+// meet records that a peer answered. From then on a process with a higher incarnation at the own address is a
+// replacement, not a predecessor.
+func (m *Machine) meet() { m.met, m.synced = true, true }
+
+func (m *Machine) joined() {
+	if m.status != StatusJoining {
+		return
+	}
+	m.setStatus(StatusActive)
+	m.state(0, func(self *Member) {
+		self.State = m.announced
+		self.Meta = self.Incarnation
+	})
+}
+
+// applySelf handles what others hold about this node.
+func (m *Machine) applySelf(u *Update, from string) {
+	if u.Incarnation < m.self.Incarnation || m.status == StatusReplaced {
+		return
+	}
+	same := u.born() == m.self.Born && (u.Info == nil || u.Info.Instance == m.self.Instance)
+	switch {
+	case same && u.Incarnation == m.self.Incarnation && u.State.rank() <= m.self.State.rank():
+		return
+	case same || !u.State.Live() || !m.met:
+		m.refute(u, same)
+	case u.Info == nil:
+		m.send(from, &Message{Kind: KindWant, Wants: []string{m.self.Address}})
+	case u.Incarnation > m.self.Incarnation:
+		m.setStatus(StatusReplaced)
+		m.order = nil
+		clear(m.pending)
+	default:
+		m.refute(u, false)
+	}
+}
+
+// refute states the own state again under an incarnation above the update's. If that spoke for an earlier process at the
+// same address, the node's own incarnations begin anew above it, even if the clock of this VM is behind.
+func (m *Machine) refute(u *Update, same bool) {
+	m.state(u.Incarnation, func(self *Member) {
+		if !same {
+			self.Born = self.Incarnation
+		}
+	})
+	m.emit(SelfRefuted, m.self)
+	m.flushed = time.Time{}
+}
+
+// handleNotice acts on what a peer holds about this node and tells the peer the answer.
+func (m *Machine) handleNotice(from string, msg *Message) {
+	before := m.self.Incarnation
+	for i := range msg.Updates {
+		if msg.Updates[i].Address == m.self.Address {
+			m.applySelf(&msg.Updates[i], from)
+		}
+	}
+	if m.status == StatusReplaced || m.self.Incarnation == before {
+		return
+	}
+	if m.status == StatusJoining {
+		m.nextJoin = m.now
+		m.join()
+		return
+	}
+	m.send(from, &Message{Kind: KindGossip, Updates: []Update{m.self.full()}})
+	m.send(from, &Message{Kind: KindDigest, Hash: m.viewHash()})
+	m.confirmCheck(from)
+}
+
+// resume handles a pause of this process: nothing that was outstanding means anything, and peers may have declared this
+// node dead or seen a replacement.
+func (m *Machine) resume(now time.Time, gap time.Duration) {
+	m.advance(now)
+	m.lastHeard = now
+	m.probes, m.relays = nil, nil
+	for _, e := range m.suspects {
+		e.deadline = e.deadline.Add(gap)
+	}
+	if gap >= m.cfg.DeadRetention/2 {
+		m.forgetOthers()
+	}
+	if m.status == StatusJoining || m.status == StatusLeft || len(m.Neighbours()) == 0 {
+		return
+	}
+	m.startCheck()
+}
+
+// startCheck asks the neighbours what they hold about this node.
+func (m *Machine) startCheck() {
+	m.setStatus(StatusChecking)
+	m.resumed = m.now
+	m.checked = 0
+	m.checks = map[string]bool{}
+	for _, a := range m.Neighbours() {
+		m.checks[a] = true
+		m.send(a, &Message{Kind: KindPing, Seq: m.nextSeq()})
+	}
+}
+
+// answersAfterPause is the number of neighbours that must take this node for a live member after a pause. One of them
+// may have missed the news as well.
+const answersAfterPause = 2
+
+// confirmCheck counts the answer of a neighbour after a pause.
+func (m *Machine) confirmCheck(from string) {
+	if m.status != StatusChecking || !m.checks[from] {
+		return
+	}
+	delete(m.checks, from)
+	m.checked++
+	if m.checked >= answersAfterPause || len(m.checks) == 0 {
+		m.setStatus(StatusActive)
+	}
+}
+
+// checkSelf repeats the question after a pause until it is answered, and notices isolation and its end.
+func (m *Machine) checkSelf() {
+	silent := m.graph.size > 1 && m.met && m.now.Sub(m.lastHeard) >= m.cfg.IsolationTimeout
+	switch {
+	case m.status == StatusChecking && m.now.Sub(m.resumed) >= m.cfg.ProbeInterval:
+		m.startCheck()
+	case m.status == StatusActive && silent && m.graph.size > 2:
+		m.silentSince = m.lastHeard
+		m.setStatus(StatusIsolated)
+	case m.status == StatusIsolated && !silent:
+		if m.now.Sub(m.silentSince) >= m.cfg.DeadRetention/2 {
+			m.forgetOthers()
+			return
+		}
+		// What peers did in the meantime is unknown, as after a pause.
+		m.startCheck()
+	}
+}
+
+// forgetOthers drops the view and joins again. After a long pause the records of members that others have forgotten
+// would bring them back.
+func (m *Machine) forgetOthers() {
+	if len(m.members) == 0 {
+		return
+	}
+	var live []string
+	for _, a := range sortedKeys(m.members) {
+		e := m.members[a]
+		if e.State.Live() {
+			live = append(live, a)
+		}
+		m.detach(e)
+		m.graph.remove(zoneKey{e.Region, e.Zone}, point{e.hash, e.Address})
+		m.emit(MemberForgotten, e.Member)
+	}
+	m.rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	m.AddSeeds(m.now, live[:min(len(live), maxSeeds/2)])
+	clear(m.members)
+	clear(m.pending)
+	m.order = m.order[:0]
+	m.near, m.nearOld = nil, true
+	m.synced = false
+	m.nextJoin, m.started = m.now, m.now
+	m.setStatus(StatusJoining)
+}
--- /dev/null
+++ b/internal/process/membership/senders.go
@@ -0,0 +1,116 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// maxWaiting is the number of messages that may wait for one peer. The answer to a join at 2,300 members has 24.
+const maxWaiting = 64
+
+// senders sends messages, each peer's in order, without letting a peer that hangs hold up the others. A peer has a
+// goroutine only while messages for it wait.
+type senders struct {
+	transport Transport
+	timeout   time.Duration
+	dropped   atomic.Int64
+
+	mu      sync.Mutex
+	ctx     context.Context // nil until start
+	waiting map[string][]*Message
+	done    chan struct{} // closed when no peer has a goroutine; nil while nobody waits for that
+	wg      sync.WaitGroup
+}
+
+func (s *senders) init(t Transport, timeout time.Duration) {
+	s.transport, s.timeout, s.waiting = t, timeout, map[string][]*Message{}
+}
+
+func (s *senders) start(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ctx = ctx
+}
+
+// stop ends sending and waits for the goroutines. The context given to start must have ended.
+func (s *senders) stop() {
+	s.mu.Lock()
+	s.ctx = nil
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *senders) send(e Envelope) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx == nil {
+		return
+	}
+	queue, busy := s.waiting[e.To]
+	if len(queue) >= maxWaiting {
+		s.dropped.Add(1)
+		return
+	}
+	s.waiting[e.To] = append(queue, e.Message)
+	if !busy {
+		s.wg.Add(1)
+		go s.drain(s.ctx, e.To)
+	}
+}
+
+// drain sends the waiting messages of one peer. After a failure the rest is dropped, because it would fail as well and
+// is stale by the time the peer is back.
+func (s *senders) drain(ctx context.Context, peer string) {
+	defer s.wg.Done()
+	failed := false
+	for {
+		s.mu.Lock()
+		queue := s.waiting[peer]
+		if len(queue) == 0 || failed || ctx.Err() != nil {
+			s.dropped.Add(int64(len(queue)))
+			delete(s.waiting, peer)
+			if len(s.waiting) == 0 && s.done != nil {
+				close(s.done)
+				s.done = nil
+			}
+			s.mu.Unlock()
+			return
+		}
+		msg := queue[0]
+		s.waiting[peer] = queue[1:]
+		s.mu.Unlock()
+		failed = s.sendOne(ctx, peer, msg) != nil
+	}
+}
+
+func (s *senders) sendOne(ctx context.Context, peer string, msg *Message) error {
+	payload, err := msg.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	return s.transport.Send(ctx, peer, payload)
+}
+
+// idle waits until no message waits.
+func (s *senders) idle(ctx context.Context) error {
+	s.mu.Lock()
+	if len(s.waiting) == 0 {
+		s.mu.Unlock()
+		return nil
+	}
+	if s.done == nil {
+		s.done = make(chan struct{})
+	}
+	done := s.done
+	s.mu.Unlock()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/process/membership/sync.go
@@ -0,0 +1,187 @@
+package membership
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"strings"
+)
+
+const (
+	// buckets is the number of parts of a view that are compared separately. It is the number of bits of Message.Mask.
+	buckets = 64
+	// bucketBytes is the length of the hash of a part in a message.
+	bucketBytes = 4
+)
+
+func bucketOf(hash uint64) int { return int(hash % buckets) }
+
+// recordHash is what a live member contributes to the hash of a view. Dead members contribute nothing, because nodes
+// forget them at different times.
+func recordHash(address, incarnation uint64, s State) uint64 {
+	return mix(address ^ mix(incarnation<<8|uint64(s)))
+}
+
+func (m *Machine) viewHash() uint64 {
+	var h uint64
+	for i, b := range m.buckets {
+		h ^= mix(b + uint64(i))
+	}
+	return h
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// startSync compares views with a random neighbour.
+func (m *Machine) startSync() {
+	near := m.Neighbours()
+	if len(near) == 0 || m.status == StatusJoining {
+		return
+	}
+	m.send(near[m.rng.IntN(len(near))], &Message{Kind: KindDigest, Hash: m.viewHash()})
+}
+
+// redial tries to reach a member that was declared dead, or a seed that is no member, so that a partition heals without
+// help.
+func (m *Machine) redial() {
+	if m.status == StatusJoining {
+		return
+	}
+	var dead []string
+	for a, e := range m.gone {
+		if e.State == Dead {
+			dead = append(dead, a)
+		}
+	}
+	// Nodes that started at the same time may have met in separate groups. Seeds connect these.
+	for _, a := range m.seeds {
+		if m.members[a] == nil {
+			dead = append(dead, a)
+		}
+	}
+	if len(dead) == 0 {
+		return
+	}
+	slices.Sort(dead) // the order of a map would make runs differ
+	m.send(dead[m.rng.IntN(len(dead))], &Message{Kind: KindDigest, Hash: m.viewHash()})
+}
+
+// handleBuckets answers with the live members of the parts that differ.
+func (m *Machine) handleBuckets(from string, msg *Message) {
+	if len(msg.Buckets) != buckets*bucketBytes {
+		return
+	}
+	var mask uint64
+	for i, h := range m.buckets {
+		if binary.BigEndian.Uint32(msg.Buckets[i*bucketBytes:]) != uint32(h) {
+			mask |= 1 << i
+		}
+	}
+	if mask == 0 {
+		return
+	}
+	members := m.live(mask)
+	// One message holds whole parts only, since the receiver takes a member that is missing from a part to be unknown
+	// to the sender.
+	for mask != 0 {
+		var some uint64
+		var updates []Update
+		for mask != 0 {
+			bit := mask & -mask
+			part := members[bit]
+			if some != 0 && len(updates)+len(part) > briefsPerMessage {
+				break
+			}
+			updates = append(updates, part...)
+			some |= bit
+			mask &^= bit
+		}
+		m.send(from, &Message{Kind: KindSummary, Mask: some, Updates: updates})
+	}
+}
+
+// live returns the live members of the parts in the mask, by the bit of their part.
+func (m *Machine) live(mask uint64) map[uint64][]Update {
+	out := map[uint64][]Update{}
+	if bit := uint64(1) << bucketOf(m.selfHash); mask&bit != 0 && m.status != StatusLeft {
+		out[bit] = append(out[bit], m.self.brief())
+	}
+	for _, a := range sortedKeys(m.members) {
+		e := m.members[a]
+		if bit := uint64(1) << bucketOf(e.hash); mask&bit != 0 && e.State.Live() {
+			out[bit] = append(out[bit], e.brief())
+		}
+	}
+	return out
+}
+
+// handleSummary sends the sender what it lacks and asks for what it knows better.
+func (m *Machine) handleSummary(from string, msg *Message) {
+	theirs := make(map[string]*Update, len(msg.Updates))
+	var mine []Update
+	var wants []string
+	for i := range msg.Updates {
+		u := &msg.Updates[i]
+		theirs[u.Address] = u
+		e := m.members[u.Address]
+		switch {
+		case u.Address == m.self.Address:
+			m.applySelf(u, from)
+		case e == nil:
+			wants = append(wants, u.Address)
+		case newerMember(&e.Member, u):
+			mine = append(mine, m.complete(e))
+		case newer(u, &e.Member) && u.born() == e.Born && u.meta() == e.Meta:
+			m.apply(u, from, true)
+		case newer(u, &e.Member):
+			wants = append(wants, u.Address)
+		}
+	}
+	for _, part := range m.live(msg.Mask) {
+		for i := range part {
+			if theirs[part[i].Address] == nil {
+				if u, _, ok := m.update(part[i].Address, true); ok {
+					mine = append(mine, u)
+				}
+			}
+		}
+	}
+	slices.SortFunc(mine, func(a, b Update) int { return strings.Compare(a.Address, b.Address) })
+	m.sendUpdates(from, KindSync, mine)
+	m.sendWants(from, wants)
+}
+
+func (m *Machine) sendWants(to string, wants []string) {
+	for part := range slices.Chunk(wants, briefsPerMessage) {
+		m.send(to, &Message{Kind: KindWant, Wants: part})
+	}
+}
+
+// handleWant answers with complete records.
+func (m *Machine) handleWant(from string, msg *Message) {
+	updates := make([]Update, 0, len(msg.Wants))
+	for _, a := range msg.Wants {
+		if u, _, ok := m.update(a, true); ok {
+			updates = append(updates, u)
+		}
+	}
+	m.sendUpdates(from, KindSync, updates)
+}
+
+// handleSync takes over newer records and sends back those that are newer here.
+func (m *Machine) handleSync(from string, msg *Message) {
+	m.meet()
+	var corrections []Update
+	for i := range msg.Updates {
+		u := &msg.Updates[i]
+		if m.apply(u, from, true) {
+			if c, _, ok := m.update(u.Address, true); ok {
+				corrections = append(corrections, c)
+			}
+		}
+	}
+	m.sendUpdates(from, KindSync, corrections)
+	if msg.Last {
+		m.joined()
+	}
+}
