--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -36,6 +36,8 @@
 		LeaveUnsent,
 		LinkOpened, LinkClosed, LinkSilent, LinkRefused, FrameInvalid,
 		TargetAnnounced, TargetLapsed,
+		MemberJoined, MemberReplaced, MemberSuspected, MemberDied, MemberLeft, SelfActive, SelfIsolated,
+		SelfChecking, SelfRefuted, SelfReplaced, SelfLeft, RegistrationFailed, LookupFailed, GossipInvalid,
 		CommandFailed,
 	}
 }
