--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Developer entry points. `make setup` once, then `make run` and `make test`.
 GO ?= go
 BIN := bin
-COMMANDS := wigeoncleat-node wigeonctl wigeon-load wigeon-standin
+COMMANDS := $(notdir $(wildcard cmd/*))
 
 .PHONY: setup build run test fmt lint bench soak measure clean
 
--- a/internal/process/node/targets.go
+++ b/internal/process/node/targets.go
@@ -99,11 +99,10 @@
 	if ready {
 		n.control.StartRamp()
 	}
-	e := event.TargetAnnounced
-	if lapsed {
-		e = event.TargetLapsed
+	if !lapsed { // membership logs a lapse
+		event.Log(n.log, event.TargetAnnounced, slog.String("service", t.Service), slog.String("state", t.State.String()),
+			slog.Int("slots", t.Slots))
 	}
-	event.Log(n.log, e, slog.String("service", t.Service), slog.String("state", t.State.String()), slog.Int("slots", t.Slots))
 	n.updateTargets(n.members.Snapshot())
 }
 
