Start trials of a lower limit only when latency gives a reason

Cause: a trial at the lower limit costs a target with all its slots the work of two to ten latencies. A trial now needs a latency at least 1.25 times that of quiet intervals or of the last rejected trial; without a quiet interval it waits 10 s.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -417,6 +417,7 @@
 func (c *Controller) tick(now time.Duration) {
 	m := &c.meter
 	c.gate.adjust(now, m, &c.queue, c.limits.QueueLength)
+	c.trial.quiet(now, m, &c.hold)
 	if c.rampFrom < 0 {
 		c.trial.observe(now, m, &c.hold)
 	}
--- a/internal/process/admission/trial.go
+++ b/internal/process/admission/trial.go
@@ -69,6 +69,14 @@
 	trialFirst   = 2 * time.Second
 	trialBackoff = 4
 	trialMax     = 2 * time.Minute
+	// trialUnknown is the time before the first trial of a target whose latency without saturation is not known.
+	trialUnknown = 10 * time.Second
+	// trialEvidence is the ratio of the latency to the known one from which a lower limit is tried. Requests that wait
+	// inside a target with too few slots raise the latency; without that, a trial would cost throughput for nothing. A
+	// slower target raises it too, and then the trial decides.
+	trialEvidence = 1.25
+	// quietShare is the share of the highest limit below which requests in flight hardly wait inside a target.
+	quietShare = 0.5
 	// trialMinLimit is the lowest limit that is divided further.
 	trialMinLimit = 4
 )
@@ -86,8 +94,9 @@
 	learned int           // limit outside trials
 	next    time.Duration // earliest start of the next trial
 	pause   time.Duration
-	upNext  bool // whether the next trial tries a higher limit
-	fine    bool // whether the next trial uses the fine step
+	known   time.Duration // mean latency at which the learned limit needs no trial; zero: not measured
+	upNext  bool          // whether the next trial tries a higher limit
+	fine    bool          // whether the next trial uses the fine step
 
 	active  bool
 	limits  [2]int // lower, higher
@@ -102,7 +111,7 @@
 
 // reset forgets what was measured.
 func (t *trial) reset(ceiling int, now time.Duration) {
-	*t = trial{ceiling: ceiling, learned: ceiling, pause: trialFirst, next: now + trialFirst}
+	*t = trial{ceiling: ceiling, learned: ceiling, pause: trialFirst, next: now + trialUnknown}
 }
 
 // limit returns the present limit.
@@ -113,6 +122,17 @@
 	return t.learned
 }
 
+// quiet takes the latency of an interval with few requests in flight as the known one.
+func (t *trial) quiet(now time.Duration, m *meter, hold *estimate) {
+	if m.departures == 0 || m.busy >= quietShare*float64(t.ceiling)*(now-m.start).Seconds() {
+		return
+	}
+	if t.known == 0 {
+		t.next = min(t.next, now+trialFirst)
+	}
+	t.known = hold.mean
+}
+
 // saturated reports whether the interval shows the throughput of the target: work waited, all slots were in use, and
 // most requests ended normally.
 func saturated(now time.Duration, m *meter) bool {
@@ -124,7 +144,7 @@
 func (t *trial) observe(now time.Duration, m *meter, hold *estimate) {
 	saturated := saturated(now, m)
 	if !t.active {
-		if saturated && now >= t.next && hold.mean > 0 {
+		if saturated && now >= t.next && t.due(hold) {
 			t.begin(now, hold)
 		}
 		return
@@ -160,6 +180,11 @@
 	}
 }
 
+// due reports whether a trial may change the limit.
+func (t *trial) due(hold *estimate) bool {
+	return t.learned < t.ceiling || t.known == 0 || float64(hold.mean) > trialEvidence*float64(t.known)
+}
+
 // begin starts a trial of a higher or a lower limit. The present limit is measured first.
 func (t *trial) begin(now time.Duration, hold *estimate) {
 	step := coarseStep
@@ -200,11 +225,11 @@
 	spread := ratio * math.Sqrt(low.spread(hold)+high.spread(hold))
 	switch {
 	case ratio-confidence*spread > trialGain:
-		t.end(now, 1)
+		t.end(now, 1, hold)
 	case over && ratio+confidence*spread < trialGain:
-		t.end(now, 0)
+		t.end(now, 0, hold)
 	case over && t.rounds >= trialRounds:
-		t.end(now, 1)
+		t.end(now, 1, hold)
 	default:
 		return false
 	}
@@ -219,10 +244,13 @@
 }
 
 // end takes the limit of one side.
-func (t *trial) end(now time.Duration, winner int) {
+func (t *trial) end(now time.Duration, winner int, hold *estimate) {
 	t.active = false
 	changed := t.limits[winner] != t.learned
 	t.learned = t.limits[winner]
+	if t.learned == t.ceiling {
+		t.known = hold.mean
+	}
 	if changed {
 		t.pause = trialFirst
 		t.next = now
