--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -39,5 +39,7 @@
 		MemberJoined, MemberReplaced, MemberSuspected, MemberDied, MemberLeft, SelfActive, SelfIsolated,
 		SelfChecking, SelfRefuted, SelfReplaced, SelfLeft, RegistrationFailed, LookupFailed, GossipInvalid,
 		CommandFailed,
+		ConfigApplied, ConfigConfirmed, ConfigUnconfirmed, ConfigForwarded, ConfigConflict, ChangeAccepted,
+		ChangeRefused, ChangeTakenOver, ChangeSuperseded, AuditDropped,
 	}
 }
