Add the Go client library

Callers need one place that keeps the request ID and the idempotency key over retries, sends a key to the node that issued it, and reports "not run" only if no attempt may have run the request.

Kratos' HTTP client fits with an error decoder that passes every status through. What its HTTP client hides had to be switched off: redirects (kratos has no option for them, so the transport hides the Location header), and the silent repeat of requests with an Idempotency-Key on reused connections by net/http.

--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,410 @@
+// Package client is the Go library for callers of wigeoncleat. Do sends a request to a node near the caller, repeats it
+// where that is safe, and returns either a complete answer of the target or an error that says truthfully whether the
+// request was run: *NotRunError or *UnknownError.
+//
+// All attempts of one request have the same request ID. A request that must not run twice also has the same idempotency
+// key in all attempts that may have been delivered. The keys are issued by nodes, and a request is sent to the node that
+// issued its key for as long as that node can be reached, because this node alone decides about the key. docs/callers.md
+// describes the protocol.
+//
+// The package uses the HTTP client of kratos, with an error decoder that passes every status through: the status is the
+// target's answer. Three properties of the HTTP client below it are switched off, because each of them hides attempts:
+// redirects are returned and not followed, bodies cannot be read a second time, so that net/http does not repeat requests
+// on its own (it does so for requests with an Idempotency-Key), and compression is left to the caller.
+//
+// A Client is safe for concurrent use.
+package client
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// Zone is an availability zone with the addresses (host:port) of the nodes in it that accept callers.
+type Zone struct {
+	Name      string
+	Addresses []string
+}
+
+// Options configure a Client.
+type Options struct {
+	// Zones are the entry nodes by availability zone, the nearest first. A zone is used when no node of the zones before
+	// it can be reached. Required.
+	Zones []Zone
+	// Timeout bounds Do with all its attempts. A context that ends earlier takes precedence. Default: 5 s.
+	Timeout time.Duration
+	// AttemptTimeout bounds one attempt. Shorter times find silent connections earlier, but give up on slow answers.
+	// Default: 2 s.
+	AttemptTimeout time.Duration
+	// DialTimeout bounds the opening of a connection. Default: 500 ms.
+	DialTimeout time.Duration
+	// Attempts bounds the attempts of one request. Attempts whose connection could not be opened do not count while there
+	// are nodes left that were not tried. Default: 3.
+	Attempts int
+	// Backoff is the time before the first repeat of an attempt that got no answer. It doubles with each attempt and
+	// varies by half. Default: 50 ms.
+	Backoff time.Duration
+	// MaxRetryAfter is the longest Retry-After that Do waits for. A longer one is returned in the error. Default: 2 s.
+	MaxRetryAfter time.Duration
+	// IgnoreRetryAfter repeats at once whatever the answer says. It exists for load tests of overload. Default: false.
+	IgnoreRetryAfter bool
+	// KeyBatch is the number of keys that are fetched at once. Larger batches cost fewer calls, but more keys expire
+	// unused. Default: 16.
+	KeyBatch int
+	// MaxBody is the longest answer that is accepted, in bytes; a longer one is an unknown outcome. Default: 16 MiB.
+	MaxBody int64
+	// IdleConnections is the number of idle connections kept for each node. Default: 64.
+	IdleConnections int
+	// DownTime is how long a node whose connection could not be opened is tried after all others. Default: 1 s.
+	DownTime time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultTimeout         = 5 * time.Second
+	DefaultAttemptTimeout  = 2 * time.Second
+	DefaultDialTimeout     = 500 * time.Millisecond
+	DefaultAttempts        = 3
+	DefaultBackoff         = 50 * time.Millisecond
+	DefaultMaxRetryAfter   = 2 * time.Second
+	DefaultKeyBatch        = 16
+	DefaultMaxBody         = 16 << 20
+	DefaultIdleConnections = 64
+	DefaultDownTime        = time.Second
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Timeout, DefaultTimeout)
+	setDefault(&o.AttemptTimeout, DefaultAttemptTimeout)
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.Attempts, DefaultAttempts)
+	setDefault(&o.Backoff, DefaultBackoff)
+	setDefault(&o.MaxRetryAfter, DefaultMaxRetryAfter)
+	setDefault(&o.KeyBatch, DefaultKeyBatch)
+	setDefault(&o.MaxBody, DefaultMaxBody)
+	setDefault(&o.IdleConnections, DefaultIdleConnections)
+	setDefault(&o.DownTime, DefaultDownTime)
+	return o
+}
+
+func setDefault[T int | int64 | time.Duration](v *T, value T) {
+	if *v <= 0 {
+		*v = value
+	}
+}
+
+// Request is a request to a service.
+type Request struct {
+	Method string
+	Path   string // the service and the path below it, with the query: "/orders/new?table=4"
+	Header http.Header
+	Body   []byte
+	// Idempotent says that the request may run more than once; it then needs no key. GET, HEAD and OPTIONS always are.
+	Idempotent bool
+	// Key is the caller's own idempotency key. Empty: a key issued by a node. A request that is repeated in a later call of
+	// Do, for example after a restart of the caller, needs the key of the first call.
+	Key string
+	// RequestID identifies the request in logs, 32 hexadecimal digits. Empty: a new one.
+	RequestID string
+}
+
+// Response is a complete answer of a target.
+type Response struct {
+	Status    int // of the target
+	Header    http.Header
+	Body      []byte
+	RequestID string
+	Key       string // idempotency key; empty for idempotent requests
+	Attempts  int    // attempts that may have reached a node
+}
+
+// Client sends requests to the nodes of a site.
+type Client struct {
+	opts  Options
+	zones [][]*node
+	next  atomic.Uint64 // rotates the nodes of a zone
+}
+
+// New returns a client. It opens no connection.
+func New(opts Options) (*Client, error) {
+	c := &Client{opts: opts.withDefaults()}
+	for _, z := range c.opts.Zones {
+		var nodes []*node
+		for _, a := range z.Addresses {
+			n, err := newNode(a, c.opts)
+			if err != nil {
+				return nil, fmt.Errorf("client: zone %q, address %q: %w", z.Name, a, err)
+			}
+			nodes = append(nodes, n)
+		}
+		if len(nodes) > 0 {
+			c.zones = append(c.zones, nodes)
+		}
+	}
+	if len(c.zones) == 0 {
+		return nil, errors.New("client: no addresses")
+	}
+	c.next.Store(rand.Uint64N(1 << 32))
+	return c, nil
+}
+
+// Close closes idle connections. Calls of Do that run are not affected.
+func (c *Client) Close() {
+	for _, zone := range c.zones {
+		for _, n := range zone {
+			n.transport.CloseIdleConnections()
+		}
+	}
+}
+
+// Do sends the request and repeats it where that is safe. Its error is a *NotRunError if the request provably was not run
+// and will not be run, and else an *UnknownError.
+func (c *Client) Do(ctx context.Context, req Request) (*Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
+	defer cancel()
+	x, err := c.newExchange(req)
+	if err != nil {
+		return nil, &NotRunError{Failure{
+			Reason: message.ReasonInvalid.String(), Step: string(message.StepAccept), Detail: err.Error(), RequestID: req.RequestID,
+		}}
+	}
+	for {
+		r := x.attempt(ctx)
+		if r.outcome == message.Answered {
+			return x.response(r), nil
+		}
+		x.note(r)
+		if !x.again(ctx, r) {
+			return nil, x.failure(r)
+		}
+	}
+}
+
+func idempotent(req Request) bool {
+	switch req.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return req.Idempotent
+}
+
+// order returns all nodes in the order in which to try them: zone by zone, rotated within the zone, and those that
+// recently could not be reached last.
+func (c *Client) order() []*node {
+	var up, down []*node
+	offset := c.next.Add(1)
+	now := time.Now()
+	for _, zone := range c.zones {
+		for i := range zone {
+			n := zone[(uint64(i)+offset)%uint64(len(zone))]
+			if n.isDown(now) {
+				down = append(down, n)
+			} else {
+				up = append(up, n)
+			}
+		}
+	}
+	return append(up, down...)
+}
+
+// exchange is one call of Do.
+type exchange struct {
+	c        *Client
+	req      Request
+	id       message.ID
+	keyed    bool
+	key      string
+	issuer   *node // of the key; nil for the caller's own key
+	avoid    map[*node]bool
+	budget   string // retry budget left over from the last answer; empty before the first attempt
+	attempts int    // attempts that count towards Options.Attempts
+	sent     int    // attempts that may have reached a node
+	unsure   bool   // an attempt may have run the request, or may still do so
+}
+
+// newExchange checks a request. Headers that have a field of their own in Request count as that field.
+func (c *Client) newExchange(req Request) (*exchange, error) {
+	req.Key = cmp.Or(req.Key, req.Header.Get(message.HeaderKey))
+	if !strings.HasPrefix(req.Path, "/") {
+		return nil, fmt.Errorf("path %q does not start with /", req.Path)
+	}
+	if req.Method == "" {
+		return nil, errors.New("no method")
+	}
+	x := &exchange{c: c, req: req, id: message.NewID(), key: req.Key, keyed: req.Key != "" || !idempotent(req), avoid: map[*node]bool{}}
+	var err error
+	if trace := req.Header.Get(message.HeaderTraceparent); req.RequestID != "" {
+		x.id, err = parseID(req.RequestID)
+	} else if trace != "" {
+		x.id, _, err = message.ParseTraceparent(trace)
+	}
+	return x, err
+}
+
+func parseID(s string) (message.ID, error) {
+	id, _, err := message.ParseTraceparent("00-" + s + "-0000000000000001-01")
+	if err != nil {
+		return id, fmt.Errorf("request ID %q is not 32 hexadecimal digits", s)
+	}
+	return id, nil
+}
+
+// attempt sends the request once, after getting a key if it needs one.
+func (x *exchange) attempt(ctx context.Context) result {
+	if x.issuer != nil && (!x.avoid[x.issuer] || x.unsure) && !x.issuer.isDown(time.Now()) {
+		return x.issuer.send(ctx, x)
+	}
+	fresh := x.keyed && x.req.Key == "" && !x.unsure
+	if fresh {
+		// Nothing was delivered under the old key, so a new one cannot cause a second execution.
+		x.key, x.issuer = "", nil
+	}
+	last := result{outcome: message.NotRun, reason: message.ReasonConnection.String(), step: message.StepDial, detail: "no node can be reached"}
+	for _, n := range x.c.order() {
+		if x.avoid[n] {
+			continue
+		}
+		if fresh {
+			key, r, ok := n.takeKey(ctx)
+			if !ok {
+				last = r
+				x.avoid[n] = true
+				continue
+			}
+			x.key, x.issuer = key, n
+		}
+		return n.send(ctx, x)
+	}
+	return last
+}
+
+// note records what an attempt without an answer means for the next ones.
+func (x *exchange) note(r result) {
+	if r.sent {
+		x.sent++
+		x.budget = r.budget
+	}
+	if r.outcome == message.Unknown && !x.refusedKey(r) {
+		x.unsure = true
+	}
+	if x.refusedKey(r) {
+		r.node.keys.clear() // keys of the same batch are refused too
+	}
+	if r.node != nil && (!r.sent || x.refusedKey(r) || elsewhere[r.reason]) {
+		x.avoid[r.node] = true
+	}
+}
+
+// refusedKey reports whether a node refused a key that this exchange has not used before, for example because the node
+// was restarted after it had issued the key. The node says "unknown", because it cannot tell whether the key was used;
+// the client can.
+func (x *exchange) refusedKey(r result) bool {
+	return r.reason == message.ReasonKeyExpired.String() && r.answered && x.issuer != nil && !x.unsure
+}
+
+// elsewhere holds the reasons for which another node may accept the request.
+var elsewhere = map[string]bool{
+	message.ReasonLeaving.String():     true,
+	message.ReasonUnconfirmed.String(): true,
+}
+
+// again waits until the next attempt and reports whether there is one.
+func (x *exchange) again(ctx context.Context, r result) bool {
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case r.node != nil && !r.sent && x.untried():
+		return true // nothing was delivered: go on with the next node
+	}
+	x.attempts++
+	if x.attempts >= x.c.opts.Attempts {
+		return false
+	}
+	if x.refusedKey(r) {
+		return x.untried() || x.forgive()
+	}
+	if r.answered && r.retryAfter == 0 && !(elsewhere[r.reason] && x.untried()) {
+		return false // the node says that a repeat is of no use
+	}
+	if !x.untried() {
+		x.forgive()
+	}
+	return x.wait(ctx, x.delay(r))
+}
+
+func (x *exchange) untried() bool {
+	for _, zone := range x.c.zones {
+		for _, n := range zone {
+			if !x.avoid[n] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// forgive makes all nodes available again.
+func (x *exchange) forgive() bool {
+	clear(x.avoid)
+	return true
+}
+
+// delay returns the time until the next attempt, or a negative time if it is too long.
+func (x *exchange) delay(r result) time.Duration {
+	o := x.c.opts
+	switch {
+	case o.IgnoreRetryAfter:
+		return 0
+	case r.answered && elsewhere[r.reason] && x.untried():
+		return 0
+	case r.answered && r.retryAfter > o.MaxRetryAfter:
+		return -1
+	case r.answered:
+		// Callers that were refused together must not come back together.
+		return r.retryAfter + rand.N(r.retryAfter/4+1)
+	default:
+		base := o.Backoff << (x.attempts - 1)
+		return base/2 + rand.N(base)
+	}
+}
+
+func (x *exchange) wait(ctx context.Context, d time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); d < 0 || (ok && time.Until(deadline) <= d) {
+		return false
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (x *exchange) response(r result) *Response {
+	return &Response{
+		Status: r.status, Header: r.header, Body: r.body,
+		RequestID: x.id.String(), Key: x.key, Attempts: x.sent + 1,
+	}
+}
+
+func (x *exchange) failure(r result) error {
+	f := Failure{
+		Reason: r.reason, Step: string(r.step), Peer: r.peer, Detail: r.detail, RetryAfter: r.retryAfter,
+		RequestID: x.id.String(), Key: x.key, Attempts: x.sent, Cause: r.err,
+	}
+	if x.unsure {
+		return &UnknownError{f}
+	}
+	return &NotRunError{f}
+}
--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,422 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/once"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// fault is what a fake node does with a request.
+type fault int
+
+const (
+	none          fault = iota
+	refuse              // "not run" with Retry-After
+	refuseForGood       // "not run" without Retry-After
+	leave               // "not run, leaving"
+	dropUnread          // the connection closes, the request is not run
+	dropAfterRun        // the request is run, the connection closes without an answer
+	cutShort            // the request is run, the answer is cut short
+	doubt               // the request is run, the answer is "unknown"
+	noOutcome           // something other than a node answers 503
+	otherReply          // the answer of another request
+	redirect            // the target answers 303, after which HTTP clients send a GET
+	hang                // no answer at all
+)
+
+// fakeNode is a node with the real key store. Its target runs requests in the handler.
+type fakeNode struct {
+	t      testing.TB
+	server *httptest.Server
+	next   func() fault
+
+	mu       sync.Mutex
+	store    *once.Store
+	arrivals []http.Header
+	runs     map[string]int // by request ID
+}
+
+func startNode(t testing.TB, next func() fault) *fakeNode {
+	n := &fakeNode{t: t, next: next, runs: map[string]int{}}
+	n.server = httptest.NewServer(n)
+	t.Cleanup(n.server.Close)
+	n.restart(1)
+	return n
+}
+
+// ran returns how often the request with the ID was run.
+func (n *fakeNode) ran(id string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.runs[id]
+}
+
+func (n *fakeNode) headers() []http.Header {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.arrivals
+}
+
+func (n *fakeNode) addr() string { return n.server.Listener.Addr().String() }
+
+// restart replaces the key store, as a restart of the node's process does.
+func (n *fakeNode) restart(incarnation uint64) {
+	s, err := once.New(once.Options{Address: n.addr(), Incarnation: incarnation})
+	require.NoError(n.t, err)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.store = s
+}
+
+func (n *fakeNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n.mu.Lock()
+	store := n.store
+	n.mu.Unlock()
+	if r.URL.Path == "/-/keys" {
+		count, _ := strconv.Atoi(r.URL.Query().Get("n"))
+		_ = json.NewEncoder(w).Encode(issuedKeys{Keys: store.Issue(count), ValidMS: store.Validity().Milliseconds()})
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	n.mu.Lock()
+	n.arrivals = append(n.arrivals, r.Header)
+	n.mu.Unlock()
+	id, _, _ := message.ParseTraceparent(r.Header.Get(message.HeaderTraceparent))
+	resp, f := n.decide(store, r, id, body)
+	n.write(w, r, id, resp, f)
+}
+
+// decide runs the request, unless its key or the fault forbids it.
+func (n *fakeNode) decide(store *once.Store, r *http.Request, id message.ID, body []byte) (*message.Response, fault) {
+	f := n.next()
+	if f == dropUnread || f == noOutcome || f == hang {
+		return nil, f
+	}
+	run := func() *message.Response {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.runs[id.String()]++
+		return &message.Response{Outcome: message.Answered, Status: 200, Body: append([]byte(id.String()), body...)}
+	}
+	refused := map[fault]*message.Response{
+		refuse:        {Outcome: message.NotRun, Reason: message.ReasonOverload, RetryAfter: time.Millisecond},
+		refuseForGood: {Outcome: message.NotRun, Reason: message.ReasonOverload},
+		leave:         {Outcome: message.NotRun, Reason: message.ReasonLeaving},
+	}[f]
+	text := r.Header.Get(message.HeaderKey)
+	if text == "" {
+		if refused != nil {
+			return refused, f
+		}
+		return run(), f
+	}
+	key, err := once.Parse(text)
+	require.NoError(n.t, err)
+	res := store.Begin(key, once.FingerprintOf(&message.Request{Body: body}))
+	switch {
+	case res.Verdict != once.Run:
+		return res.Response, f
+	case refused != nil:
+		res.Claim.NotRun()
+		return refused, f
+	}
+	resp := run()
+	res.Claim.Done(resp)
+	return resp, f
+}
+
+func (n *fakeNode) write(w http.ResponseWriter, r *http.Request, id message.ID, resp *message.Response, f fault) {
+	h := w.Header()
+	h.Set(message.HeaderRequestID, id.String())
+	switch f {
+	case hang:
+		<-r.Context().Done()
+		return
+	case dropUnread, dropAfterRun:
+		panic(http.ErrAbortHandler)
+	case noOutcome:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case otherReply:
+		h.Set(message.HeaderRequestID, message.NewID().String())
+	case doubt:
+		resp = message.Doubt(message.ReasonConnection, message.Errorf(message.StepAwait, "10.9.9.9:7000", "link went silent"))
+	case redirect:
+		resp.Status = http.StatusSeeOther
+		h.Set("Location", "/elsewhere")
+	}
+	h.Set(message.HeaderOutcome, resp.Outcome.String())
+	h.Set(message.HeaderRetries, "2")
+	body := resp.Body
+	if resp.Outcome != message.Answered {
+		h.Set(message.HeaderReason, resp.Reason.String())
+		resp.Status = map[message.Outcome]int{message.NotRun: 503, message.Unknown: 504}[resp.Outcome]
+		if resp.RetryAfter > 0 {
+			h.Set(message.HeaderRetryAfter, fmt.Sprint(resp.RetryAfter.Seconds()))
+		}
+		if resp.Err != nil {
+			body, _ = json.Marshal(refusal{Step: string(resp.Err.Step), Peer: resp.Err.Peer, Detail: resp.Err.Detail})
+		}
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(resp.Status)
+	if f == cutShort && len(body) > 0 {
+		body = body[:len(body)/2]
+	}
+	_, _ = w.Write(body)
+}
+
+func newClient(t testing.TB, o Options, nodes ...*fakeNode) *Client {
+	for _, n := range nodes {
+		o.Zones = append(o.Zones, Zone{Addresses: []string{n.addr()}})
+	}
+	o.Backoff = max(o.Backoff, time.Millisecond)
+	c, err := New(o)
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func script(faults ...fault) func() fault {
+	var mu sync.Mutex
+	return func() fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(faults) == 0 {
+			return none
+		}
+		f := faults[0]
+		faults = faults[1:]
+		return f
+	}
+}
+
+// closedAddr returns an address that refuses connections.
+func closedAddr(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+var order = Request{Method: http.MethodPost, Path: "/orders/new", Body: []byte("espresso")}
+
+// Guards against a caller that is told "not run" although the request ran or may still run, is told nothing true about an
+// order that ran twice, or gets the answer of another request, under random faults of two nodes.
+func TestOutcomesAreTruthful(t *testing.T) {
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(5, 20261204))
+	next := func() fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if rng.IntN(3) > 0 {
+			return none
+		}
+		return fault(rng.IntN(int(otherReply) + 1))
+	}
+	a, b := startNode(t, next), startNode(t, next)
+	c := newClient(t, Options{}, a, b)
+	counts := map[string]int{}
+	for i := range 1500 {
+		if i%100 == 99 {
+			a.restart(uint64(i))
+		}
+		req := order
+		if i%4 == 0 {
+			req.Method = http.MethodGet
+		}
+		req.Body = fmt.Appendf(nil, "order %d", i)
+		req.RequestID = message.NewID().String()
+		resp, err := c.Do(t.Context(), req)
+		runs := a.ran(req.RequestID) + b.ran(req.RequestID)
+		var notRun *NotRunError
+		var unknown *UnknownError
+		switch {
+		case err == nil:
+			counts["answered"]++
+			require.Equal(t, req.RequestID+string(req.Body), string(resp.Body))
+			require.Positive(t, runs)
+		case errors.As(err, &notRun):
+			counts["not run"]++
+			require.Zero(t, runs, "%v", err)
+		case errors.As(err, &unknown):
+			counts["unknown"]++
+		default:
+			t.Fatalf("unexpected error %v", err)
+		}
+		if req.Method == http.MethodPost {
+			require.LessOrEqual(t, runs, 1, "%v", err)
+		}
+	}
+	t.Log(counts)
+	require.Len(t, counts, 3)
+}
+
+// Guards against each way of taking an attempt that may have run for one that did not, with a single attempt.
+func TestOutcomeOfOneAttempt(t *testing.T) {
+	for f, want := range map[fault]string{
+		refuse: "overload", refuseForGood: "overload", leave: "leaving",
+		dropUnread: "connection", dropAfterRun: "connection", cutShort: "connection", doubt: "connection",
+		noOutcome: "internal", otherReply: "internal", hang: "deadline",
+	} {
+		n := startNode(t, script(f))
+		_, err := newClient(t, Options{Attempts: 1, AttemptTimeout: 200 * time.Millisecond}, n).Do(t.Context(), order)
+		var unknown *UnknownError
+		var notRun *NotRunError
+		if f == refuse || f == refuseForGood || f == leave {
+			require.ErrorAs(t, err, &notRun, "fault %d", f)
+			require.Equal(t, want, notRun.Reason)
+			continue
+		}
+		require.ErrorAs(t, err, &unknown, "fault %d", f)
+		require.Equal(t, want, unknown.Reason, "fault %d", f)
+		if f == doubt {
+			require.Equal(t, []string{"await", "10.9.9.9:7000"}, []string{unknown.Step, unknown.Peer})
+		}
+	}
+}
+
+// Guards against "not run" after a lost attempt: its copy may still arrive at the home node after the refusal.
+func TestRefusalAfterLostAttemptIsUnknown(t *testing.T) {
+	n := startNode(t, script(dropUnread, refuseForGood))
+	_, err := newClient(t, Options{}, n).Do(t.Context(), order)
+	var unknown *UnknownError
+	require.ErrorAs(t, err, &unknown)
+	require.Equal(t, 2, unknown.Attempts)
+}
+
+// Guards against retries that change the request ID or key, drop the leftover budget, or are made behind the client's back
+// by net/http, which repeats requests with an Idempotency-Key on reused connections.
+func TestRetriesKeepIdentityAndBudget(t *testing.T) {
+	n := startNode(t, script(none, refuse, dropUnread))
+	c := newClient(t, Options{}, n)
+	_, err := c.Do(t.Context(), order)
+	require.NoError(t, err)
+	resp, err := c.Do(t.Context(), order)
+	require.NoError(t, err)
+	require.Equal(t, 3, resp.Attempts)
+	require.Len(t, n.headers(), 4)
+	for i, want := range []string{"", "2", "0"} {
+		h := n.headers()[i+1]
+		id, _, err := message.ParseTraceparent(h.Get(message.HeaderTraceparent))
+		require.NoError(t, err)
+		require.Equal(t, []string{resp.RequestID, resp.Key, want}, []string{id.String(), h.Get(message.HeaderKey), h.Get(message.HeaderRetries)})
+	}
+	require.Equal(t, 1, n.ran(resp.RequestID))
+}
+
+// Guards against orders that fail because nodes are down or were restarted, although nothing was delivered.
+func TestNewKeyFromAnotherNode(t *testing.T) {
+	a, b := startNode(t, script()), startNode(t, script())
+	c := newClient(t, Options{Attempts: 2}, a, b)
+	c.zones[0] = append(c.zones[0], mustNode(t, c, closedAddr(t)), mustNode(t, c, closedAddr(t)), mustNode(t, c, closedAddr(t)))
+	for range 5 {
+		_, err := c.Do(t.Context(), order)
+		require.NoError(t, err)
+	}
+	a.restart(2)
+	b.restart(2)
+	_, err := c.Do(t.Context(), order)
+	require.NoError(t, err)
+	a.server.Close()
+	c.Close() // a request on an idle connection of a stopped node is lost, and its outcome unknown
+	resp, err := c.Do(t.Context(), order)
+	require.NoError(t, err)
+	require.Equal(t, 1, b.ran(resp.RequestID))
+	b.server.Close()
+	c.Close()
+	_, err = c.Do(t.Context(), order)
+	var notRun *NotRunError
+	require.ErrorAs(t, err, &notRun)
+	require.Equal(t, "connection", notRun.Reason)
+}
+
+// Guards against a lost order that is run again at another node, under a new key, because its home node went down.
+func TestLostOrderIsNotRunElsewhere(t *testing.T) {
+	var a *fakeNode
+	a = startNode(t, func() fault {
+		_ = a.server.Listener.Close()
+		return dropAfterRun
+	})
+	b := startNode(t, script())
+	req := order
+	req.RequestID = message.NewID().String()
+	_, err := newClient(t, Options{}, a, b).Do(t.Context(), req)
+	var unknown *UnknownError
+	require.ErrorAs(t, err, &unknown)
+	require.Equal(t, []int{1, 0}, []int{a.ran(req.RequestID), b.ran(req.RequestID)})
+}
+
+func mustNode(t testing.TB, c *Client, addr string) *node {
+	n, err := newNode(addr, c.opts)
+	require.NoError(t, err)
+	return n
+}
+
+// Guards against a redirect of a target that becomes a second request, and against an endless wait for Retry-After.
+func TestStatusPassesAndWaitsAreBounded(t *testing.T) {
+	n := startNode(t, script(redirect))
+	resp, err := newClient(t, Options{}, n).Do(t.Context(), order)
+	require.NoError(t, err)
+	require.Equal(t, []any{303, "/elsewhere"}, []any{resp.Status, resp.Header.Get("Location")})
+	require.Len(t, n.headers(), 1)
+	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(message.HeaderOutcome, message.NotRun.String())
+		w.Header().Set(message.HeaderRetryAfter, "60")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer slow.Close()
+	c, err := New(Options{Zones: []Zone{{Addresses: []string{slow.Listener.Addr().String()}}}})
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	_, err = c.Do(ctx, Request{Method: http.MethodGet, Path: "/menu/1"})
+	var notRun *NotRunError
+	require.ErrorAs(t, err, &notRun)
+	require.Equal(t, time.Minute, notRun.RetryAfter)
+	require.NoError(t, ctx.Err())
+}
+
+// Guards against an answer without length that may be cut short, and one that exceeds the limit.
+func TestUnprovablyWholeAnswersAreUnknown(t *testing.T) {
+	for _, raw := range []string{
+		"HTTP/1.1 200 OK\r\nWigeon-Outcome: answered\r\nConnection: close\r\n\r\nhalf",
+		"HTTP/1.1 200 OK\r\nWigeon-Outcome: answered\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"HTTP/1.1 200 OK\r\nWigeon-Outcome: answered\r\nContent-Length: 100\r\n\r\n" + string(bytes.Repeat([]byte("x"), 100)),
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = conn.Write([]byte(raw))
+				_ = conn.Close()
+			}
+		}()
+		c, err := New(Options{Zones: []Zone{{Addresses: []string{l.Addr().String()}}}, MaxBody: 99, Backoff: time.Millisecond})
+		require.NoError(t, err)
+		_, err = c.Do(t.Context(), Request{Method: http.MethodGet, Path: "/menu/1"})
+		var unknown *UnknownError
+		require.ErrorAs(t, err, &unknown, raw)
+	}
+}
--- /dev/null
+++ b/client/keys.go
@@ -0,0 +1,116 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// keyPool holds unused keys of one node.
+type keyPool struct {
+	fetch chan struct{} // holds one token, taken by the call that fetches keys
+	mu    sync.Mutex
+	keys  []string
+	until time.Time // last moment at which a key is used
+}
+
+func newKeyPool() keyPool { return keyPool{fetch: make(chan struct{}, 1)} }
+
+func (p *keyPool) take() (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.keys) == 0 || time.Now().After(p.until) {
+		return "", false
+	}
+	key := p.keys[len(p.keys)-1]
+	p.keys = p.keys[:len(p.keys)-1]
+	return key, true
+}
+
+func (p *keyPool) clear() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keys = nil
+}
+
+func (p *keyPool) set(keys []string, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keys, p.until = keys, until
+}
+
+// issuedKeys is the answer to POST /-/keys.
+type issuedKeys struct {
+	Keys    []string `json:"keys"`
+	ValidMS int64    `json:"valid_ms"`
+}
+
+// takeKey returns an unused key of the node. Without one, the result says why; the request itself was not sent.
+func (n *node) takeKey(ctx context.Context) (string, result, bool) {
+	if key, ok := n.keys.take(); ok {
+		return key, result{}, true
+	}
+	select {
+	case n.keys.fetch <- struct{}{}:
+		defer func() { <-n.keys.fetch }()
+	case <-ctx.Done():
+		return "", n.failed(false, message.StepKey, reasonOf(ctx, ctx.Err()), ctx.Err()), false
+	}
+	if key, ok := n.keys.take(); ok {
+		return key, result{}, true
+	}
+	if r, ok := n.fetchKeys(ctx); !ok {
+		return "", r, false
+	}
+	if key, ok := n.keys.take(); ok {
+		return key, result{}, true
+	}
+	return "", n.failed(false, message.StepKey, message.ReasonInternal, errNoKeys), false
+}
+
+var errNoKeys = errors.New("the node issued no usable keys")
+
+func (n *node) fetchKeys(ctx context.Context) (result, bool) {
+	attempt, cancel := context.WithTimeout(ctx, n.opts.AttemptTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(attempt, http.MethodPost, "http://"+n.address+"/-/keys?n="+strconv.Itoa(n.opts.KeyBatch), nil)
+	if err != nil {
+		return n.failed(false, message.StepKey, message.ReasonInvalid, err), false
+	}
+	asked := time.Now()
+	resp, sent, err := n.roundTrip(attempt, req)
+	if err != nil {
+		r := n.noAnswer(ctx, sent, err)
+		r.outcome, r.sent, r.step = message.NotRun, false, message.StepKey // only the call for keys was sent
+		return r, false
+	}
+	defer resp.Body.Close()
+	body, err := readWhole(req, resp, maxKeyBody)
+	if err != nil {
+		return n.failed(false, message.StepKey, reasonOf(ctx, err), err), false
+	}
+	var issued issuedKeys
+	if resp.StatusCode != http.StatusOK {
+		r := n.failed(false, message.StepKey, message.ReasonInternal, fmt.Errorf("the node issued no keys: status %d", resp.StatusCode))
+		r.retryAfter = parseRetryAfter(resp.Header.Get(message.HeaderRetryAfter))
+		r.answered = r.retryAfter > 0
+		if reason := resp.Header.Get(message.HeaderReason); reason != "" {
+			r.reason = reason
+		}
+		return r, false
+	}
+	if err := json.Unmarshal(body, &issued); err != nil || len(issued.Keys) == 0 {
+		return n.failed(false, message.StepKey, message.ReasonInternal, errors.Join(errNoKeys, err)), false
+	}
+	// A key must stay valid for the whole call that uses it. The validity is counted from before the keys were issued.
+	until := asked.Add(time.Duration(issued.ValidMS)*time.Millisecond - n.opts.Timeout)
+	n.keys.set(issued.Keys, until)
+	return result{}, true
+}
--- /dev/null
+++ b/client/node.go
@@ -0,0 +1,279 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+const (
+	headerLocation = "Location"
+	idleTimeout    = 90 * time.Second
+	// answerMargin is the time that a node's final answer may take to arrive. The node is told to give up by so much before
+	// the client does, so that its answer is not lost.
+	answerMargin = 50 * time.Millisecond
+	maxKeyBody   = 1 << 20
+)
+
+// node is an entry node.
+type node struct {
+	address   string
+	opts      Options
+	transport *http.Transport
+	http      *khttp.Client
+	downUntil atomic.Int64 // Unix time in nanoseconds
+	keys      keyPool
+}
+
+func newNode(address string, opts Options) (*node, error) {
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		return nil, err
+	}
+	dialer := &net.Dialer{Timeout: opts.DialTimeout}
+	n := &node{
+		address: address, opts: opts, keys: newKeyPool(),
+		transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableCompression: true,
+			MaxIdleConns: opts.IdleConnections, MaxIdleConnsPerHost: opts.IdleConnections, IdleConnTimeout: idleTimeout,
+		},
+	}
+	var err error
+	n.http, err = khttp.NewClient(context.Background(),
+		khttp.WithEndpoint("http://"+address), khttp.WithTransport(noRedirects{n.transport}), khttp.WithTimeout(0),
+		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }))
+	return n, err
+}
+
+func (n *node) isDown(now time.Time) bool { return n.downUntil.Load() > now.UnixNano() }
+
+// markDown remembers that no connection could be opened. The keys of the node are dropped: if it comes back as another
+// process, it refuses them.
+func (n *node) markDown() {
+	n.downUntil.Store(time.Now().Add(n.opts.DownTime).UnixNano())
+	n.keys.clear()
+}
+
+// noRedirects hides the Location header from the HTTP client, which would follow it. send puts it back.
+type noRedirects struct{ http.RoundTripper }
+
+type locationKey struct{}
+
+// RoundTrip implements http.RoundTripper.
+func (t noRedirects) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.RoundTripper.RoundTrip(r)
+	if hidden, ok := r.Context().Value(locationKey{}).(*[]string); ok && err == nil {
+		*hidden = resp.Header[headerLocation]
+		resp.Header.Del(headerLocation)
+	}
+	return resp, err
+}
+
+// result is what one attempt produced.
+type result struct {
+	outcome message.Outcome
+	node    *node
+	sent    bool // the request may have reached the node
+	// answered says that the node answered the attempt with a complete response.
+	answered bool
+
+	status int
+	header http.Header
+	body   []byte
+
+	reason     string
+	step       message.Step
+	peer       string
+	detail     string
+	retryAfter time.Duration
+	budget     string
+	err        error
+}
+
+// failed returns the result of an attempt without an answer. A lost answer takes its retry budget with it.
+func (n *node) failed(sent bool, step message.Step, reason message.Reason, err error) result {
+	r := result{
+		outcome: message.NotRun, node: n, sent: sent, step: step, peer: n.address,
+		reason: reason.String(), detail: err.Error(), err: err, budget: "0",
+	}
+	if sent {
+		r.outcome = message.Unknown
+	}
+	return r
+}
+
+// reasonOf tells the end of a context from a failed connection.
+func reasonOf(ctx context.Context, err error) message.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return message.ReasonCancelled
+	case errors.Is(err, context.DeadlineExceeded), ctx.Err() != nil:
+		return message.ReasonDeadline
+	default:
+		return message.ReasonConnection
+	}
+}
+
+// send makes one attempt.
+func (n *node) send(ctx context.Context, x *exchange) result {
+	attempt, cancel := context.WithTimeout(ctx, n.opts.AttemptTimeout)
+	defer cancel()
+	req, err := n.request(attempt, x)
+	if err != nil {
+		return n.failed(false, message.StepAccept, message.ReasonInvalid, err)
+	}
+	resp, sent, err := n.roundTrip(attempt, req)
+	if err != nil {
+		return n.noAnswer(ctx, sent, err)
+	}
+	defer resp.Body.Close()
+	body, err := readWhole(req, resp, n.opts.MaxBody)
+	if err != nil {
+		return n.noAnswer(ctx, true, err)
+	}
+	return n.interpret(x, resp, body)
+}
+
+func (n *node) noAnswer(ctx context.Context, sent bool, err error) result {
+	reason := reasonOf(ctx, err)
+	if !sent {
+		if ctx.Err() == nil {
+			reason = message.ReasonConnection // the time to open a connection ran out, not the time of the request
+			n.markDown()
+		}
+		return n.failed(false, message.StepDial, reason, err)
+	}
+	if reason == message.ReasonDeadline {
+		// The connection may have gone silent, and idle ones with it; new ones may work.
+		n.transport.CloseIdleConnections()
+	}
+	return n.failed(true, message.StepAwait, reason, err)
+}
+
+func (n *node) request(ctx context.Context, x *exchange) (*http.Request, error) {
+	// The body must not be nil and must not have GetBody: net/http would repeat the request on its own.
+	req, err := http.NewRequestWithContext(ctx, x.req.Method, "http://"+n.address+x.req.Path, io.NopCloser(bytes.NewReader(x.req.Body)))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(x.req.Body))
+	if x.req.Header != nil {
+		req.Header = x.req.Header.Clone()
+	}
+	req.Header.Set(message.HeaderTraceparent, message.Traceparent(x.id, message.NewSpanID()))
+	if x.keyed {
+		req.Header.Set(message.HeaderKey, x.key)
+	}
+	if x.budget != "" {
+		req.Header.Set(message.HeaderRetries, x.budget)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		left := time.Until(deadline)
+		left -= min(left/10, answerMargin)
+		req.Header.Set(message.HeaderTimeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	}
+	return req, nil
+}
+
+// roundTrip sends the request and reports whether a connection was opened for it. Without one, nothing can have been sent.
+func (n *node) roundTrip(ctx context.Context, req *http.Request) (*http.Response, bool, error) {
+	var sent atomic.Bool
+	var location []string
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
+	ctx = context.WithValue(ctx, locationKey{}, &location)
+	resp, err := n.http.Do(req.WithContext(ctx))
+	if err != nil {
+		return nil, sent.Load(), err
+	}
+	if location != nil {
+		resp.Header[headerLocation] = location
+	}
+	return resp, true, nil
+}
+
+var (
+	errTooLong    = errors.New("the answer is longer than the limit")
+	errNoLength   = errors.New("the answer has no length, so it may have been cut short")
+	errCutShort   = errors.New("the answer was cut short")
+	errNoOutcome  = errors.New("the answer has no " + message.HeaderOutcome + " header")
+	errOtherReply = errors.New("the answer belongs to another request")
+)
+
+// readWhole reads the body and fails unless it is complete.
+func readWhole(req *http.Request, resp *http.Response, limit int64) ([]byte, error) {
+	empty := req.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !empty {
+		return nil, errNoLength
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", errCutShort, err)
+	case int64(len(body)) > limit:
+		return nil, errTooLong
+	}
+	return body, nil
+}
+
+// refusal is the body of a response that is not a target's answer.
+type refusal struct {
+	Step   string `json:"step"`
+	Peer   string `json:"peer"`
+	Detail string `json:"detail"`
+}
+
+// interpret reads a complete response. A response that does not come from a node says nothing about the request.
+func (n *node) interpret(x *exchange, resp *http.Response, body []byte) result {
+	if id := resp.Header.Get(message.HeaderRequestID); id != "" && id != x.id.String() {
+		return n.failed(true, message.StepAwait, message.ReasonInternal, fmt.Errorf("%w: %s", errOtherReply, id))
+	}
+	r := result{
+		node: n, sent: true, answered: true, status: resp.StatusCode, header: resp.Header, body: body, peer: n.address,
+		reason: resp.Header.Get(message.HeaderReason), budget: resp.Header.Get(message.HeaderRetries),
+		retryAfter: parseRetryAfter(resp.Header.Get(message.HeaderRetryAfter)),
+	}
+	if r.budget == "" {
+		r.budget = "0"
+	}
+	switch resp.Header.Get(message.HeaderOutcome) {
+	case message.Answered.String():
+		r.outcome = message.Answered
+		return r
+	case message.NotRun.String():
+		r.outcome = message.NotRun
+	case message.Unknown.String():
+		r.outcome = message.Unknown
+	default:
+		return n.failed(true, message.StepAwait, message.ReasonInternal, fmt.Errorf("%w, status %d", errNoOutcome, resp.StatusCode))
+	}
+	var f refusal
+	if json.Unmarshal(body, &f) == nil {
+		r.step, r.detail = message.Step(f.Step), f.Detail
+		if f.Peer != "" {
+			r.peer = f.Peer
+		}
+	}
+	return r
+}
+
+// parseRetryAfter reads a Retry-After header, in seconds or as a date. An unreadable one counts as absent.
+func parseRetryAfter(s string) time.Duration {
+	if seconds, err := strconv.ParseFloat(s, 64); err == nil && seconds >= 0 && seconds < 1e9 {
+		return time.Duration(seconds * float64(time.Second))
+	}
+	if date, err := http.ParseTime(s); err == nil {
+		return max(time.Until(date), 0)
+	}
+	return 0
+}
