--- a/internal/version/policy/load_test.go
+++ b/internal/version/policy/load_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"os"
 	"slices"
 	"strings"
@@ -235,6 +236,26 @@
 	}
 }
 
+// Measures a policy of the size that the design is for: 390 services, here with four routes each.
+func BenchmarkLoad(b *testing.B) {
+	var text strings.Builder
+	text.WriteString("[site]\nname = north\n")
+	for i := range 390 {
+		fmt.Fprintf(&text, "[service s%d]\nslots = 40\nconnections = 300\n", i)
+		for j := range 4 {
+			fmt.Fprintf(&text, "[route r%d-%d]\nservice = s%d\npath = /p%d\nclass = read\nrepeat = safe\n", i, j, i, j)
+		}
+	}
+	base, overlay := file("base.ini", baseText), file("north.ini", text.String())
+	b.SetBytes(int64(text.Len()))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := Load(base, overlay); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // Guards against input that crashes the parser, an accepted policy that breaks a rule, and findings outside the file.
 func FuzzLoad(f *testing.F) {
 	f.Add(baseText, overlayText)
