--- a/internal/version/schema/read.go
+++ b/internal/version/schema/read.go
@@ -163,7 +163,23 @@
 	return name, nil
 }
 
+// special are the characters that the ini library may treat as more than text.
+const special = "\"'`#;\\"
+
+// keyValue splits a line at its first equals sign. Lines with special characters are left to the ini library, which
+// allocates a file and its buffers for each line.
 func keyValue(text string) (key, value string, err error) {
+	if !strings.ContainsAny(text, special) {
+		key, value, ok := strings.Cut(text, "=")
+		key = strings.TrimSpace(key)
+		if ok && key != "" && key != "-" { // the library numbers keys named "-"
+			return key, strings.TrimSpace(value), nil
+		}
+	}
+	return libraryKeyValue(text)
+}
+
+func libraryKeyValue(text string) (key, value string, err error) {
 	parsed, err := ini.LoadSources(lineOptions, []byte(text))
 	if err != nil {
 		return "", "", fmt.Errorf("the line is not of the form \"key = value\"")
