--- a/internal/process/platform/resolve_test.go
+++ b/internal/process/platform/resolve_test.go
@@ -143,11 +143,13 @@
 func TestResolvePutWithoutAnswer(t *testing.T) {
 	f := newFixture(t)
 	f.faults(t, platformserver.Faults{Down: true})
-	_, err := platform.ResolvePut(t.Context(), f.table, claim("id-1"))
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	_, err := platform.ResolvePut(ctx, f.table, claim("id-1"))
 	requireOnly(t, err, platform.ErrUnavailable)
 
 	f.faults(t, platformserver.Faults{Hang: true})
-	ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+	ctx, cancel = context.WithTimeout(t.Context(), 400*time.Millisecond)
 	defer cancel()
 	h := &hooked{Table: f.table, beforeGet: func() { f.faults(t, platformserver.Faults{Down: true}) }}
 	_, err = platform.ResolvePut(ctx, h, claim("id-1"))
