Take the configuration from the platform: submit, fetch, status and drain

make run now starts nodes without a policy, submits version 1 with wigeonctl and then sends requests.

Two faults found on the way. Control messages to a peer that is leaving dialed a new link each, about 500 a second; a leaving link now stays open for control messages and only refuses requests. The fake target's periodic announcement could overtake the one that says draining; announcements now go out one at a time.

--- a/cmd/wigeonctl/main.go
+++ b/cmd/wigeonctl/main.go
@@ -20,10 +20,12 @@
 
 // Exit codes. A number never changes its meaning.
 const (
-	exitOK       = 0
-	exitFindings = 1 // findings of severity error
-	exitUsage    = 2 // unknown subcommand or flag, or wrong arguments
-	exitFailed   = 3 // the command could not do its work, for example because a file cannot be read
+	exitOK        = 0
+	exitFindings  = 1 // findings of severity error
+	exitUsage     = 2 // unknown subcommand or flag, or wrong arguments
+	exitFailed    = 3 // the command could not do its work, for example because a file cannot be read
+	exitRefused   = 4 // the change was refused
+	exitUnsettled = 5 // the result of the change is not known yet
 )
 
 // exitError is an error with the exit code that it leads to. Errors without one are usage errors, because those of the
@@ -61,7 +63,7 @@
 	app := &cli.Command{
 		Name:           "wigeonctl",
 		Usage:          "checks, compares and submits policy files and operates nodes",
-		Description:    "Exit codes: 0 ok, 1 findings of severity error, 2 usage, 3 failed.",
+		Description:    "Exit codes: 0 ok, 1 findings of severity error, 2 usage, 3 failed, 4 change refused, 5 change not settled.",
 		Flags:          []cli.Flag{&cli.BoolFlag{Name: flagJSON, Usage: "print the result as one JSON object"}},
 		Writer:         stdout,
 		ErrWriter:      stderr,
--- a/internal/connection/link/outbound.go
+++ b/internal/connection/link/outbound.go
@@ -139,11 +139,8 @@
 		slog.String("cause", cause.Error()))
 }
 
-// usable reports whether new requests may be sent on the link.
+// usable reports whether the link is open. A link whose peer is leaving stays usable for control messages.
 func (o *outbound) usable() bool {
-	if o.leaving.Load() {
-		return false
-	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return !o.closed
@@ -152,6 +149,9 @@
 // send sends the request and waits for its response. It reports false, with no response, if the link was closed before
 // the request was queued; the request can then be sent on another link.
 func (o *outbound) send(ctx context.Context, req *message.Request) (*message.Response, bool) {
+	if o.leaving.Load() {
+		return message.Refuse(message.ReasonLeaving, message.Errorf(message.StepSend, o.peer.Address, "node is leaving")), true
+	}
 	stream, c, err := o.open(req)
 	if err != nil {
 		return message.Refuse(message.ReasonInvalid, message.Errorf(message.StepSend, o.peer.Address, "%v", err)), true
@@ -365,7 +365,7 @@
 			case waiting && silent >= o.cfg.HeartbeatInterval:
 				sequence++
 				o.post(&wire.Ping{Sequence: sequence})
-			case !waiting && (idle >= o.cfg.IdleTimeout || o.leaving.Load()):
+			case !waiting && idle >= o.cfg.IdleTimeout:
 				return errIdle
 			}
 		}
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -11,6 +11,7 @@
 	SettingsRead   = Event{104, slog.LevelInfo, "settings read", ""}
 	InvariantFail  = Event{105, slog.LevelError, "invariant violated", "Report the line with the lines around it: this is a fault of the program."}
 	ServerFailed   = Event{106, slog.LevelError, "server failed", "Check that the address in the settings is free and belongs to this VM."}
+	ConfigUnusable = Event{108, slog.LevelError, "accepted configuration cannot be used", "Compare the release of this node with the others. The node takes no new work until it can use the accepted version."}
 	LeaveUnsent    = Event{107, slog.LevelWarn, "leave was not sent to all peers", "Nothing: the other nodes find out by their probes."}
 )
 
@@ -33,7 +34,7 @@
 func All() []Event {
 	return []Event{
 		ProcessStarted, ProcessStopped, DrainStarted, DrainCut, SettingsRead, InvariantFail, ServerFailed,
-		LeaveUnsent,
+		LeaveUnsent, ConfigUnusable,
 		LinkOpened, LinkClosed, LinkSilent, LinkRefused, FrameInvalid,
 		TargetAnnounced, TargetLapsed,
 		MemberJoined, MemberReplaced, MemberSuspected, MemberDied, MemberLeft, SelfActive, SelfIsolated,
--- a/internal/process/event/rollout.go
+++ b/internal/process/event/rollout.go
@@ -15,10 +15,3 @@
 	ChangeSuperseded  = Event{713, slog.LevelWarn, "another node took over the configuration change", ""}
 	AuditDropped      = Event{720, slog.LevelWarn, "audit entries dropped because the buffer is full", "Restore the platform; the number of dropped entries is recorded in the trail."}
 )
-
-func rolloutEvents() []Event {
-	return []Event{
-		ConfigApplied, ConfigConfirmed, ConfigUnconfirmed, ConfigForwarded, ConfigConflict,
-		ChangeAccepted, ChangeRefused, ChangeTakenOver, ChangeSuperseded, AuditDropped,
-	}
-}
--- /dev/null
+++ b/internal/process/node/config.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/link"
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/membership"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/rollout"
+)
+
+// Names of the files in a bundle.
+const (
+	BaseFile      = "base.ini"
+	overlaySuffix = ".ini"
+)
+
+// OverlayFile returns the name of a site's overlay in a bundle.
+func OverlayFile(site string) string { return site + overlaySuffix }
+
+// newRollout returns the rollout of configuration versions, or nil without a platform.
+func (n *Node) newRollout() *rollout.Runner {
+	if n.opts.Table == nil {
+		return nil
+	}
+	s := n.settings
+	return rollout.NewRunner(rollout.Options{
+		Address:   s.Node.PeerAddress,
+		Zone:      s.Node.AvailabilityZone,
+		Join:      s.Seeds,
+		Transport: configTransport{n.pool},
+		Table:     n.opts.Table,
+		Objects:   n.opts.Objects,
+		Members:   &memberView{members: n.members, heard: map[string]time.Time{}},
+		Check:     CheckBundle,
+		Apply:     n.applyBundle,
+		Logger:    n.log,
+	})
+}
+
+// configTransport sends configuration messages over links.
+type configTransport struct{ pool *link.Pool }
+
+func (t configTransport) Send(ctx context.Context, peer string, payload []byte) error {
+	return t.pool.SendControl(ctx, peer, wire.ChannelConfig, payload)
+}
+
+// memberView shows the rollout who the members are and when they were last known to be alive.
+type memberView struct {
+	members *membership.Runner
+
+	mu    sync.Mutex
+	heard map[string]time.Time
+}
+
+// Members implements rollout.Members. Membership reports a silent member as suspect after some probes, so a member that is
+// not suspect counts as heard now; this can only delay a change, never accept one too early.
+func (v *memberView) Members() []rollout.MemberInfo {
+	snap := v.members.Snapshot()
+	now := time.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	heard := make(map[string]time.Time, len(snap.Members))
+	out := make([]rollout.MemberInfo, 0, len(snap.Members))
+	for i := range snap.Members {
+		m := &snap.Members[i]
+		at := v.heard[m.Address]
+		if m.State != membership.Suspect && m.State != membership.Dead {
+			at = now
+		}
+		heard[m.Address] = at
+		out = append(out, rollout.MemberInfo{
+			Address: m.Address, Zone: m.Zone, LastHeard: at, Left: m.State == membership.Left,
+		})
+	}
+	v.heard = heard
+	return out
+}
+
+// errBundle reports a bundle that does not hold the files of a policy.
+var errBundle = errors.New("bundle is no policy")
+
+// CheckBundle checks every site's policy in an encoded bundle.
+func CheckBundle(body []byte) error {
+	base, overlays, err := splitBundle(body)
+	if err != nil {
+		return err
+	}
+	if len(overlays) == 0 {
+		return fmt.Errorf("%w: no overlay", errBundle)
+	}
+	for _, overlay := range overlays {
+		pol, _, err := policy.Load(base, overlay)
+		if err != nil {
+			return err
+		}
+		if OverlayFile(pol.Site) != overlay.Name {
+			return fmt.Errorf("%w: %s is the overlay of site %q", errBundle, overlay.Name, pol.Site)
+		}
+	}
+	return nil
+}
+
+// splitBundle returns the base file and the overlays of a bundle.
+func splitBundle(body []byte) (base policy.File, overlays []policy.File, err error) {
+	bundle, err := rollout.DecodeBundle(body)
+	if err != nil {
+		return base, nil, err
+	}
+	for _, f := range bundle.Files {
+		if f.Name == BaseFile {
+			base = policy.File{Name: f.Name, Body: f.Body}
+			continue
+		}
+		overlays = append(overlays, policy.File{Name: f.Name, Body: f.Body})
+	}
+	if base.Name == "" {
+		return base, nil, fmt.Errorf("%w: no %s", errBundle, BaseFile)
+	}
+	return base, overlays, nil
+}
+
+// sitePolicy returns a site's policy from a bundle. A site without an overlay does not differ from the base file.
+func sitePolicy(body []byte, site string) (*policy.Policy, error) {
+	base, overlays, err := splitBundle(body)
+	if err != nil {
+		return nil, err
+	}
+	own := policy.File{Name: OverlayFile(site), Body: []byte("[site]\nname = " + site + "\n")}
+	for _, f := range overlays {
+		if f.Name == own.Name {
+			own = f
+		}
+	}
+	pol, _, err := policy.Load(base, own)
+	return pol, err
+}
+
+// current is the configuration in force.
+type current struct {
+	version uint64
+	body    []byte
+}
+
+// applyBundle puts an accepted version in force. The bundle was checked before it was accepted.
+func (n *Node) applyBundle(version uint64, body []byte) {
+	pol, err := sitePolicy(body, n.settings.Node.Site)
+	if err != nil {
+		n.unusable.Store(true)
+		event.Log(n.log, event.ConfigUnusable, slog.Uint64("version", version), slog.String("error", err.Error()))
+		return
+	}
+	n.unusable.Store(false)
+	n.Apply(pol.At(version))
+	n.current.Store(&current{version: version, body: body})
+}
+
+// receiveConfig takes a configuration message of a peer.
+func (n *Node) receiveConfig(peer string, payload []byte) {
+	if n.rollout == nil {
+		return
+	}
+	if err := n.rollout.Receive(peer, payload); err != nil {
+		event.Log(n.log, event.FrameInvalid, slog.String("peer", peer), slog.String("error", err.Error()))
+	}
+}
+
+// confirmed reports whether the node may take new work under its configuration.
+func (n *Node) confirmed() bool {
+	if n.policy.Load() == nil || n.unusable.Load() {
+		return false
+	}
+	return n.rollout == nil || n.rollout.Confirmed(time.Now())
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/rollout"
 )
 
 // Options are the surroundings of a node.
@@ -58,6 +59,9 @@
 
 	announcements *membership.Announcements
 	members       *membership.Runner
+	rollout       *rollout.Runner // nil without a platform
+	current       atomic.Pointer[current]
+	unusable      atomic.Bool // the accepted version could not be put in force
 	ready         atomic.Bool // the target takes work
 	slots         atomic.Int64
 
@@ -113,6 +117,7 @@
 		Binder:    newBinder(keys, opts.Table),
 	})
 	n.members = n.newMembers()
+	n.rollout = n.newRollout()
 	return n, nil
 }
 
@@ -162,14 +167,14 @@
 
 // HandleControl implements link.Handler.
 func (n *Node) HandleControl(from link.Peer, channel wire.Channel, payload []byte) {
-	if channel == wire.ChannelGossip {
+	switch channel {
+	case wire.ChannelGossip:
 		n.members.Receive(from.Address, payload)
+	case wire.ChannelConfig:
+		n.receiveConfig(from.Address, payload)
 	}
 }
 
-// confirmed reports whether the node may take new work under its configuration.
-func (n *Node) confirmed() bool { return n.policy.Load() != nil }
-
 // limits returns the limits on requests.
 func (n *Node) limits() policy.Limits {
 	if pol := n.policy.Load(); pol != nil {
@@ -259,6 +264,9 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { n.members.Run(background) })
 	parts.Go(func() { n.watchTarget(background) })
+	if n.rollout != nil {
+		parts.Go(func() { n.rollout.Run(background) })
+	}
 	event.Log(n.log, event.ProcessStarted, slog.String("peer_address", n.settings.Node.PeerAddress),
 		slog.String("caller_address", n.settings.Node.CallerAddress), slog.Uint64("incarnation", n.incarnation))
 	var err error
--- a/internal/process/node/servers.go
+++ b/internal/process/node/servers.go
@@ -153,6 +153,7 @@
 	})
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, n.status()) })
+	n.configRoutes(mux)
 	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, _ *http.Request) {
 		n.once.Do(func() { close(n.drain) })
 		writeJSON(w, http.StatusAccepted, n.status())
--- a/internal/standin/target/report.go
+++ b/internal/standin/target/report.go
@@ -74,6 +74,9 @@
 }
 
 func (t *Target) announce(ctx context.Context) error {
+	// One announcement at a time: otherwise one that was made before a change of state could arrive after the next.
+	t.announcing.Lock()
+	defer t.announcing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	body, err := json.Marshal(Announcement{
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -101,6 +101,8 @@
 	stop     context.CancelFunc
 	loops    sync.WaitGroup
 
+	announcing sync.Mutex
+
 	slots   chan struct{}
 	waiting atomic.Int64
 	running atomic.Int64
--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -50,7 +50,7 @@
 # site NAME SERVICE[=CALL]... starts a platform and, for each service, two nodes with a target each in different availability
 # zones. Sets entry to the caller address of the first node and admin to its admin address.
 site() {
-	local site=$1 seeds="" entry_set=""
+	local site=$1 seeds="" entry_set="" adm admins=()
 	shift
 	mapfile -t ports < <("$bin/wigeon-standin" ports --count $((1 + 10 * $#)))
 	local platform=127.0.0.1:${ports[0]} next=1
@@ -62,7 +62,8 @@
 		fi
 		for zone in az1 az2; do
 			local caller=127.0.0.1:${ports[next]} peer=127.0.0.1:${ports[next + 1]} own=127.0.0.1:${ports[next + 2]}
-			local adm=127.0.0.1:${ports[next + 3]} target=127.0.0.1:${ports[next + 4]}
+			adm=127.0.0.1:${ports[next + 3]}
+			local target=127.0.0.1:${ports[next + 4]}
 			next=$((next + 5))
 			cat >"$run/$site-$service-$zone.ini" <<INI
 [node]
@@ -80,9 +81,9 @@
 
 $([ -z "$seeds" ] || printf '[peers]\nseeds = %s\n' "$seeds")
 
-[policy]
-base = examples/base.ini
-overlay = examples/$site.ini
+[platform]
+table_url = http://$platform
+objects_url = http://$platform
 INI
 			start "$site-$service-$zone-node" "$bin/wigeoncleat-node" --settings "$run/$site-$service-$zone.ini"
 			start "$site-$service-$zone-target" "$bin/wigeon-standin" target --listen "$target" --service "$service" \
@@ -90,9 +91,16 @@
 			if [ -z "$entry_set" ]; then
 				entry=$caller admin=$adm seeds=$peer entry_set=1
 			fi
-			wait_ready "http://$adm/ready"
+			wait_ready "http://$adm/health"
+			admins+=("$adm")
 		done
 	done
+	sleep 2 # gossip
+	"$bin/wigeonctl" submit --node "$admin" --against 0 --author make-run --comment "first version" \
+		examples/base.ini "examples/$site.ini" 2>"$run/$site-submit.log"
+	for adm in "${admins[@]}"; do
+		wait_ready "http://$adm/ready"
+	done
 }
 
 # request METHOD URL [HEADER] prints the outcome of one request.
@@ -116,7 +124,6 @@
 echo "== site gnomon: catalogue -> order-tracking -> charts, commission -> order-tracking"
 site gnomon charts order-tracking=charts/latitude catalogue=order-tracking/status commission=order-tracking/status
 gnomon=http://$entry gnomon_admin=http://$admin
-sleep 2 # gossip
 
 request GET "$haetsal/menu-board/boards/1"
 request POST "$haetsal/stock-ordering/orders" "Idempotency-Key: $(key "$haetsal")"
