Add wigeon-load

Trials need callers at a fixed rate that does not slow down with the targets, and figures for goodput and recovery: good answers by second, outcomes with their reasons, and latencies that count from the time at which a request was due.

A request that cannot start within its timeout because all callers are busy is counted as skipped, so that a backlog does not grow without bound and does not disappear from the figures.

--- /dev/null
+++ b/cmd/wigeon-load/load.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/client"
+)
+
+// kind is one kind of request of the mix.
+type kind struct {
+	name   string // service, method and path
+	method string
+	path   string  // with the service
+	upTo   float64 // sum of the weights of this kind and those before it, as a share of all
+}
+
+// parseMix reads kinds of the form SERVICE:METHOD:PATH:WEIGHT, separated by commas.
+func parseMix(s string) ([]kind, error) {
+	var kinds []kind
+	var sum float64
+	for item := range strings.SplitSeq(s, ",") {
+		service, rest, _ := strings.Cut(strings.TrimSpace(item), ":")
+		method, rest, _ := strings.Cut(rest, ":")
+		colon := strings.LastIndexByte(rest, ':') // a path may contain colons
+		if service == "" || method == "" || colon < 1 || rest[0] != '/' {
+			return nil, fmt.Errorf("mix %q: want SERVICE:METHOD:/PATH:WEIGHT", item)
+		}
+		weight, err := strconv.ParseFloat(rest[colon+1:], 64)
+		if err != nil || !(weight > 0) {
+			return nil, fmt.Errorf("mix %q: weight %q is not a positive number", item, rest[colon+1:])
+		}
+		sum += weight
+		path := rest[:colon]
+		kinds = append(kinds, kind{name: service + " " + method + " " + path, method: method, path: "/" + service + path, upTo: sum})
+	}
+	for i := range kinds {
+		kinds[i].upTo /= sum
+	}
+	return kinds, nil
+}
+
+const tallies = 16
+
+// load is one run.
+type load struct {
+	client   *client.Client
+	mix      []kind
+	rate     float64 // requests per second
+	duration time.Duration
+	timeout  time.Duration
+	callers  int
+	body     int // bytes
+	seed     uint64
+}
+
+// run sends the requests. Request i is due at i / rate after the start. Its latency counts from that time, so that
+// waiting for a free caller is not hidden.
+func (l *load) run(ctx context.Context) *report {
+	total := int64(l.rate * l.duration.Seconds())
+	parts := make([]*tally, tallies)
+	start := time.Now()
+	for i := range parts {
+		parts[i] = newTally(start)
+	}
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	for i := range l.callers {
+		wg.Go(func() {
+			for n := next.Add(1) - 1; n < total; n = next.Add(1) - 1 {
+				due := start.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
+				if !sleepUntil(ctx, due) {
+					return
+				}
+				l.one(ctx, n, due, parts[i%tallies])
+			}
+		})
+	}
+	wg.Wait()
+	l.client.Close()
+	return newReport(l, parts, time.Since(start))
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// one sends request n.
+func (l *load) one(ctx context.Context, n int64, due time.Time, t *tally) {
+	rng := rand.New(rand.NewPCG(l.seed, uint64(n)))
+	k := l.pick(rng.Float64())
+	late := time.Since(due)
+	if late > l.timeout {
+		t.add(k.name, outcomeSkipped, "", 0, late)
+		return
+	}
+	req := client.Request{Method: k.method, Path: k.path}
+	switch k.method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+	default:
+		req.Body = bytes.Repeat([]byte{'a' + byte(rng.IntN(26))}, l.body)
+	}
+	t.started(late)
+	resp, err := l.client.Do(ctx, req)
+	outcome, reason, attempts := classify(resp, err)
+	t.add(k.name, outcome, reason, attempts, time.Since(due))
+}
+
+func (l *load) pick(share float64) kind {
+	for _, k := range l.mix {
+		if share < k.upTo {
+			return k
+		}
+	}
+	return l.mix[len(l.mix)-1]
+}
+
+// classify returns the outcome of a request, its reason, and its attempts.
+func classify(resp *client.Response, err error) (outcome, reason string, attempts int) {
+	var notRun *client.NotRunError
+	var unknown *client.UnknownError
+	switch {
+	case errors.As(err, &notRun):
+		return outcomeNotRun, notRun.Reason, notRun.Attempts
+	case errors.As(err, &unknown):
+		return outcomeUnknown, unknown.Reason, unknown.Attempts
+	case resp.Status < http.StatusBadRequest:
+		return outcomeGood, "", resp.Attempts
+	default:
+		return outcomeError, "status " + strconv.Itoa(resp.Status), resp.Attempts
+	}
+}
