--- a/internal/standin/target/report.go
+++ b/internal/standin/target/report.go
@@ -52,7 +52,6 @@
 // Announcement is the body of POST /-/announce at the node.
 type Announcement struct {
 	Service     string `json:"service"`
-	Address     string `json:"address"` // on which the target serves
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	State       State  `json:"state"`
@@ -77,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	body, err := json.Marshal(Announcement{
-		Service: t.opts.Service, Address: t.Addr(), Slots: t.opts.Slots, Connections: t.opts.Connections,
+		Service: t.opts.Service, Slots: t.opts.Slots, Connections: t.opts.Connections,
 		State: t.State(), Lease: t.opts.Lease.Milliseconds(),
 	})
 	if err != nil {
