Limit the binding writes in flight

Cause: every 2 ms a group of keys was written, whether or not earlier writes had been answered. A slow platform got many small writes from every node, and all nodes share several hundred writes a second.

At most two writes are now in flight per node; keys that arrive meanwhile share the next write.

--- a/internal/process/once/bind.go
+++ b/internal/process/once/bind.go
@@ -22,6 +22,7 @@
 const (
 	DefaultGroupWait   = 2 * time.Millisecond
 	DefaultGroupSize   = 100
+	DefaultInFlight    = 2
 	DefaultCallTimeout = 500 * time.Millisecond
 	DefaultMaxPending  = 1000
 	DefaultCacheSize   = 20_000
@@ -38,6 +39,7 @@
 type BinderOptions struct {
 	GroupWait   time.Duration // how long a key waits for others to share its write; default 2 ms
 	GroupSize   int           // most keys in one write; default 100
+	InFlight    int           // writes at the same time; keys that arrive meanwhile share the next write; default 2
 	CallTimeout time.Duration // longest wait for one call of the platform; default 500 ms
 	MaxPending  int           // keys being bound; further ones fail with ErrUnbound at once; default 1,000
 	CacheSize   int           // known bindings that are kept; default 20,000
@@ -46,6 +48,7 @@
 func (o BinderOptions) withDefaults() BinderOptions {
 	setDefault(&o.GroupWait, DefaultGroupWait)
 	setDefault(&o.GroupSize, DefaultGroupSize)
+	setDefault(&o.InFlight, DefaultInFlight)
 	setDefault(&o.CallTimeout, DefaultCallTimeout)
 	setDefault(&o.MaxPending, DefaultMaxPending)
 	setDefault(&o.CacheSize, DefaultCacheSize)
@@ -72,9 +75,10 @@
 	opts  BinderOptions
 	cache [shardCount]cache
 
-	mu      sync.Mutex
-	binding map[string]*entry // keys being bound
-	next    []*entry          // the group that is being collected
+	mu       sync.Mutex
+	binding  map[string]*entry // keys being bound
+	next     []*entry          // keys that are not in a group yet
+	inFlight int               // groups being bound
 }
 
 // entry is a key being bound. Its result is set before done is closed.
@@ -138,22 +142,36 @@
 	b.next = append(b.next, e)
 	switch len(b.next) {
 	case b.opts.GroupSize:
-		group := b.next
-		b.next = nil
-		go b.bind(group)
+		go b.flush()
 	case 1:
 		time.AfterFunc(b.opts.GroupWait, b.flush)
 	}
 	return e, nil
 }
 
-// flush binds the collected group.
+// flush binds the collected keys, group by group. It leaves them to the groups in flight if there are enough of these, so
+// that a slow platform gets fewer and larger writes.
 func (b *Binder) flush() {
+	for group := b.take(); len(group) > 0; group = b.take() {
+		b.bind(group)
+		b.mu.Lock()
+		b.inFlight--
+		b.mu.Unlock()
+	}
+}
+
+// take returns the next group, or nil if there is none or the groups in flight will see to it.
+func (b *Binder) take() []*entry {
 	b.mu.Lock()
-	group := b.next
-	b.next = nil
-	b.mu.Unlock()
-	b.bind(group)
+	defer b.mu.Unlock()
+	if len(b.next) == 0 || b.inFlight >= b.opts.InFlight {
+		return nil
+	}
+	n := min(len(b.next), b.opts.GroupSize)
+	group := b.next[:n:n]
+	b.next = b.next[n:]
+	b.inFlight++
+	return group
 }
 
 // finish publishes the result of a key.
--- a/internal/process/once/once_test.go
+++ b/internal/process/once/once_test.go
@@ -375,6 +375,27 @@
 	})
 }
 
+// Guards against a slow platform that gets many small writes, and against keys that wait for ever behind those in flight.
+func TestSlowPlatformGetsFewWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &raceTable{Platform: memory.New()}
+		table.SetFaults(memory.Faults{Delay: 50 * time.Millisecond})
+		b := NewBinder(newStore(t, Options{}), table, BinderOptions{GroupSize: 40})
+		var wg sync.WaitGroup
+		for i := range 200 {
+			wg.Go(func() {
+				got, err := b.Bind(t.Context(), mustParse(t, fmt.Sprintf("k%d", i)))
+				require.NoError(t, err)
+				require.True(t, got.Mine)
+			})
+			time.Sleep(time.Millisecond)
+		}
+		wg.Wait()
+		require.LessOrEqual(t, table.commits.Load(), int64(10))
+		require.Empty(t, b.binding)
+	})
+}
+
 // Guards against a lost answer after the write took effect that binds the key elsewhere or not at all, and against an
 // outage that blocks callers or marks a key as used.
 func TestLostAnswerAndOutage(t *testing.T) {
@@ -414,3 +435,25 @@
 		require.Equal(t, []any{Foreign, message.Unknown}, []any{res.Verdict, res.Response.Outcome})
 	}
 }
+
+// Shows what a key costs on the path of a request.
+func BenchmarkBeginDone(b *testing.B) {
+	s := newStore(b, Options{MaxRecords: 1 << 30, MaxBytes: 1 << 40})
+	body := answer("a small response")
+	f := fp("a")
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		var keys []string
+		for pb.Next() {
+			if len(keys) == 0 {
+				keys = s.Issue(MaxIssue)
+			}
+			k, err := Parse(keys[0])
+			if err != nil {
+				b.Error(err)
+			}
+			keys = keys[1:]
+			s.Begin(k, f).Claim.Done(body)
+		}
+	})
+}
