--- a/client/client.go
+++ b/client/client.go
@@ -55,7 +55,8 @@
 	Backoff time.Duration
 	// MaxRetryAfter is the longest Retry-After that Do waits for. A longer one is returned in the error. Default: 2 s.
 	MaxRetryAfter time.Duration
-	// IgnoreRetryAfter repeats at once whatever the answer says. It exists for load tests of overload. Default: false.
+	// IgnoreRetryAfter repeats at once, whether or not an answer has Retry-After. It exists for load tests of overload.
+	// Default: false.
 	IgnoreRetryAfter bool
 	// KeyBatch is the number of keys that are fetched at once. Larger batches cost fewer calls, but more keys expire
 	// unused. Default: 16.
@@ -332,7 +333,7 @@
 	if x.refusedKey(r) {
 		return x.untried() || x.forgive()
 	}
-	if r.answered && r.retryAfter == 0 && !(elsewhere[r.reason] && x.untried()) {
+	if r.answered && r.retryAfter == 0 && !x.c.opts.IgnoreRetryAfter && !(elsewhere[r.reason] && x.untried()) {
 		return false // the node says that a repeat is of no use
 	}
 	if !x.untried() {
--- a/cmd/wigeon-load/report.go
+++ b/cmd/wigeon-load/report.go
@@ -32,8 +32,9 @@
 	Outcomes map[string]int64 `json:"outcomes"`
 	Reasons  map[string]int64 `json:"reasons"` // "OUTCOME: REASON"
 	Attempts int64            `json:"attempts"`
-	Goodput  float64          `json:"goodput_per_second"`
-	Latency  quantiles        `json:"latency_ms"` // of good requests, from the time at which they were due
+	Goodput  float64          `json:"goodput_per_second"` // over the whole run, until the last request ended
+	Good     float64          `json:"good_share"`         // of all requests, with the skipped ones
+	Latency  quantiles        `json:"latency_ms"`         // of good requests, from the time at which they were due
 
 	latency *hdrhistogram.Histogram // microseconds
 }
@@ -65,10 +66,19 @@
 	Max  float64 `json:"max"`
 }
 
+func (c *counts) total() int64 {
+	var sum int64
+	for _, n := range c.Outcomes {
+		sum += n
+	}
+	return sum
+}
+
 func (c *counts) finish(elapsed time.Duration) {
 	ms := func(q float64) float64 { return float64(c.latency.ValueAtQuantile(q)) / 1000 }
 	c.Latency = quantiles{P50: ms(50), P90: ms(90), P99: ms(99), P999: ms(99.9), Max: float64(c.latency.Max()) / 1000}
 	c.Goodput = float64(c.Outcomes[outcomeGood]) / elapsed.Seconds()
+	c.Good = float64(c.Outcomes[outcomeGood]) / float64(max(c.total(), 1))
 }
 
 // tally collects the results of some of the callers, so that they do not all wait for one lock and need not have
@@ -147,9 +157,7 @@
 	for _, c := range r.Kinds {
 		c.finish(elapsed)
 	}
-	for _, n := range r.Outcomes {
-		r.Requests += n
-	}
+	r.Requests = r.total()
 	return r
 }
 
@@ -158,10 +166,10 @@
 	fmt.Fprintf(out, "%d requests in %.1f s at %.1f/s, %d attempts, seed %d, latest start %.1f ms after its time\n",
 		r.Requests, r.Seconds, r.Rate, r.Attempts, r.Seed, r.LateMS)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "request\tgoodput/s\tgood\terror\tnot-run\tunknown\tskipped\tp50 ms\tp90 ms\tp99 ms\tp99.9 ms\tmax ms")
+	fmt.Fprintln(w, "request\tgoodput/s\tgood share\tgood\terror\tnot-run\tunknown\tskipped\tp50 ms\tp90 ms\tp99 ms\tp99.9 ms\tmax ms")
 	line := func(name string, c *counts) {
 		o, q := c.Outcomes, c.Latency
-		fmt.Fprintf(w, "%s\t%.1f\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\n", name, c.Goodput, o[outcomeGood], o[outcomeError],
+		fmt.Fprintf(w, "%s\t%.1f\t%.4f\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\n", name, c.Goodput, c.Good, o[outcomeGood], o[outcomeError],
 			o[outcomeNotRun], o[outcomeUnknown], o[outcomeSkipped], q.P50, q.P90, q.P99, q.P999, q.Max)
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.Kinds)) {
