Mark nodes as down only after errors of dialling

A request that net/http refuses to send, for example because of an invalid header, opened no connection and therefore marked every node in turn as unreachable and dropped its keys. Only errors of dialling count now; the request fails as invalid at once. Keys with a validity below the client's timeout were never usable; half of the validity now is.

Also tests the reports and the connection limit of the fake target, which trials rely on, and gives three identifiers of the client plainer names.

Each rule broken on a scratch copy: - invalid requests mark the node as down: go test ./client: FAIL TestInvalidRequestsDoNotMarkNodesDown - connections are not limited: go test ./internal/standin/target: FAIL TestConnectionLimit - reports do not lag: go test ./internal/standin/target: FAIL TestReportsLagAndMislead

--- a/client/client.go
+++ b/client/client.go
@@ -219,17 +219,17 @@
 
 // exchange is one call of Do.
 type exchange struct {
-	c        *Client
-	req      Request
-	id       message.ID
-	keyed    bool
-	key      string
-	issuer   *node // of the key; nil for the caller's own key
-	avoid    map[*node]bool
-	budget   string // retry budget left over from the last answer; empty before the first attempt
-	attempts int    // attempts that count towards Options.Attempts
-	sent     int    // attempts that may have reached a node
-	unsure   bool   // an attempt may have run the request, or may still do so
+	c          *Client
+	req        Request
+	id         message.ID
+	keyed      bool
+	key        string
+	issuer     *node // of the key; nil for the caller's own key
+	avoid      map[*node]bool
+	budget     string // retry budget left over from the last answer; empty before the first attempt
+	attempts   int    // attempts that count towards Options.Attempts
+	sent       int    // attempts that may have reached a node
+	mayHaveRun bool   // an attempt may have run the request, or may still do so
 }
 
 // newExchange checks a request. Headers that have a field of their own in Request count as that field.
@@ -261,10 +261,10 @@
 
 // attempt sends the request once, after getting a key if it needs one.
 func (x *exchange) attempt(ctx context.Context) result {
-	if x.issuer != nil && (!x.avoid[x.issuer] || x.unsure) && !x.issuer.isDown(time.Now()) {
+	if x.issuer != nil && (!x.avoid[x.issuer] || x.mayHaveRun) && !x.issuer.isDown(time.Now()) {
 		return x.issuer.send(ctx, x)
 	}
-	fresh := x.keyed && x.req.Key == "" && !x.unsure
+	fresh := x.keyed && x.req.Key == "" && !x.mayHaveRun
 	if fresh {
 		// Nothing was delivered under the old key, so a new one cannot cause a second execution.
 		x.key, x.issuer = "", nil
@@ -295,12 +295,12 @@
 		x.budget = r.budget
 	}
 	if r.outcome == message.Unknown && !x.refusedKey(r) {
-		x.unsure = true
+		x.mayHaveRun = true
 	}
 	if x.refusedKey(r) {
 		r.node.keys.clear() // keys of the same batch are refused too
 	}
-	if r.node != nil && (!r.sent || x.refusedKey(r) || elsewhere[r.reason]) {
+	if r.node != nil && (!r.sent || x.refusedKey(r) || retryElsewhere[r.reason]) {
 		x.avoid[r.node] = true
 	}
 }
@@ -309,11 +309,11 @@
 // was restarted after it had issued the key. The node says "unknown", because it cannot tell whether the key was used;
 // the client can.
 func (x *exchange) refusedKey(r result) bool {
-	return r.reason == message.ReasonKeyExpired.String() && r.answered && x.issuer != nil && !x.unsure
+	return r.reason == message.ReasonKeyExpired.String() && r.answered && x.issuer != nil && !x.mayHaveRun
 }
 
-// elsewhere holds the reasons for which another node may accept the request.
-var elsewhere = map[string]bool{
+// retryElsewhere holds the reasons for which another node may accept the request.
+var retryElsewhere = map[string]bool{
 	message.ReasonLeaving.String():     true,
 	message.ReasonUnconfirmed.String(): true,
 }
@@ -321,7 +321,7 @@
 // again waits until the next attempt and reports whether there is one.
 func (x *exchange) again(ctx context.Context, r result) bool {
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, !r.sent && r.reason == message.ReasonInvalid.String():
 		return false
 	case r.node != nil && !r.sent && x.untried():
 		return true // nothing was delivered: go on with the next node
@@ -331,13 +331,13 @@
 		return false
 	}
 	if x.refusedKey(r) {
-		return x.untried() || x.forgive()
+		return x.untried() || x.resetAvoided()
 	}
-	if r.answered && r.retryAfter == 0 && !x.c.opts.IgnoreRetryAfter && !(elsewhere[r.reason] && x.untried()) {
+	if r.answered && r.retryAfter == 0 && !x.c.opts.IgnoreRetryAfter && !(retryElsewhere[r.reason] && x.untried()) {
 		return false // the node says that a repeat is of no use
 	}
 	if !x.untried() {
-		x.forgive()
+		x.resetAvoided()
 	}
 	return x.wait(ctx, x.delay(r))
 }
@@ -353,8 +353,8 @@
 	return false
 }
 
-// forgive makes all nodes available again.
-func (x *exchange) forgive() bool {
+// resetAvoided makes all nodes available again.
+func (x *exchange) resetAvoided() bool {
 	clear(x.avoid)
 	return true
 }
@@ -365,7 +365,7 @@
 	switch {
 	case o.IgnoreRetryAfter:
 		return 0
-	case r.answered && elsewhere[r.reason] && x.untried():
+	case r.answered && retryElsewhere[r.reason] && x.untried():
 		return 0
 	case r.answered && r.retryAfter > o.MaxRetryAfter:
 		return -1
@@ -404,7 +404,7 @@
 		Reason: r.reason, Step: string(r.step), Peer: r.peer, Detail: r.detail, RetryAfter: r.retryAfter,
 		RequestID: x.id.String(), Key: x.key, Attempts: x.sent, Cause: r.err,
 	}
-	if x.unsure {
+	if x.mayHaveRun {
 		return &UnknownError{f}
 	}
 	return &NotRunError{f}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -396,6 +396,23 @@
 	require.NoError(t, ctx.Err())
 }
 
+// Guards against a request that cannot be sent and marks healthy nodes as down, or is tried again and again.
+func TestInvalidRequestsDoNotMarkNodesDown(t *testing.T) {
+	n := startNode(t, script())
+	c := newClient(t, Options{}, n)
+	for _, req := range []Request{
+		{Method: "GET", Path: "menu"}, {Path: "/menu"}, {Method: "G T", Path: "/menu"}, {Method: "GET", Path: "/%zz"},
+		{Method: "GET", Path: "/menu", Header: http.Header{"X": {"a\nb"}}}, {Method: "GET", Path: "/menu", RequestID: "12"},
+	} {
+		_, err := c.Do(t.Context(), req)
+		var notRun *NotRunError
+		require.ErrorAs(t, err, &notRun)
+		require.Equal(t, "invalid", notRun.Reason)
+	}
+	require.False(t, c.zones[0][0].isDown(time.Now()))
+	require.Empty(t, n.headers())
+}
+
 // Guards against an answer without length that may be cut short, and one that exceeds the limit.
 func TestUnprovablyWholeAnswersAreUnknown(t *testing.T) {
 	for _, raw := range []string{
--- a/client/keys.go
+++ b/client/keys.go
@@ -110,7 +110,7 @@
 		return n.failed(false, message.StepKey, message.ReasonInternal, errors.Join(errNoKeys, err)), false
 	}
 	// A key must stay valid for the whole call that uses it. The validity is counted from before the keys were issued.
-	until := asked.Add(time.Duration(issued.ValidMS)*time.Millisecond - n.opts.Timeout)
-	n.keys.set(issued.Keys, until)
+	valid := time.Duration(issued.ValidMS) * time.Millisecond
+	n.keys.set(issued.Keys, asked.Add(valid-min(n.opts.Timeout, valid/2)))
 	return result{}, true
 }
--- a/client/node.go
+++ b/client/node.go
@@ -148,11 +148,7 @@
 func (n *node) noAnswer(ctx context.Context, sent bool, err error) result {
 	reason := reasonOf(ctx, err)
 	if !sent {
-		if ctx.Err() == nil {
-			reason = message.ReasonConnection // the time to open a connection ran out, not the time of the request
-			n.markDown()
-		}
-		return n.failed(false, message.StepDial, reason, err)
+		return n.notDialed(ctx, reason, err)
 	}
 	if reason == message.ReasonDeadline {
 		// The connection may have gone silent, and idle ones with it; new ones may work.
@@ -161,6 +157,21 @@
 	return n.failed(true, message.StepAwait, reason, err)
 }
 
+// notDialed tells a node that cannot be reached from a request that net/http refuses to send, for example because of an
+// invalid header, which says nothing about the node.
+func (n *node) notDialed(ctx context.Context, reason message.Reason, err error) result {
+	var op *net.OpError
+	switch {
+	case ctx.Err() != nil:
+		return n.failed(false, message.StepDial, reason, err)
+	case errors.As(err, &op) && op.Op == "dial", errors.Is(err, context.DeadlineExceeded):
+		n.markDown()
+		return n.failed(false, message.StepDial, message.ReasonConnection, err)
+	default:
+		return n.failed(false, message.StepSend, message.ReasonInvalid, err)
+	}
+}
+
 func (n *node) request(ctx context.Context, x *exchange) (*http.Request, error) {
 	// The body must not be nil and must not have GetBody: net/http would repeat the request on its own.
 	req, err := http.NewRequestWithContext(ctx, x.req.Method, "http://"+n.address+x.req.Path, io.NopCloser(bytes.NewReader(x.req.Body)))
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -128,3 +129,47 @@
 	require.Equal(t, Draining, node.states[len(node.states)-1])
 	require.True(t, tg.Executions()[0].Completed)
 }
+
+// Guards against trials that mean to show that health and load endpoints lag or mislead, while the fake tells the truth.
+func TestReportsLagAndMislead(t *testing.T) {
+	report := func(tg *Target) (r Report) {
+		resp, err := http.Get("http://" + tg.Addr() + "/-/load")
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		require.NoError(t, json.NewDecoder(resp.Body).Decode(&r))
+		return r
+	}
+	for _, o := range []Options{{ReportLag: time.Minute}, {ReportIdle: true}, {}} {
+		o.Mean = 10 * time.Second
+		tg, err := Start(o)
+		require.NoError(t, err)
+		defer tg.Close()
+		require.Eventually(t, func() bool { return o.ReportLag == 0 || report(tg).Slots > 0 }, 5*time.Second, 5*time.Millisecond)
+		time.Sleep(2 * reportEvery) // the first report is taken before the request
+		go func() { _, _, _ = do(t, t.Context(), tg, message.NewID(), nil) }()
+		require.Eventually(t, func() bool { return tg.Running() == 1 }, 5*time.Second, 5*time.Millisecond)
+		want := 0
+		if o.ReportLag == 0 && !o.ReportIdle {
+			want = 1
+		}
+		require.Equal(t, want, report(tg).Running)
+	}
+}
+
+// Guards against a fake that accepts more connections than its limit, or never frees one.
+func TestConnectionLimit(t *testing.T) {
+	tg, err := Start(Options{Connections: 1})
+	require.NoError(t, err)
+	defer tg.Close()
+	first, err := net.Dial("tcp", tg.Addr())
+	require.NoError(t, err)
+	l := tg.listener.(*limitListener)
+	require.Eventually(t, func() bool { return l.open.Load() == 1 }, 5*time.Second, 5*time.Millisecond)
+	_, err = http.Get("http://" + tg.Addr() + "/-/load")
+	require.Error(t, err)
+	require.NoError(t, first.Close())
+	require.Eventually(t, func() bool { return l.open.Load() == 0 }, 5*time.Second, 5*time.Millisecond)
+	resp, err := http.Get("http://" + tg.Addr() + "/-/load")
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+}
