--- a/client/node.go
+++ b/client/node.go
@@ -254,6 +254,9 @@
 		reason: resp.Header.Get(message.HeaderReason), budget: resp.Header.Get(message.HeaderRetries),
 		retryAfter: parseRetryAfter(resp.Header.Get(message.HeaderRetryAfter)),
 	}
+	if ms, err := strconv.ParseInt(resp.Header.Get(message.HeaderRetryAfterMs), 10, 32); err == nil && ms >= 0 {
+		r.retryAfter = time.Duration(ms) * time.Millisecond // Retry-After has whole seconds only
+	}
 	if r.budget == "" {
 		r.budget = "0"
 	}
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -14,6 +14,7 @@
 	full     = flag.Bool("measure", false, "run every scenario at full length")
 	scenario = flag.String("scenario", "", "run this scenario only")
 	siteName = flag.String("site", "", "run this site only")
+	only     = flag.String("system", "", "run this system only")
 )
 
 // run measures in a bubble of virtual time.
@@ -32,7 +33,8 @@
 	for _, site := range []Site{Haetsal(), Gnomon()} {
 		for _, s := range Scenarios() {
 			for _, system := range []System{Naive, Real} {
-				if *siteName != "" && site.Name != *siteName || *scenario != "" && s.Name != *scenario {
+				if *siteName != "" && site.Name != *siteName || *scenario != "" && s.Name != *scenario ||
+					*only != "" && string(system) != *only {
 					continue
 				}
 				t.Run(fmt.Sprintf("%s/%s/%s", site.Name, s.Name, system), func(t *testing.T) {
--- a/internal/process/engine/keyed.go
+++ b/internal/process/engine/keyed.go
@@ -17,7 +17,7 @@
 func (e *Engine) keyed(ctx context.Context, c *call) *message.Response {
 	if c.req.Key == "" {
 		if c.req.Hop == 0 {
-			return e.refuse(message.ReasonInvalid, message.StepKey, "route %q needs an Idempotency-Key header", c.route.Name)
+			return e.refuse(message.ReasonKeyRequired, message.StepKey, "route %q needs an Idempotency-Key header", c.route.Name)
 		}
 		// A target that sends no key makes one call, which this node alone repeats.
 		c.req.Key = e.cfg.Keys.Issue(1)[0]
--- a/internal/process/node/caller.go
+++ b/internal/process/node/caller.go
@@ -6,14 +6,12 @@
 	"errors"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
-	kerrors "github.com/go-kratos/kratos/v2/errors"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
-
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
 )
@@ -22,7 +20,7 @@
 	keysPath     = "/-/keys"
 	announcePath = "/-/announce"
 	// maxKeys bounds the keys of one request to issue some.
-	maxKeys = 1000
+	maxKeys = 256
 	// defaultRetryAfter is told to callers when nothing better is known.
 	defaultRetryAfter = time.Second
 )
@@ -136,7 +134,7 @@
 	h.Set(message.HeaderRequestID, id.String())
 	h.Set(message.HeaderRetries, strconv.Itoa(resp.RetriesLeft))
 	if resp.Outcome != message.Answered {
-		writeFailure(w, r, resp)
+		writeFailure(w, resp)
 		return
 	}
 	if r.Method != http.MethodHead {
@@ -146,28 +144,46 @@
 	_, _ = w.Write(resp.Body) // a caller that has left gets nothing
 }
 
+// failure is the body of a response that carries no answer of a target.
+type failure struct {
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Step    string `json:"step,omitempty"`
+	Peer    string `json:"peer,omitempty"`
+	Detail  string `json:"detail,omitempty"`
+}
+
 // writeFailure writes a response that carries no answer of a target.
-func writeFailure(w http.ResponseWriter, r *http.Request, resp *message.Response) {
-	status := failureStatus(resp)
+func writeFailure(w http.ResponseWriter, resp *message.Response) {
 	h := w.Header()
 	h.Set(message.HeaderReason, resp.Reason.String())
-	if status >= http.StatusInternalServerError {
-		after := resp.RetryAfter
-		if after <= 0 {
-			after = defaultRetryAfter
-		}
+	if after := retryAfter(resp); after > 0 {
 		h.Set(message.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(after.Seconds()))))
 		h.Set(message.HeaderRetryAfterMs, strconv.FormatInt(after.Milliseconds(), 10))
 	}
 	if resp.Reason == message.ReasonLeaving {
 		h.Set("Connection", "close")
 	}
-	err := kerrors.New(status, strings.ToUpper(resp.Reason.String()), "request failed")
+	body := failure{Outcome: resp.Outcome.String(), Reason: resp.Reason.String()}
 	if resp.Err != nil {
-		err.Message = resp.Err.Error()
-		err.Metadata = map[string]string{"step": string(resp.Err.Step), "peer": resp.Err.Peer, "outcome": resp.Outcome.String()}
+		body.Step, body.Peer, body.Detail = string(resp.Err.Step), resp.Err.Peer, resp.Err.Detail
+	}
+	writeJSON(w, failureStatus(resp), body)
+}
+
+// retryAfter returns when the caller should come back, or zero if a retry is of no use.
+func retryAfter(resp *message.Response) time.Duration {
+	if resp.RetryAfter > 0 {
+		return resp.RetryAfter
+	}
+	switch resp.Reason {
+	case message.ReasonKeyExpired, message.ReasonCancelled:
+		return 0
+	}
+	if failureStatus(resp) < http.StatusInternalServerError {
+		return 0
 	}
-	khttp.DefaultErrorEncoder(w, r, err)
+	return time.Duration(float64(defaultRetryAfter) * (0.5 + rand.Float64())) // spread, so that callers do not return together
 }
 
 // failureStatus returns the HTTP status of a response without an answer. docs/callers.md lists them.
@@ -176,14 +192,14 @@
 		return http.StatusGatewayTimeout
 	}
 	switch resp.Reason {
-	case message.ReasonInvalid:
+	case message.ReasonInvalid, message.ReasonKeyConflict:
 		return http.StatusBadRequest
+	case message.ReasonKeyRequired:
+		return http.StatusPreconditionRequired
 	case message.ReasonNoService:
 		return http.StatusNotFound
 	case message.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case message.ReasonKeyConflict:
-		return http.StatusUnprocessableEntity
 	default:
 		return http.StatusServiceUnavailable
 	}
--- a/internal/process/node/target.go
+++ b/internal/process/node/target.go
@@ -62,7 +62,7 @@
 	}
 	resp, err := t.client.Do(hr)
 	if err != nil {
-		return failure(ctx, address, err)
+		return targetFailure(ctx, address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := t.readBody(req.Method, resp)
@@ -123,9 +123,9 @@
 	return body, nil
 }
 
-// failure classifies an error of the client. Only a connection that could not be opened proves that the request was not
+// targetFailure classifies an error of the client. Only a connection that could not be opened proves that the request was not
 // sent.
-func failure(ctx context.Context, address string, err error) *message.Response {
+func targetFailure(ctx context.Context, address string, err error) *message.Response {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return message.Refuse(message.ReasonConnection, message.Errorf(message.StepDial, address, "%v", err))
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -114,6 +114,7 @@
 	ReasonPlatform           // the platform is needed and not available
 	ReasonTooLarge           // a body or header exceeds its limit
 	ReasonInternal           // a fault of the node itself
+	ReasonKeyRequired        // the route needs an idempotency key
 )
 
 var reasonNames = [...]string{
@@ -132,6 +133,7 @@
 	ReasonPlatform:    "platform",
 	ReasonTooLarge:    "too-large",
 	ReasonInternal:    "internal",
+	ReasonKeyRequired: "key-required",
 }
 
 // String returns the name used in logs, metrics and error bodies.
