Ask the platform for uncompressed responses

A gateway that compresses a response makes its ETag weak, and the adapter would then refuse every row.

--- a/internal/process/platform/client.go
+++ b/internal/process/platform/client.go
@@ -37,7 +37,9 @@
 	}
 	t := &http.Transport{
 		// The platform is reached by its address; proxies from the environment must not get between.
-		Proxy:               nil,
+		Proxy: nil,
+		// A gateway that compresses a response makes its ETag weak, and a weak ETag cannot guard a write.
+		DisableCompression:  true,
 		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
--- a/internal/process/platform/http_test.go
+++ b/internal/process/platform/http_test.go
@@ -196,7 +196,9 @@
 	require.NoError(t, err)
 	ctx := t.Context()
 	write := []platform.Write{{Key: "a"}}
-	handler = func(w http.ResponseWriter, _ *http.Request) {
+	encoding := ""
+	handler = func(w http.ResponseWriter, r *http.Request) {
+		encoding += r.Header.Get("Accept-Encoding")
 		w.Header().Set("ETag", `W/"1"`)
 		_, _ = w.Write([]byte(`{"versions":["1","2"]}`))
 	}
@@ -209,6 +211,8 @@
 	_, err = objects.Get(ctx, hash)
 	requireOnly(t, err, platform.ErrUnavailable)
 
+	require.Empty(t, encoding, "a compressed response has a weak ETag")
+
 	// A redirected write must not be followed as a read whose success would count as that of the write.
 	handler = func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPut {
