--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -143,7 +143,7 @@
 	if a := node.Get("peer_address").Text; ip(a).IsUnspecified() {
 		fail(node, "peer_address", "%s cannot be dialled by other nodes", a)
 	}
-	checkDistinct(node, fail)
+	checkDistinct(node, target, fail)
 	if low, high := target.Get("lease_min"), target.Get("lease_max"); low.Duration > high.Duration {
 		fail(target, "lease_max", "%s is shorter than lease_min %s (%s)", high.Text, low.Text, low.Origin)
 	}
@@ -154,21 +154,30 @@
 	return findings
 }
 
-// checkDistinct finds two interfaces with one address, of which the second could not listen.
-func checkDistinct(node *schema.Group, fail func(g *schema.Group, key, format string, args ...any)) {
-	used := map[netip.AddrPort]string{}
-	for _, key := range []string{"caller_address", "peer_address", "target_interface_address", "admin_address"} {
+// checkDistinct finds two interfaces that could not listen at once, and a target that is the node itself.
+func checkDistinct(node, target *schema.Group, fail func(g *schema.Group, key, format string, args ...any)) {
+	keys := []string{"caller_address", "peer_address", "target_interface_address", "admin_address"}
+	for i, key := range keys {
 		a := netip.MustParseAddrPort(node.Get(key).Text)
-		if a.Port() == 0 {
-			continue
+		for _, other := range keys[:i] {
+			if overlap(a, netip.MustParseAddrPort(node.Get(other).Text)) {
+				fail(node, key, "%s is in use by %s", a, other)
+			}
 		}
-		if other, ok := used[a]; ok {
-			fail(node, key, "%s is also the %s", a, other)
+		if t := target.Get("address"); overlap(a, netip.MustParseAddrPort(t.Text)) {
+			fail(target, "address", "%s is the node's %s", t.Text, key)
 		}
-		used[a] = key
 	}
 }
 
+// overlap reports whether two addresses have the same port and the same IP address, or one of them is of all IP addresses.
+func overlap(a, b netip.AddrPort) bool {
+	if a.Port() != b.Port() || a.Port() == 0 {
+		return false
+	}
+	return a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
+}
+
 // checkSource requires one source of the policy: the platform, or files in a trial.
 func checkSource(v *schema.Values, fail func(g *schema.Group, key, format string, args ...any)) {
 	pf, policy := v.One("platform"), v.One("policy")
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -58,6 +59,15 @@
 	}, s)
 }
 
+// Guards against a sample file that a new operator copies and that is rejected.
+func TestExample(t *testing.T) {
+	body, err := os.ReadFile("../../../examples/node.ini")
+	require.NoError(t, err)
+	_, findings, err := load(string(body))
+	require.NoError(t, err)
+	require.Empty(t, findings)
+}
+
 // Guards against settings that would let a node start and then fail or endanger requests.
 func TestFindings(t *testing.T) {
 	cases := map[string]struct {
@@ -72,7 +82,9 @@
 		"port 0 to dial":            {"127.0.0.1:9000", "127.0.0.1:0", "address", "has port 0"},
 		"undialable peer address":   {"10.0.0.1:8001", "0.0.0.0:8001", "peer_address", "cannot be dialled"},
 		"open target interface":     {"127.0.0.1:8002", "10.0.0.1:8002", "target_interface_address", "not a loopback address"},
-		"address used twice":        {"admin_address = 10.0.0.1:8003", "admin_address = 10.0.0.1:8001", "admin_address", "is also the peer_address"},
+		"address used twice":        {"admin_address = 10.0.0.1:8003", "admin_address = 10.0.0.1:8001", "admin_address", "is in use by peer_address"},
+		"address of all interfaces": {"admin_address = 10.0.0.1:8003", "admin_address = [::]:8002", "admin_address", "is in use by target_interface_address"},
+		"node is its own target":    {"address = 127.0.0.1:9000", "address = 127.0.0.1:8000", "address", "is the node's caller_address"},
 		"seed listed twice":         {"[fd00::3]:8001", "10.0.0.2:8001", "seeds", "listed twice"},
 		"lease limits crossed":      {"[peers]", "lease_min = 20s\n[peers]", "lease_max", "shorter than lease_min"},
 		"early heartbeat timeout":   {"[peers]", "[link]\nheartbeat_interval = 600ms\n[peers]", "heartbeat_timeout", "shorter than twice"},
--- a/internal/version/policy/schema.go
+++ b/internal/version/policy/schema.go
@@ -17,7 +17,7 @@
 	Name: "site", LastOnly: true,
 	Doc: "The site of the overlay. The base file must not have this section.",
 	Keys: []schema.Key{
-		{Name: "name", Type: schema.Name, Required: true, Doc: "Name of the site. A node refuses an overlay of another site than the one in its settings."},
+		{Name: "name", Type: schema.Name, Required: true, Doc: "Name of the site. It is the value of `site` in the settings of the site's nodes."},
 	},
 }
 
