--- a/internal/version/policy/load_test.go
+++ b/internal/version/policy/load_test.go
@@ -81,6 +81,22 @@
 	require.Zero(t, p.Version)
 }
 
+// Guards against a request that gets the rules of a less specific route, whatever the names of the routes are.
+func TestMostSpecificRouteApplies(t *testing.T) {
+	var text strings.Builder
+	for name, match := range map[string]string{"a": "path = /", "b": "path = /x\nmethod = GET", "c": "path = /x/y", "d": "path = /x/y # comment\nmethod = GET"} {
+		fmt.Fprintf(&text, "[route %s]\nservice = shop\nclass = read\nrepeat = safe\n%s\n", name, match)
+	}
+	p, findings, err := Load(file("base.ini", baseText), file("north.ini", "[site]\nname = north\n[service shop]\nslots = 1\nconnections = 1\n"+text.String()))
+	require.NoError(t, err, findings)
+	for request, want := range map[string]string{"GET /": "a", "GET /x": "b", "PUT /x": "a", "GET /x/y/z": "d", "PUT /x/y": "c"} {
+		method, path, _ := strings.Cut(request, " ")
+		r, ok := p.Services["shop"].Match(method, path)
+		require.True(t, ok)
+		require.Equal(t, want, r.Name, request)
+	}
+}
+
 // Guards against bad input of every kind that is accepted, or whose finding names another place than the fault's.
 func TestFindings(t *testing.T) {
 	lines := strings.Count(overlayText, "\n")
@@ -127,6 +143,8 @@
 		"same requests":       {overlay: "[route x]\nservice = shop\nclass = read\nrepeat = safe\npath = /", line: lines + 5, text: "matches the same requests as [route browse]"},
 		"short retention":     {overlay: "[once]\nkey_validity = 30m", line: lines + 2, text: "record_retention 20m (default) is not longer"},
 		"same rank":           {base: "[class c]\nrank = 20", overlay: "[route x]\nservice = shop\nclass = c\nrepeat = once\npath = /x\n[class read]\nrank = 20", line: 14, text: "must not repeat, before or together with [route browse], whose class read has rank 20 (north.ini:23)"},
+		"comment character":   {overlay: "[route x]\nservice = shop\nclass = read\nrepeat = safe\npath = /a#b", line: lines + 5, text: "not a path"},
+		"between reads":       {base: "[class high]\nrank = 30", overlay: "[route x]\nservice = shop\nclass = high\nrepeat = safe\npath = /x", line: 14, text: "together with [route x], whose class high has rank 30 (base.ini:8)"},
 		"lower rank":          {overlay: "[class order]\nrank = 9", line: 14, text: "class order of rank 9 (north.ini:18) would shed this route"},
 	}
 	for name, c := range cases {
