Separate timeouts that platform tests wait for from those they must not meet

One timeout of 150 ms served both, so that a busy machine could have turned an ordinary call into a write in doubt. Ordinary calls now have 10 s. The limits that tests assert are the same or follow from the fault: a call that outlives its context would now take 10 s.

--- a/internal/process/platform/http_test.go
+++ b/internal/process/platform/http_test.go
@@ -16,8 +16,12 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/standin/platformserver"
 )
 
-// callTimeout is long for a call on loopback and short for tests that wait for it.
-const callTimeout = 150 * time.Millisecond
+const (
+	// shortTimeout is for tests that wait for it.
+	shortTimeout = 150 * time.Millisecond
+	// longTimeout is for tests that must not run into it, however busy the machine is.
+	longTimeout = 10 * time.Second
+)
 
 type fixture struct {
 	memory  *memory.Platform
@@ -27,15 +31,15 @@
 	objects *platform.HTTPObjects
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T, timeout time.Duration) *fixture {
 	m := memory.New()
 	f := &fixture{memory: m, server: platformserver.New(m)}
 	f.http = httptest.NewServer(f.server)
 	t.Cleanup(f.http.Close)
 	var err error
-	f.table, err = platform.NewHTTPTable(f.http.URL, callTimeout)
+	f.table, err = platform.NewHTTPTable(f.http.URL, timeout)
 	require.NoError(t, err)
-	f.objects, err = platform.NewHTTPObjects(f.http.URL, callTimeout)
+	f.objects, err = platform.NewHTTPObjects(f.http.URL, timeout)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = f.table.Close(); _ = f.objects.Close() })
 	return f
@@ -47,7 +51,7 @@
 
 // Guards against a condition that is lost on the wire: a write that must not apply would overwrite another operator's.
 func TestConditionsHold(t *testing.T) {
-	f, ctx := newFixture(t), t.Context()
+	f, ctx := newFixture(t, longTimeout), t.Context()
 	const key = "head/site a?&=%2F\"#/ü"
 	first, err := f.table.Put(ctx, key, []byte("one"), platform.Condition{Absent: true})
 	require.NoError(t, err)
@@ -83,20 +87,21 @@
 		faults  platformserver.Faults
 		want    error
 		applied bool
+		timeout time.Duration
 	}{
-		{"refused", platformserver.Faults{Down: true}, platform.ErrUnavailable, false},
-		{"hang", platformserver.Faults{Hang: true}, platform.ErrInDoubt, false},
-		{"slow", platformserver.Faults{Delay: "10s"}, platform.ErrInDoubt, false},
-		{"answer lost", platformserver.Faults{LoseAnswer: true}, platform.ErrInDoubt, true},
-		{"answer hangs", platformserver.Faults{HangAnswer: true}, platform.ErrInDoubt, true},
-		{"answer truncated", platformserver.Faults{Truncate: true}, platform.ErrInDoubt, true},
-		{"internal error", platformserver.Faults{Status: 500}, platform.ErrInDoubt, true},
-		{"gateway timeout", platformserver.Faults{Status: 504}, platform.ErrInDoubt, true},
-		{"redirect", platformserver.Faults{Status: 303}, platform.ErrInDoubt, true},
+		{"refused", platformserver.Faults{Down: true}, platform.ErrUnavailable, false, longTimeout},
+		{"hang", platformserver.Faults{Hang: true}, platform.ErrInDoubt, false, shortTimeout},
+		{"slow", platformserver.Faults{Delay: "10s"}, platform.ErrInDoubt, false, shortTimeout},
+		{"answer lost", platformserver.Faults{LoseAnswer: true}, platform.ErrInDoubt, true, longTimeout},
+		{"answer hangs", platformserver.Faults{HangAnswer: true}, platform.ErrInDoubt, true, shortTimeout},
+		{"answer truncated", platformserver.Faults{Truncate: true}, platform.ErrInDoubt, true, longTimeout},
+		{"internal error", platformserver.Faults{Status: 500}, platform.ErrInDoubt, true, longTimeout},
+		{"gateway timeout", platformserver.Faults{Status: 504}, platform.ErrInDoubt, true, longTimeout},
+		{"redirect", platformserver.Faults{Status: 303}, platform.ErrInDoubt, true, longTimeout},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			f := newFixture(t)
+			f := newFixture(t, c.timeout)
 			f.faults(t, c.faults)
 			ctx := t.Context()
 			_, putErr := f.table.Put(ctx, "put", []byte("x"), platform.Condition{Absent: true})
@@ -110,7 +115,7 @@
 				_, err := f.memory.Get(ctx, key)
 				require.Equal(t, c.applied, err == nil)
 			}
-			_, err := f.objects.Get(ctx, platform.Hash([]byte("body")))
+			_, err := f.memory.Objects().Get(ctx, platform.Hash([]byte("body")))
 			require.Equal(t, c.applied, err == nil)
 		})
 	}
@@ -126,7 +131,7 @@
 
 // Guards against doubt after a write that was provably not sent: new keys could then not be rejected as "not run".
 func TestConnectionRefusedIsNoDoubt(t *testing.T) {
-	f, ctx := newFixture(t), t.Context()
+	f, ctx := newFixture(t, longTimeout), t.Context()
 	_, err := f.table.Put(ctx, "a", nil, platform.Condition{}) // leaves a connection that the outage closes
 	require.NoError(t, err)
 	f.http.Close()
@@ -146,7 +151,7 @@
 
 // Guards against doubt when the context ended before a connection was there, and against a call that outlives its context.
 func TestContextEnds(t *testing.T) {
-	f := newFixture(t)
+	f := newFixture(t, longTimeout)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err := f.table.Put(ctx, "a", nil, platform.Condition{})
@@ -158,7 +163,7 @@
 	start := time.Now()
 	_, err = f.table.Get(ctx, "a")
 	requireOnly(t, err, platform.ErrUnavailable)
-	require.Less(t, time.Since(start), callTimeout)
+	require.Less(t, time.Since(start), longTimeout)
 }
 
 // Guards against reads that take a failure for an absent row or a part of a response for the whole.
@@ -167,10 +172,10 @@
 		"refused": {Down: true}, "hang": {Hang: true}, "truncated": {Truncate: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f, ctx := newFixture(t), t.Context()
+			f, ctx := newFixture(t, shortTimeout), t.Context()
 			_, err := f.memory.Put(ctx, "a", []byte("value"), platform.Condition{})
 			require.NoError(t, err)
-			hash, err := f.objects.Put(ctx, []byte("body"))
+			hash, err := f.memory.Objects().Put(ctx, []byte("body"))
 			require.NoError(t, err)
 			f.faults(t, faults)
 			_, err = f.table.Get(ctx, "a")
@@ -190,9 +195,9 @@
 	var handler http.HandlerFunc
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler(w, r) }))
 	defer server.Close()
-	table, err := platform.NewHTTPTable(server.URL+"/", callTimeout)
+	table, err := platform.NewHTTPTable(server.URL+"/", longTimeout)
 	require.NoError(t, err)
-	objects, err := platform.NewHTTPObjects(server.URL, callTimeout)
+	objects, err := platform.NewHTTPObjects(server.URL, longTimeout)
 	require.NoError(t, err)
 	ctx := t.Context()
 	write := []platform.Write{{Key: "a"}}
--- a/internal/process/platform/resolve_test.go
+++ b/internal/process/platform/resolve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,7 +44,7 @@
 		"not written": {Hang: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t)
+			f := newFixture(t, shortTimeout)
 			f.faults(t, faults)
 			reads := 0
 			h := &hooked{Table: f.table, beforeGet: func() {
@@ -52,7 +53,7 @@
 					f.faults(t, platformserver.Faults{})
 				}
 			}}
-			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
 			defer cancel()
 			row, err := platform.ResolvePut(ctx, h, claim("id-1"))
 			require.NoError(t, err)
@@ -66,7 +67,7 @@
 
 // Guards against two winners: another writer gets in between the lost answer and the read-back.
 func TestResolvePutConflictingWriter(t *testing.T) {
-	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
 	defer cancel()
 	put := func(f *fixture, value string, c platform.Condition) platform.Version {
 		v, err := f.memory.Put(ctx, "claim", []byte(value), c)
@@ -74,19 +75,19 @@
 		return v
 	}
 	t.Run("claim not written", func(t *testing.T) {
-		f := newFixture(t)
+		f := newFixture(t, shortTimeout)
 		f.faults(t, platformserver.Faults{Hang: true})
-		h := &hooked{Table: f.table, beforeGet: func() {
+		h := &hooked{Table: f.table, beforeGet: sync.OnceFunc(func() {
 			f.faults(t, platformserver.Faults{})
 			put(f, "claim id-2", absent)
-		}}
+		})}
 		row, err := platform.ResolvePut(ctx, h, claim("id-1"))
 		requireOnly(t, err, platform.ErrConflict)
 		require.Equal(t, "claim id-2", string(row.Value))
 	})
 	t.Run("written and replaced", func(t *testing.T) {
 		for value, want := range map[string]error{"head id-2": platform.ErrInDoubt, "head id-2 after id-1": nil} {
-			f := newFixture(t)
+			f := newFixture(t, longTimeout)
 			first := put(f, "head id-0", absent)
 			f.faults(t, platformserver.Faults{LoseAnswer: true})
 			h := &hooked{Table: f.table, beforeGet: func() {
@@ -112,9 +113,9 @@
 
 // Guards against a late first write that collides with its own repeat: the conflict of the repeat is no other writer.
 func TestResolvePutLateFirstWrite(t *testing.T) {
-	f := newFixture(t)
+	f := newFixture(t, shortTimeout)
 	f.faults(t, platformserver.Faults{Hang: true})
-	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), longTimeout)
 	defer cancel()
 	h := &lateWrite{hooked: hooked{Table: f.table, beforeGet: func() { f.faults(t, platformserver.Faults{}) }}, memory: f.memory}
 	row, err := platform.ResolvePut(ctx, h, claim("id-1"))
@@ -141,7 +142,7 @@
 // Guards against a definite result without a proof when the platform stays away until the context ends, and against
 // definite failures that are taken for doubt.
 func TestResolvePutWithoutAnswer(t *testing.T) {
-	f := newFixture(t)
+	f := newFixture(t, shortTimeout)
 	f.faults(t, platformserver.Faults{Down: true})
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
