--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -1,5 +1,5 @@
 // Package settings reads the node's own settings file: its place in the deployment, its addresses, its target and how it
-// reaches the platform. Everything that operators change while nodes run belongs into the policy files instead.
+// reaches the platform. Everything that operators change while nodes run belongs in the policy files instead.
 //
 // Settings are read once when the process starts and never change; they are safe for concurrent use.
 package settings
--- a/internal/version/policy/load_test.go
+++ b/internal/version/policy/load_test.go
@@ -128,7 +128,7 @@
 		"missing key":         {overlay: "[service x]\nslots = 1", line: lines + 1, text: "the required key is missing"},
 		"duplicate key":       {overlay: "[queue]\nlength = 10%\nlength = 10%", line: lines + 3, text: "appears twice, first in line " + "18"},
 		"duplicate section":   {overlay: "[site]", line: lines + 1, text: "appears twice, first in line 1"},
-		"site in base":        {base: "[site]\nname = south", file: "base.ini", line: 7, text: "belongs into the overlay"},
+		"site in base":        {base: "[site]\nname = south", file: "base.ini", line: 7, text: "belongs in the overlay"},
 		"section lacks name":  {overlay: "[service]\nslots = 1", line: lines + 1, text: "needs a name"},
 		"bad name":            {overlay: "[service A_b]\nslots = 1", line: lines + 1, text: "not a name"},
 		"excess name":         {overlay: "[queue x]", line: lines + 1, text: "takes no name"},
--- a/internal/version/schema/resolve.go
+++ b/internal/version/schema/resolve.go
@@ -197,7 +197,7 @@
 		l.fail(Error, b.line, b.name, "", "the section [%s] takes no name", kind)
 		return
 	case sec.LastOnly && !l.last:
-		l.fail(Error, b.line, b.name, "", "the section belongs into the overlay")
+		l.fail(Error, b.line, b.name, "", "the section belongs in the overlay")
 		return
 	}
 	if first, ok := l.sections[b.name]; ok {
