Bound the length of a trial and the limits that are tried

Cause: a trial counts saturated intervals only. With 4 slots and slow service these are rare, and the trial kept the lower limit for seven seconds and more, which halved the throughput. A turn now ends after four times its measured length, limits below 8 are not divided, and the known latency is not measured inside a trial, where the low limit looks like quiet. Tried and dropped: a patience of 2 times, and of 2 and 8 for the tried and the present limit. Both left the limit of the test with 10 real slots of 40 and exponential service at 40, because every trial ended early.

--- a/internal/process/admission/trial.go
+++ b/internal/process/admission/trial.go
@@ -55,8 +55,9 @@
 	trialMaxTurn = 4 * time.Second
 	// trialRounds is the number of pairs of measurements after which an undecided trial ends with the higher limit.
 	trialRounds = 6
-	// trialGap is the number of consecutive intervals without saturation that end a trial without a result.
-	trialGap = 10
+	// trialPatience is the length of a turn, as a multiple of the measured part, after which a trial ends without a
+	// result because too few intervals were saturated.
+	trialPatience = 4
 	// trialBad is the share of failed and cancelled requests above which throughput says nothing about slots.
 	trialBad = 0.1
 	// confidence is the number of standard errors by which a result must differ from trialGain.
@@ -77,8 +78,8 @@
 	trialEvidence = 1.25
 	// quietShare is the share of the highest limit below which requests in flight hardly wait inside a target.
 	quietShare = 0.5
-	// trialMinLimit is the lowest limit that is divided further.
-	trialMinLimit = 4
+	// trialMinLimit is the lowest limit that is divided further. Below it, a trial takes seconds to tell two limits apart.
+	trialMinLimit = 8
 )
 
 // side sums up the measurements at one of the two limits of a trial.
@@ -104,9 +105,8 @@
 	at      int // side that is being measured
 	first   int // side that was measured first
 	rounds  int
-	turn    float64 // seconds measured in this turn
-	settled time.Duration
-	gap     int // consecutive intervals without saturation
+	turn    float64       // seconds measured in this turn
+	settled time.Duration // start of the measured part of this turn
 }
 
 // reset forgets what was measured.
@@ -124,7 +124,7 @@
 
 // quiet takes the latency of an interval with few requests in flight as the known one.
 func (t *trial) quiet(now time.Duration, m *meter, hold *estimate) {
-	if m.departures == 0 || m.busy >= quietShare*float64(t.ceiling)*(now-m.start).Seconds() {
+	if t.active || m.departures == 0 || m.busy >= quietShare*float64(t.ceiling)*(now-m.start).Seconds() {
 		return
 	}
 	if t.known == 0 {
@@ -149,15 +149,16 @@
 		}
 		return
 	}
-	if !saturated {
-		if t.gap++; t.gap > trialGap {
-			t.active = false
-			t.next = now + t.pause
+	length := min(max(trialTurn*hold.mean, trialMinTurn), trialMaxTurn)
+	if now-t.settled > trialPatience*length {
+		t.active = false
+		if t.at != t.first {
+			t.pause = min(trialBackoff*t.pause, trialMax)
 		}
+		t.next = now + t.pause
 		return
 	}
-	t.gap = 0
-	if m.start < t.settled {
+	if !saturated || m.start < t.settled {
 		return
 	}
 	dt := (now - m.start).Seconds()
@@ -165,7 +166,6 @@
 	s.seconds += dt
 	s.departures += float64(m.departures)
 	t.turn += dt
-	length := min(max(trialTurn*hold.mean, trialMinTurn), trialMaxTurn)
 	over := t.turn >= length.Seconds()
 	if t.at != t.first {
 		if over {
@@ -199,7 +199,7 @@
 		t.next = now + t.pause
 		return
 	}
-	t.limits, t.sums, t.rounds, t.gap = [2]int{low, high}, [2]side{}, 0, 0
+	t.limits, t.sums, t.rounds = [2]int{low, high}, [2]side{}, 0
 	t.active = true
 	t.first = 1
 	if t.upNext {
