--- a/internal/process/admission/gate.go
+++ b/internal/process/admission/gate.go
@@ -103,7 +103,6 @@
 type gate struct {
 	threshold message.Priority
 	step      int
-	credit    float64            // arrivals that idle slots allow, carried over while less than one
 	pressure  float64            // refused requests per departure, smoothed
 	seen      [256]time.Duration // time of the last arrival per rank, plus one
 	demand    [256]float64       // arrivals per interval and rank, smoothed
@@ -129,7 +128,7 @@
 	overload := m.turnedAway > 0 || backlog > 2*goal
 	switch {
 	case overload && use >= raiseUtilisation:
-		g.step, g.credit = 0, 0
+		g.step = 0
 		next := g.raised(m, float64(m.turnedAway)+drainShare*max(0, float64(q.len())-goal))
 		// Work of a higher rank takes the place of queued work of a lower one and needs no threshold yet.
 		if last := q.len() - 1; last >= 0 {
@@ -181,7 +180,7 @@
 	s := g.scratch[:n]
 	copy(s, m.sample[:n])
 	slices.Sort(s)
-	return s, max(1, float64(m.arrivals)/float64(max(1, n)))
+	return s, float64(m.arrivals) / float64(max(1, n))
 }
 
 // raised returns the threshold at which part of the excess would have been refused.
@@ -204,13 +203,8 @@
 	s, weight := g.samples(m)
 	from, _ := slices.BinarySearch(s, g.threshold)
 	if use > 0 {
-		g.credit += gain * float64(m.departures) * (1 - use) / use / weight
-		fit := int(g.credit)
-		g.credit -= float64(fit)
-		switch {
-		case fit == 0 && from > 0:
-			next = g.threshold
-		case fit < from:
+		spare := float64(m.departures) * (1 - use) / use
+		if fit := max(1, int(gain*spare/weight)); fit < from {
 			next = max(next, s[from-fit])
 		}
 	}
