Guard the threshold against intervals without arrivals

An interval with departures and no arrivals gave each sample a weight of zero, and the number of arrivals that idle slots allow became a conversion of NaN, whose value depends on the platform. The weight is at least one now.

--- a/internal/process/admission/gate.go
+++ b/internal/process/admission/gate.go
@@ -180,7 +180,7 @@
 	s := g.scratch[:n]
 	copy(s, m.sample[:n])
 	slices.Sort(s)
-	return s, float64(m.arrivals) / float64(max(1, n))
+	return s, max(1, float64(m.arrivals)/float64(max(1, n)))
 }
 
 // raised returns the threshold at which part of the excess would have been refused.
