Smooth demand and capacity over a number of requests

Cause: with 50 departures a second, a second holds too few to tell 60 % from 90 % of the capacity, and the first interval set the capacity alone. The averages now span about 100 departures, within 1 to 5 s, and the capacity starts at limit over latency.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -416,7 +416,8 @@
 // tick ends an interval of measurement.
 func (c *Controller) tick(now time.Duration) {
 	m := &c.meter
-	c.gate.adjust(now, m, &c.queue, c.limits.QueueLength)
+	expected := float64(c.limit) * float64(tickInterval) / float64(max(1, c.hold.mean))
+	c.gate.adjust(now, m, &c.queue, c.limits.QueueLength, expected)
 	c.trial.quiet(now, m, &c.hold)
 	if c.rampFrom < 0 {
 		c.trial.observe(now, m, &c.hold)
--- a/internal/process/admission/gate.go
+++ b/internal/process/admission/gate.go
@@ -89,9 +89,12 @@
 	// keepShare is the number of arrivals that a raised threshold admits at least, as a share of the departures of the
 	// same interval. Less would leave slots idle as soon as the queue is empty.
 	keepShare = 0.9
-	// demandWeight is the weight of one interval in the smoothed demand and capacity, about a second in all. One interval
-	// of a small target holds too few requests to tell a burst of a rank from an overload.
-	demandWeight = 0.1
+	// demandSamples is the number of departures over which demand and capacity are smoothed. One interval of a small
+	// target holds too few requests to tell a burst of a rank from an overload.
+	demandSamples = 100
+	// minDemandWeight and maxDemandWeight bound the weight of one interval in the same averages: 1 to 5 s.
+	minDemandWeight = 0.02
+	maxDemandWeight = 0.1
 	// firstStep is the first decrease of the threshold, as a number of priorities. The decrease doubles with each
 	// interval without pressure: from the top of four ranks to zero it takes 0.7 s.
 	firstStep = 8
@@ -112,8 +115,9 @@
 
 func (g *gate) see(rank uint8, now time.Duration) { g.seen[rank] = now + 1 }
 
-// adjust moves the threshold at the end of an interval.
-func (g *gate) adjust(now time.Duration, m *meter, q *queue, queueLength int) {
+// adjust moves the threshold at the end of an interval. The expected number of departures per interval follows from limit
+// and latency.
+func (g *gate) adjust(now time.Duration, m *meter, q *queue, queueLength int, expected float64) {
 	elapsed := now - m.start
 	if elapsed >= forgetAfter {
 		g.threshold, g.step, g.pressure = 0, 0, 0
@@ -123,7 +127,7 @@
 	g.pressure += (refused/float64(max(1, m.departures)) - g.pressure) * gain
 
 	use, backlog := m.utilisation(), m.backlog/elapsed.Seconds()
-	g.measure(m, use, elapsed)
+	g.measure(m, use, expected, elapsed)
 	goal := queueGoal * float64(queueLength)
 	overload := m.turnedAway > 0 || backlog > 2*goal
 	switch {
@@ -142,20 +146,20 @@
 	}
 }
 
-// measure updates the smoothed demand per rank and the capacity.
-func (g *gate) measure(m *meter, use float64, elapsed time.Duration) {
+// measure updates the smoothed demand per rank and the capacity, which starts at the expected one.
+func (g *gate) measure(m *meter, use, expected float64, elapsed time.Duration) {
 	scale := float64(tickInterval) / float64(elapsed)
+	weight := min(max(g.capacity/demandSamples, minDemandWeight), maxDemandWeight)
 	for rank := range g.demand {
-		g.demand[rank] *= 1 - demandWeight
+		g.demand[rank] *= 1 - weight
 	}
 	n := min(m.arrivals, sampleSize)
 	for _, p := range m.sample[:n] {
-		g.demand[p.Rank()] += demandWeight * scale * float64(m.arrivals) / float64(n)
+		g.demand[p.Rank()] += weight * scale * float64(m.arrivals) / float64(n)
 	}
 	if use >= raiseUtilisation {
-		weight := demandWeight
 		if g.capacity == 0 {
-			weight = 1
+			g.capacity = expected
 		}
 		g.capacity += weight * (scale*float64(m.departures) - g.capacity)
 	}
