Try the highest limit again soon after the limit was lowered

Cause: a target held to 10 requests because its own back end was slow stayed at 10 or 20 for all of the 10 s after it had its 40 slots again, and answered 2698 of 5098 requests (constant service). Trials of a higher limit shared a pause of up to two minutes with trials of a lower one, went up one step at a time, and ended without a result when the higher limit left no work waiting. They now compare the present limit with the highest one, pause for 8 s at most, and count unsaturated intervals of the higher limit. Tried on the way: halving the limit at 10 as well. With orders at half of the capacity the trial cost 18 of 3059 orders (exponential), so limits below 32 are tried at three quarters, and only when latency gives a reason.

go test -v ./internal/process/admission, all slots back, before and after: 2698, 4256 of 5098 (constant), 3445 to 3650 (exponential), limit 40 within 10 s. 10 real slots of 40: 5967 and 5978 to 6010 of 6000, limit 11.

--- a/internal/process/admission/admission_test.go
+++ b/internal/process/admission/admission_test.go
@@ -156,7 +156,8 @@
 	}
 }
 
-// Guards against work that waits inside a target with fewer slots than stated, where it cannot be ordered or refused.
+// Guards against work that waits inside a target with fewer slots than stated, where it cannot be ordered or refused, and
+// against a limit that stays low after the target has recovered.
 func TestFewerSlotsThanStated(t *testing.T) {
 	for _, spread := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
@@ -169,6 +170,14 @@
 			require.GreaterOrEqual(t, float64(l.good[rankOrder]), 0.995*float64(l.sent[rankOrder]))
 			require.LessOrEqual(t, c.trial.learned, 20)
 			require.GreaterOrEqual(t, c.trial.learned, 9)
+
+			// The limit must not outlast its cause: the target has all its slots again and capacity for all of the load.
+			l.target = newTarget(40, 50*time.Millisecond, spread)
+			l.run(10 * time.Second)
+			t.Logf("spread %v: %d of %d with all slots, learned limit %d", spread, l.goodTotal(), l.sent[rankOrder]+l.sent[rankRead], c.trial.learned)
+			require.Equal(t, 40, c.trial.learned)
+			l.run(time.Second)
+			require.Equal(t, l.sent, l.good)
 		})
 	}
 }
--- a/internal/process/admission/trial.go
+++ b/internal/process/admission/trial.go
@@ -10,6 +10,7 @@
 	mean     time.Duration // moving average
 	low      time.Duration // falls fast and rises slowly: the time that work needs at least, used to refuse work
 	variance float64       // of the latency relative to the mean
+	samples  int
 }
 
 const (
@@ -23,7 +24,7 @@
 	if r.Failed || r.Latency <= 0 || (r.Cancelled && r.Latency < e.mean) {
 		return
 	}
-	if e.mean == 0 {
+	if e.samples++; e.mean == 0 {
 		e.mean, e.low = r.Latency, r.Latency
 		return
 	}
@@ -44,6 +45,8 @@
 	// trial costs both about the same, because a larger difference in throughput is seen sooner.
 	coarseStep = 0.5
 	fineStep   = 0.75
+	// coarseMinLimit is the lowest limit that is halved. Half of a small one may be less than the highest ranks need.
+	coarseMinLimit = 32
 	// trialGain is the ratio of throughputs from which the higher limit counts as useful. A target with enough slots
 	// shows the ratio of the limits, a target that has fewer slots than the lower limit shows 1.
 	trialGain = 1.12
@@ -65,23 +68,39 @@
 	// trialMinLatencies is the length in mean latencies after which the second side of a trial may already decide for
 	// the higher limit.
 	trialMinLatencies = 2
-	// trialFirst and trialMax bound the time between trials. A trial of a lower limit costs a target with enough slots
+	// trialFirst and trialMax bound the time between trials of a lower limit. A trial of a lower limit costs a target with enough slots
 	// the work of one to two latencies, so the time grows by trialBackoff with each trial that changes nothing.
 	trialFirst   = 2 * time.Second
 	trialBackoff = 4
 	trialMax     = 2 * time.Minute
+	// upBackoff and upMax are the same for trials of the highest limit. These cost latency and no throughput, and a target
+	// that has recovered must not be held at a lower limit for long.
+	upBackoff = 2
+	upMax     = 8 * time.Second
 	// trialUnknown is the time before the first trial of a target whose latency without saturation is not known.
 	trialUnknown = 10 * time.Second
 	// trialEvidence is the ratio of the latency to the known one from which a lower limit is tried. Requests that wait
 	// inside a target with too few slots raise the latency; without that, a trial would cost throughput for nothing. A
 	// slower target raises it too, and then the trial decides.
 	trialEvidence = 1.25
-	// quietShare is the share of the highest limit below which requests in flight hardly wait inside a target.
+	// quietShare is the share of the learned limit below which requests in flight hardly wait inside a target.
 	quietShare = 0.5
 	// trialMinLimit is the lowest limit that is divided further. Below it, a trial takes seconds to tell two limits apart.
 	trialMinLimit = 8
 )
 
+// schedule says when a trial may start.
+type schedule struct {
+	next  time.Duration
+	pause time.Duration // after a trial that changes nothing
+}
+
+// rest postpones the next trial after one that changed nothing.
+func (s *schedule) rest(now time.Duration, factor int, longest time.Duration) {
+	s.pause = min(time.Duration(factor)*s.pause, longest)
+	s.next = now + s.pause
+}
+
 // side sums up the measurements at one of the two limits of a trial.
 type side struct {
 	seconds    float64
@@ -93,11 +112,10 @@
 type trial struct {
 	ceiling int
 	learned int           // limit outside trials
-	next    time.Duration // earliest start of the next trial
-	pause   time.Duration
-	known   time.Duration // mean latency at which the learned limit needs no trial; zero: not measured
-	upNext  bool          // whether the next trial tries a higher limit
-	fine    bool          // whether the next trial uses the fine step
+	known   time.Duration // mean latency at which no lower limit needs a trial; zero: not measured
+	fine    bool          // whether the next trial of a lower limit uses the fine step
+	down    schedule      // of trials of a lower limit
+	up      schedule      // of trials of the highest limit
 
 	active  bool
 	limits  [2]int // lower, higher
@@ -111,7 +129,7 @@
 
 // reset forgets what was measured.
 func (t *trial) reset(ceiling int, now time.Duration) {
-	*t = trial{ceiling: ceiling, learned: ceiling, pause: trialFirst, next: now + trialUnknown}
+	*t = trial{ceiling: ceiling, learned: ceiling, down: schedule{now + trialUnknown, trialFirst}}
 }
 
 // limit returns the present limit.
@@ -124,11 +142,12 @@
 
 // quiet takes the latency of an interval with few requests in flight as the known one.
 func (t *trial) quiet(now time.Duration, m *meter, hold *estimate) {
-	if t.active || m.departures == 0 || m.busy >= quietShare*float64(t.ceiling)*(now-m.start).Seconds() {
+	if t.active || hold.samples < meanWeight || m.departures == 0 ||
+		m.busy >= quietShare*float64(t.learned)*(now-m.start).Seconds() {
 		return
 	}
 	if t.known == 0 {
-		t.next = min(t.next, now+trialFirst)
+		t.down.next = min(t.down.next, now+trialFirst)
 	}
 	t.known = hold.mean
 }
@@ -144,7 +163,7 @@
 func (t *trial) observe(now time.Duration, m *meter, hold *estimate) {
 	saturated := saturated(now, m)
 	if !t.active {
-		if saturated && now >= t.next && t.due(hold) {
+		if saturated {
 			t.begin(now, hold)
 		}
 		return
@@ -152,13 +171,12 @@
 	length := min(max(trialTurn*hold.mean, trialMinTurn), trialMaxTurn)
 	if now-t.settled > trialPatience*length {
 		t.active = false
-		if t.at != t.first {
-			t.pause = min(trialBackoff*t.pause, trialMax)
-		}
-		t.next = now + t.pause
+		t.rest(now, hold)
 		return
 	}
-	if !saturated || m.start < t.settled {
+	// A higher limit under which no work waits is still shown by more throughput than the saturated present limit had.
+	tryingHigher := t.first == 0 && t.at == 1
+	if m.start < t.settled || (!saturated && !tryingHigher) {
 		return
 	}
 	dt := (now - m.start).Seconds()
@@ -180,31 +198,22 @@
 	}
 }
 
-// due reports whether a trial may change the limit.
-func (t *trial) due(hold *estimate) bool {
-	return t.learned < t.ceiling || t.known == 0 || float64(hold.mean) > trialEvidence*float64(t.known)
-}
-
-// begin starts a trial of a higher or a lower limit. The present limit is measured first.
+// begin starts a trial if one is due. The present limit is measured first.
 func (t *trial) begin(now time.Duration, hold *estimate) {
-	step := coarseStep
-	if t.fine {
-		step = fineStep
-	}
-	low, high := max(1, int(float64(t.learned)*step)), t.learned
-	if t.upNext = t.upNext && t.learned < t.ceiling; t.upNext {
-		low, high = t.learned, min(t.ceiling, int(math.Ceil(float64(t.learned)/step)))
-	} else if t.learned < trialMinLimit {
-		t.upNext = true
-		t.next = now + t.pause
+	slower := t.known == 0 || float64(hold.mean) > trialEvidence*float64(t.known)
+	switch {
+	case t.learned < t.ceiling && now >= t.up.next:
+		t.limits, t.first = [2]int{t.learned, t.ceiling}, 0
+	case t.learned >= trialMinLimit && now >= t.down.next && slower:
+		step := coarseStep
+		if t.fine || t.learned < coarseMinLimit {
+			step = fineStep
+		}
+		t.limits, t.first = [2]int{int(float64(t.learned) * step), t.learned}, 1
+	default:
 		return
 	}
-	t.limits, t.sums, t.rounds = [2]int{low, high}, [2]side{}, 0
-	t.active = true
-	t.first = 1
-	if t.upNext {
-		t.first = 0
-	}
+	t.sums, t.rounds, t.active = [2]side{}, 0, true
 	t.switchTo(t.first, now, hold)
 }
 
@@ -246,19 +255,25 @@
 // end takes the limit of one side.
 func (t *trial) end(now time.Duration, winner int, hold *estimate) {
 	t.active = false
-	changed := t.limits[winner] != t.learned
-	t.learned = t.limits[winner]
+	if winner == t.first {
+		t.rest(now, hold)
+	} else {
+		t.learned = t.limits[winner]
+		t.down = schedule{now, trialFirst}
+		t.up = schedule{now + trialFirst, trialFirst}
+	}
 	if t.learned == t.ceiling {
-		t.known = hold.mean
+		t.down.next = max(t.down.next, now+trialFirst)
 	}
-	if changed {
-		t.pause = trialFirst
-		t.next = now
+}
+
+// rest schedules the next trial after one that changed nothing.
+func (t *trial) rest(now time.Duration, hold *estimate) {
+	if t.first == 0 {
+		t.up.rest(now, upBackoff, upMax)
 		return
 	}
-	if t.upNext = !t.upNext; !t.upNext || t.learned == t.ceiling {
-		t.fine = !t.fine
-	}
-	t.pause = min(trialBackoff*t.pause, trialMax)
-	t.next = now + t.pause
+	t.known = hold.mean
+	t.fine = !t.fine
+	t.down.rest(now, trialBackoff, trialMax)
 }
