--- a/internal/request/retry/ledger.go
+++ b/internal/request/retry/ledger.go
@@ -43,12 +43,16 @@
 	size   int
 }
 
-// HandDown moves half of what is left, rounded down, to a call. The hop keeps the larger half: a retry close to the root
-// can route around a failed branch, one near the leaf only around a failed leaf.
+// HandDown moves what is left to a call, except for one retry if there are several. Deep hops need retries most: a
+// request that fails there wastes the work of all hops above. The one that stays lets the hop fail over when the answer,
+// and with it the share, is lost.
 func (l *Ledger) HandDown() *Share {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := l.left / 2
+	n := l.left
+	if n > 1 {
+		n--
+	}
 	l.left -= n
 	l.held += n
 	return &Share{ledger: l, size: n}
