Avoid targets that say they leave; test lower limits and hanging targets

A refusal as leaving proves that the target runs nothing more, and picking it again until membership removes it uses up retries. It is not picked for a second now, outside the bound on ejections.

--- a/internal/process/admission/admission_test.go
+++ b/internal/process/admission/admission_test.go
@@ -24,14 +24,19 @@
 	slots   chan struct{}
 	service time.Duration
 	spread  bool // exponential instead of constant service times
+	hang    time.Duration
 }
 
 func newTarget(slots int, service time.Duration, spread bool) *target {
 	return &target{slots: make(chan struct{}, slots), service: service, spread: spread}
 }
 
-func (tg *target) run(rng *rand.Rand) time.Duration {
+func (tg *target) run(rng *rand.Rand) Result {
 	start := time.Now()
+	if tg.hang > 0 {
+		time.Sleep(tg.hang)
+		return Result{Latency: tg.hang, Cancelled: true}
+	}
 	d := tg.service
 	if tg.spread {
 		d = time.Duration(rng.ExpFloat64() * float64(d))
@@ -39,7 +44,7 @@
 	tg.slots <- struct{}{}
 	time.Sleep(d)
 	<-tg.slots
-	return time.Since(start)
+	return Result{Latency: time.Since(start)}
 }
 
 // load sends requests of several ranks at fixed rates, with exponential gaps from a fixed seed.
@@ -83,7 +88,9 @@
 	p, err := l.c.Acquire(ctx, Work{Priority: message.Priority(rank)<<8 | message.Priority(rng.IntN(256)), Deadline: deadline})
 	ok := err == nil
 	if ok {
-		p.Release(Result{Latency: l.target.run(rng)})
+		r := l.target.run(rng)
+		p.Release(r)
+		ok = !r.Cancelled
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -277,6 +284,44 @@
 	})
 }
 
+// Guards against lower limits that are exceeded by new work, or that strand work in a queue that became too long.
+func TestSetLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newController(testLimits(2))
+		permits := hold(t, c)
+		high := queueUp(t.Context(), c, Work{Priority: 0x1e00})
+		low := queueUp(t.Context(), c, Work{Priority: 0x0a00})
+		l := testLimits(1)
+		c.SetLimits(l)
+		synctest.Wait()
+		require.Equal(t, message.ReasonOverload, low.reason())
+		permits[0].Release(Result{Latency: time.Millisecond})
+		synctest.Wait()
+		require.Nil(t, high.permit, "one request is still in flight")
+		c.SetLimits(testLimits(2))
+		synctest.Wait()
+		require.NotNil(t, high.permit)
+	})
+}
+
+// Guards against an admission control that refuses everything after the target hung, because of the latencies that it
+// measured then.
+func TestTargetHangsAndReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newController(testLimits(40))
+		l := &load{c: c, target: newTarget(40, 50*time.Millisecond, false), timeout: 500 * time.Millisecond,
+			rates: map[uint8]float64{rankOrder: 200, rankRead: 200}}
+		l.run(time.Second)
+		l.target.hang = 500 * time.Millisecond // every request ends as cancelled at its deadline
+		l.run(3 * time.Second)
+		l.target.hang = 0
+		l.run(time.Second)
+		t.Logf("first second: %d of %d", l.goodTotal(), l.sent[rankOrder]+l.sent[rankRead])
+		l.run(time.Second)
+		require.Equal(t, l.sent, l.good)
+	})
+}
+
 // Guards against work that is admitted after the node told its peers that it leaves.
 func TestStopAdmittingRefusesQueuedAndNew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -32,6 +32,7 @@
 type Result struct {
 	Failed    bool         // connection failed, no response in time, or a failure of the target
 	Refused   bool         // refused by admission: the target works and is full
+	Leaving   bool         // refused because the target or its node is leaving
 	Cancelled bool         // the caller left; says nothing about the target
 	Load      message.Load // as reported; zero if there was none
 }
@@ -70,6 +71,9 @@
 	rampStart = 0.1
 	// DefaultRampTime is the time in which a new or returning target reaches its normal share.
 	DefaultRampTime = 5 * time.Second
+	// leavingTime is the time for which a target is not picked after it said that it leaves. Membership removes it within
+	// seconds; if the target stays after all, one request finds out each time.
+	leavingTime = time.Second
 	// drawTries is the number of random draws before the list is scanned for an eligible target.
 	drawTries = 4
 )
@@ -109,6 +113,7 @@
 	samples  atomic.Int64
 	failures atomic.Int64 // consecutive
 	ejected  atomic.Int64 // end of the ejection
+	leaving  atomic.Int64 // end of the time without picks after a refusal as leaving
 	rampFrom atomic.Int64 // start of the ramp; zero: none
 
 	ejectTime time.Duration // length of the last ejection; under the Picker's mutex
@@ -195,13 +200,15 @@
 	if remote := p.better(snap.remote, set, now, exclude); remote != nil {
 		return remote
 	}
-	// Every target is ejected or excluded. An ejected target is a better choice than none.
+	// Every target is ejected, leaving or excluded. An ejected target is a better choice than none.
 	return p.scan(snap.all, func(m *member) bool { return !slices.Contains(exclude, m.Address) })
 }
 
 // better returns the better of two random eligible targets of the list, or nil.
 func (p *Picker) better(list []*member, set *settings, now int64, exclude []string) *member {
-	eligible := func(m *member) bool { return m.ejected.Load() <= now && !slices.Contains(exclude, m.Address) }
+	eligible := func(m *member) bool {
+		return m.ejected.Load() <= now && m.leaving.Load() <= now && !slices.Contains(exclude, m.Address)
+	}
 	draw := func(not *member) *member {
 		for range drawTries {
 			m := list[p.index(len(list))]
@@ -314,6 +321,8 @@
 	}
 	switch {
 	case r.Cancelled:
+	case r.Leaving:
+		m.leaving.Store(now + int64(leavingTime))
 	case r.Refused:
 		m.refused.Store(now)
 	case r.Failed:
--- a/internal/process/balance/balance_test.go
+++ b/internal/process/balance/balance_test.go
@@ -231,7 +231,11 @@
 		}
 		_, _, ok = p.Pick("t0", "t1")
 		require.False(t, ok)
-		_, done, _ := p.Pick("t1")
+		_, done, _ := p.Pick("t0")
+		done(Result{Leaving: true})
+		require.Equal(t, map[string]int{"t0": 100}, picks(p, 100), "a leaving target must get no work while another one is there")
+		time.Sleep(leavingTime)
+		_, done, _ = p.Pick("t1")
 		p.Update(site(3, 40, "b"))
 		require.EqualValues(t, 1, p.snapshot.Load().all[0].inFlight.Load())
 		done(Result{})
