Draw one target of other zones before comparing two

Cause: each pick drew two targets of other zones although it needs one to see whether the local choice is worse.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -172,7 +172,7 @@
 // called once with the result; further calls have no effect.
 func (p *Picker) Pick(exclude ...string) (Target, func(Result), bool) {
 	now, set, snap := p.now(), p.settings.Load(), p.snapshot.Load()
-	m := p.choose(snap, set, now, exclude)
+	m := (&pick{p, set, now, exclude}).choose(snap)
 	if m == nil {
 		return Target{}, nil, false
 	}
@@ -185,72 +185,82 @@
 	}, true
 }
 
+// pick is what one choice looks at.
+type pick struct {
+	*Picker
+	set     *settings
+	now     int64
+	exclude []string
+}
+
 // choose prefers the local availability zone until its target is the worse choice.
-func (p *Picker) choose(snap *snapshot, set *settings, now int64, exclude []string) *member {
-	local := p.better(snap.local, set, now, exclude)
-	if local != nil && len(snap.remote) > 0 {
-		remote := p.better(snap.remote, set, now, exclude)
-		if remote != nil && (p.random() < exploreShare || local.worse(remote, now)) {
+func (p *pick) choose(snap *snapshot) *member {
+	local := p.better(snap.local, p.draw(snap.local, nil))
+	remote := p.draw(snap.remote, nil)
+	switch {
+	case local == nil:
+		if remote = p.better(snap.remote, remote); remote != nil {
 			return remote
 		}
-	}
-	if local != nil {
+	case remote != nil && (p.random() < exploreShare || local.worse(remote, p.now)):
+		return p.better(snap.remote, remote)
+	default:
 		return local
 	}
-	if remote := p.better(snap.remote, set, now, exclude); remote != nil {
-		return remote
-	}
 	// Every target is ejected, leaving or excluded. An ejected target is a better choice than none.
-	return p.scan(snap.all, func(m *member) bool { return !slices.Contains(exclude, m.Address) })
+	return p.scan(snap.all, true)
 }
 
-// better returns the better of two random eligible targets of the list, or nil.
-func (p *Picker) better(list []*member, set *settings, now int64, exclude []string) *member {
-	eligible := func(m *member) bool {
-		return m.ejected.Load() <= now && m.leaving.Load() <= now && !slices.Contains(exclude, m.Address)
+// better returns the better of a first draw and a second one. Without a first draw it takes any eligible target.
+func (p *pick) better(list []*member, first *member) *member {
+	if first == nil {
+		return p.scan(list, false)
 	}
-	draw := func(not *member) *member {
-		for range drawTries {
-			m := list[p.index(len(list))]
-			if m != not && eligible(m) && p.ramped(m, set, now) {
-				return m
-			}
+	if len(list) > 1 {
+		if second := p.draw(list, first); second != nil && second.score(p.now) < first.score(p.now) {
+			return second
 		}
-		return nil
 	}
+	return first
+}
+
+// eligible reports whether the target may be picked, apart from its ramp.
+func (p *pick) eligible(m *member) bool {
+	return m.ejected.Load() <= p.now && m.leaving.Load() <= p.now && !slices.Contains(p.exclude, m.Address)
+}
+
+// draw returns a random eligible member other than the given one, or nil if a few tries find none.
+func (p *pick) draw(list []*member, not *member) *member {
 	if len(list) == 0 {
 		return nil
 	}
-	a := draw(nil)
-	if a == nil {
-		return p.scan(list, eligible)
-	}
-	if len(list) == 1 {
-		return a
-	}
-	if b := draw(a); b != nil && b.score(now) < a.score(now) {
-		return b
+	for range drawTries {
+		m := list[p.index(len(list))]
+		if m != not && p.eligible(m) && p.ramped(m, p.set, p.now) {
+			return m
+		}
 	}
-	return a
+	return nil
 }
 
-// index returns a random number below n.
-func (p *Picker) index(n int) int { return int(p.random() * float64(n)) }
-
-// scan returns the first eligible member from a random position on.
-func (p *Picker) scan(list []*member, eligible func(*member) bool) *member {
+// scan returns the first eligible member from a random position on, or with anyState the first that is not excluded.
+func (p *pick) scan(list []*member, anyState bool) *member {
 	if len(list) == 0 {
 		return nil
 	}
 	start := p.index(len(list))
 	for i := range list {
-		if m := list[(start+i)%len(list)]; eligible(m) {
+		m := list[(start+i)%len(list)]
+		if p.eligible(m) || (anyState && !slices.Contains(p.exclude, m.Address)) {
 			return m
 		}
 	}
 	return nil
 }
 
+// index returns a random number below n.
+func (p *Picker) index(n int) int { return int(p.random() * float64(n)) }
+
 // ramped reports whether a draw of the target counts. A target in its ramp is drawn with a probability that grows to one.
 func (p *Picker) ramped(m *member, set *settings, now int64) bool {
 	from := m.rampFrom.Load()
