Name the parts of admission after what they do

The threshold's state is the shedder, the latency estimate is called latency, and the interval's sums have a file of their own.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -94,7 +94,7 @@
 	origin time.Time      // times below are durations since origin
 	random func() float64 // from zero to one; replaced by tests, called with the mutex held
 
-	threshold atomic.Uint32 // copy of gate.threshold
+	threshold atomic.Uint32 // copy of shedder.threshold
 	load      atomic.Uint64 // in-flight and queued requests in the high half, limit in the low half
 	nextTick  atomic.Int64
 
@@ -104,9 +104,9 @@
 	inFlight  int
 	limit     int // present limit on requests in flight
 	queue     queue
-	hold      estimate
+	latency   estimate
 	meter     meter
-	gate      gate
+	shedder   shedder
 	trial     trial
 	rampFrom  time.Duration // start of the ramp; negative: no ramp
 	rampTimer *time.Timer
@@ -136,8 +136,8 @@
 	}
 	c.mu.Lock()
 	now := c.advance()
-	c.meter.arrive(w.Priority, c.gate.threshold)
-	c.gate.see(w.Priority.Rank(), now)
+	c.meter.arrive(w.Priority, c.shedder.threshold)
+	c.shedder.see(w.Priority.Rank(), now)
 	if reason := c.check(now, w); reason != message.ReasonNone {
 		return nil, c.refuseLocked(now, reason)
 	}
@@ -172,7 +172,7 @@
 		return message.ReasonLeaving
 	case !c.meets(now, 0, w):
 		return message.ReasonDeadline
-	case w.Priority < c.gate.threshold && !c.idle():
+	case w.Priority < c.shedder.threshold && !c.idle():
 		return message.ReasonOverload
 	}
 	return message.ReasonNone
@@ -194,14 +194,14 @@
 	if left <= 0 {
 		return false
 	}
-	return c.inFlight == 0 || wait+c.hold.low <= left
+	return c.inFlight == 0 || wait+c.latency.low <= left
 }
 
 // enqueue adds work to the queue, where necessary in place of the work of lowest priority.
 func (c *Controller) enqueue(ctx context.Context, now time.Duration, w Work) (*waiter, message.Reason) {
-	wt := &waiter{ctx: ctx, work: w, since: now, ready: make(chan struct{})}
+	wt := &waiter{ctx: ctx, work: w, ready: make(chan struct{})}
 	at := c.queue.position(wt)
-	wait := time.Duration(at+1) * c.hold.mean / time.Duration(c.limit)
+	wait := time.Duration(at+1) * c.latency.mean / time.Duration(c.limit)
 	if wait > c.limits.QueueMaxWait {
 		c.meter.turnedAway++
 		return nil, message.ReasonOverload
@@ -302,7 +302,7 @@
 	now := c.advance()
 	c.inFlight--
 	c.meter.depart(r)
-	c.hold.add(r)
+	c.latency.add(r)
 	c.dispatch(now)
 	c.publish()
 	c.mu.Unlock()
@@ -357,7 +357,7 @@
 	defer c.mu.Unlock()
 	now := c.advance()
 	c.trial.reset(c.limits.ceiling(), now)
-	c.hold = estimate{}
+	c.latency = estimate{}
 	if c.limits.RampTime <= 0 {
 		return
 	}
@@ -416,11 +416,11 @@
 // tick ends an interval of measurement.
 func (c *Controller) tick(now time.Duration) {
 	m := &c.meter
-	expected := float64(c.limit) * float64(tickInterval) / float64(max(1, c.hold.mean))
-	c.gate.adjust(now, m, &c.queue, c.limits.QueueLength, expected)
-	c.trial.quiet(now, m, &c.hold)
+	expected := float64(c.limit) * float64(tickInterval) / float64(max(1, c.latency.mean))
+	c.shedder.adjust(now, m, &c.queue, c.limits.QueueLength, expected)
+	c.trial.quiet(now, m, &c.latency)
 	if c.rampFrom < 0 {
-		c.trial.observe(now, m, &c.hold)
+		c.trial.observe(now, m, &c.latency)
 	}
 	m.restart(now)
 	c.nextTick.Store(int64(now + tickInterval))
@@ -442,18 +442,18 @@
 
 // publish copies the state that is read without the mutex.
 func (c *Controller) publish() {
-	c.threshold.Store(uint32(c.gate.threshold))
+	c.threshold.Store(uint32(c.shedder.threshold))
 	c.load.Store(uint64(c.inFlight+c.queue.len())<<32 | uint64(uint32(c.limit)))
 }
 
 // refusal builds the error for refused work. The time to return grows with the time that the backlog needs and with the
 // share of work that is refused.
 func (c *Controller) refusal(now time.Duration, reason message.Reason) *Refusal {
-	r := &Refusal{Reason: reason, Threshold: c.gate.threshold}
+	r := &Refusal{Reason: reason, Threshold: c.shedder.threshold}
 	switch reason {
 	case message.ReasonOverload, message.ReasonDeadline:
-		backlog := time.Duration(c.inFlight+c.queue.len()) * c.hold.mean / time.Duration(c.limit)
-		after := float64(minRetryAfter+backlog) * (1 + c.gate.pressure)
+		backlog := time.Duration(c.inFlight+c.queue.len()) * c.latency.mean / time.Duration(c.limit)
+		after := float64(minRetryAfter+backlog) * (1 + c.shedder.pressure)
 		r.RetryAfter = time.Duration(min(after, float64(maxRetryAfter)) * (0.5 + c.random()))
 	case message.ReasonLeaving:
 		r.RetryAfter = time.Duration(float64(minRetryAfter) * (0.5 + c.random()))
--- a/internal/process/admission/admission_test.go
+++ b/internal/process/admission/admission_test.go
@@ -202,8 +202,8 @@
 	})
 }
 
-// hold takes all slots, so that further work queues.
-func hold(t *testing.T, c *Controller) []*Permit {
+// fillSlots takes all slots, so that further work queues.
+func fillSlots(t *testing.T, c *Controller) []*Permit {
 	t.Helper()
 	permits := make([]*Permit, c.Load().Limit)
 	for i := range permits {
@@ -242,7 +242,7 @@
 		l := testLimits(1)
 		l.QueueLength = 3
 		c := newController(l)
-		permits := hold(t, c)
+		permits := fillSlots(t, c)
 		ctx, leave := context.WithCancel(t.Context())
 		now := time.Now()
 		low := queueUp(t.Context(), c, Work{Priority: 0x0a10})
@@ -272,7 +272,7 @@
 func TestDeadlineThatCannotBeMet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newController(testLimits(2))
-		for _, p := range hold(t, c) {
+		for _, p := range fillSlots(t, c) {
 			time.Sleep(500 * time.Millisecond)
 			p.Release(Result{Latency: 500 * time.Millisecond})
 		}
@@ -288,7 +288,7 @@
 func TestSetLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newController(testLimits(2))
-		permits := hold(t, c)
+		permits := fillSlots(t, c)
 		high := queueUp(t.Context(), c, Work{Priority: 0x1e00})
 		low := queueUp(t.Context(), c, Work{Priority: 0x0a00})
 		l := testLimits(1)
@@ -326,7 +326,7 @@
 func TestStopAdmittingRefusesQueuedAndNew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newController(testLimits(1))
-		permits := hold(t, c)
+		permits := fillSlots(t, c)
 		queued := queueUp(t.Context(), c, Work{Priority: 0x1e00})
 		c.StopAdmitting()
 		synctest.Wait()
--- a/internal/process/admission/queue.go
+++ b/internal/process/admission/queue.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"slices"
-	"time"
 )
 
 // waiter is work in the queue. Its result is written before ready is closed.
 type waiter struct {
 	ctx     context.Context
 	work    Work
-	since   time.Duration
 	ready   chan struct{}
 	permit  *Permit
 	refusal *Refusal
--- a/internal/process/admission/gate.go
+++ b/internal/process/admission/shedder.go
@@ -9,71 +9,10 @@
 )
 
 const (
-	// tickInterval is the time between changes of threshold and limit. It must hold a few dozen requests of a typical
-	// target and be a small part of the 2 s in which the system recovers.
-	tickInterval = 100 * time.Millisecond
-	// sampleSize is the number of arrivals per interval whose priorities are kept.
-	sampleSize = 512
 	// forgetAfter is the silence after which the threshold is dropped instead of lowered.
 	forgetAfter = time.Second
 	// rankMemory is the time for which a rank counts as in use after its last arrival.
 	rankMemory = time.Minute
-)
-
-// meter sums up one interval of measurement.
-type meter struct {
-	start, last time.Duration
-	arrivals    int // all
-	above       int // at or above the threshold
-	turnedAway  int // admitted by the threshold and refused by the queue
-	departures  int
-	bad         int // departures that failed or were cancelled
-
-	busy     float64 // requests in flight, integrated over time in seconds
-	capacity float64 // limit, integrated
-	backlog  float64 // queue length, integrated
-
-	sample [sampleSize]message.Priority // priorities of the latest arrivals
-}
-
-func (m *meter) arrive(p, threshold message.Priority) {
-	m.sample[m.arrivals%sampleSize] = p
-	m.arrivals++
-	if p >= threshold {
-		m.above++
-	}
-}
-
-func (m *meter) depart(r Result) {
-	m.departures++
-	if r.Failed || r.Cancelled {
-		m.bad++
-	}
-}
-
-func (m *meter) integrate(now time.Duration, inFlight, limit, queued int) {
-	dt := (now - m.last).Seconds()
-	m.last = now
-	m.busy += dt * float64(inFlight)
-	m.capacity += dt * float64(limit)
-	m.backlog += dt * float64(queued)
-}
-
-// utilisation returns the share of the limit that was in use. Requests above a limit that was just lowered count once.
-func (m *meter) utilisation() float64 {
-	if m.capacity == 0 {
-		return 0
-	}
-	return min(1, m.busy/m.capacity)
-}
-
-func (m *meter) restart(now time.Duration) {
-	m.start, m.last = now, now
-	m.arrivals, m.above, m.turnedAway, m.departures, m.bad = 0, 0, 0, 0, 0
-	m.busy, m.capacity, m.backlog = 0, 0, 0
-}
-
-const (
 	// raiseUtilisation is the utilisation below which refusals by the queue count as a burst, not as overload.
 	raiseUtilisation = 0.9
 	// lowerUtilisation is the utilisation below which the threshold is lowered.
@@ -102,8 +41,8 @@
 	maxStep = 256
 )
 
-// gate holds the threshold: the lowest priority that is admitted.
-type gate struct {
+// shedder holds the threshold: the lowest priority that is admitted.
+type shedder struct {
 	threshold message.Priority
 	step      int
 	pressure  float64            // refused requests per departure, smoothed
@@ -113,64 +52,64 @@
 	scratch   [sampleSize]message.Priority
 }
 
-func (g *gate) see(rank uint8, now time.Duration) { g.seen[rank] = now + 1 }
+func (sh *shedder) see(rank uint8, now time.Duration) { sh.seen[rank] = now + 1 }
 
 // adjust moves the threshold at the end of an interval. The expected number of departures per interval follows from limit
 // and latency.
-func (g *gate) adjust(now time.Duration, m *meter, q *queue, queueLength int, expected float64) {
+func (sh *shedder) adjust(now time.Duration, m *meter, q *queue, queueLength int, expected float64) {
 	elapsed := now - m.start
 	if elapsed >= forgetAfter {
-		g.threshold, g.step, g.pressure = 0, 0, 0
+		sh.threshold, sh.step, sh.pressure = 0, 0, 0
 		return
 	}
 	refused := float64(m.arrivals - m.above + m.turnedAway)
-	g.pressure += (refused/float64(max(1, m.departures)) - g.pressure) * gain
+	sh.pressure += (refused/float64(max(1, m.departures)) - sh.pressure) * gain
 
 	use, backlog := m.utilisation(), m.backlog/elapsed.Seconds()
-	g.measure(m, use, expected, elapsed)
+	sh.measure(m, use, expected, elapsed)
 	goal := queueGoal * float64(queueLength)
 	overload := m.turnedAway > 0 || backlog > 2*goal
 	switch {
 	case overload && use >= raiseUtilisation:
-		g.step = 0
-		next := g.raised(m, float64(m.turnedAway)+drainShare*max(0, float64(q.len())-goal))
+		sh.step = 0
+		next := sh.raised(m, float64(m.turnedAway)+drainShare*max(0, float64(q.len())-goal))
 		// Work of a higher rank takes the place of queued work of a lower one and needs no threshold yet.
 		if last := q.len() - 1; last >= 0 {
 			next = min(next, message.Priority(q.items[last].work.Priority.Rank())<<8|255)
 		}
-		g.threshold = max(g.threshold, min(next, g.top()))
-	case g.threshold > 0 && use < lowerUtilisation && backlog <= goal:
-		g.lower(now, m, use)
+		sh.threshold = max(sh.threshold, min(next, sh.top()))
+	case sh.threshold > 0 && use < lowerUtilisation && backlog <= goal:
+		sh.lower(now, m, use)
 	default:
-		g.step = 0
+		sh.step = 0
 	}
 }
 
 // measure updates the smoothed demand per rank and the capacity, which starts at the expected one.
-func (g *gate) measure(m *meter, use, expected float64, elapsed time.Duration) {
+func (sh *shedder) measure(m *meter, use, expected float64, elapsed time.Duration) {
 	scale := float64(tickInterval) / float64(elapsed)
-	weight := min(max(g.capacity/demandSamples, minDemandWeight), maxDemandWeight)
-	for rank := range g.demand {
-		g.demand[rank] *= 1 - weight
+	weight := min(max(sh.capacity/demandSamples, minDemandWeight), maxDemandWeight)
+	for rank := range sh.demand {
+		sh.demand[rank] *= 1 - weight
 	}
 	n := min(m.arrivals, sampleSize)
 	for _, p := range m.sample[:n] {
-		g.demand[p.Rank()] += weight * scale * float64(m.arrivals) / float64(n)
+		sh.demand[p.Rank()] += weight * scale * float64(m.arrivals) / float64(n)
 	}
 	if use >= raiseUtilisation {
-		if g.capacity == 0 {
-			g.capacity = expected
+		if sh.capacity == 0 {
+			sh.capacity = expected
 		}
-		g.capacity += weight * (scale*float64(m.departures) - g.capacity)
+		sh.capacity += weight * (scale*float64(m.departures) - sh.capacity)
 	}
 }
 
 // top returns the highest threshold that the demand justifies: the lowest priority of the lowest rank that the target can
 // serve completely together with the ranks above it.
-func (g *gate) top() message.Priority {
+func (sh *shedder) top() message.Priority {
 	sum, lowest := 0.0, message.MaxRank+1
 	for rank := message.MaxRank; rank >= 0; rank-- {
-		if sum += g.demand[rank]; sum >= keepShare*g.capacity {
+		if sum += sh.demand[rank]; sum >= keepShare*sh.capacity {
 			break
 		}
 		lowest = rank
@@ -179,52 +118,52 @@
 }
 
 // samples returns the sorted priorities of the interval and the number of arrivals that each stands for.
-func (g *gate) samples(m *meter) ([]message.Priority, float64) {
+func (sh *shedder) samples(m *meter) ([]message.Priority, float64) {
 	n := min(m.arrivals, sampleSize)
-	s := g.scratch[:n]
+	s := sh.scratch[:n]
 	copy(s, m.sample[:n])
 	slices.Sort(s)
 	return s, max(1, float64(m.arrivals)/float64(max(1, n)))
 }
 
 // raised returns the threshold at which part of the excess would have been refused.
-func (g *gate) raised(m *meter, excess float64) message.Priority {
-	s, weight := g.samples(m)
-	from, _ := slices.BinarySearch(s, g.threshold)
+func (sh *shedder) raised(m *meter, excess float64) message.Priority {
+	s, weight := sh.samples(m)
+	from, _ := slices.BinarySearch(s, sh.threshold)
 	s = s[from:]
 	spare := float64(m.above) - keepShare*float64(m.departures)
 	drop := int(min(gain*excess, spare) / weight)
 	if drop <= 0 || drop >= len(s) {
-		return g.threshold
+		return sh.threshold
 	}
 	return s[drop]
 }
 
 // lower sets the threshold so that refused arrivals would have filled part of the idle slots, by at most one step.
-func (g *gate) lower(now time.Duration, m *meter, use float64) {
-	g.step = min(max(firstStep, 2*g.step), maxStep)
-	next := g.below(now, g.step)
-	s, weight := g.samples(m)
-	from, _ := slices.BinarySearch(s, g.threshold)
+func (sh *shedder) lower(now time.Duration, m *meter, use float64) {
+	sh.step = min(max(firstStep, 2*sh.step), maxStep)
+	next := sh.below(now, sh.step)
+	s, weight := sh.samples(m)
+	from, _ := slices.BinarySearch(s, sh.threshold)
 	if use > 0 {
 		spare := float64(m.departures) * (1 - use) / use
 		if fit := max(1, int(gain*spare/weight)); fit < from {
 			next = max(next, s[from-fit])
 		}
 	}
-	g.threshold = next
+	sh.threshold = next
 }
 
 // below returns the priority a number of steps below the threshold. Ranks that are not in use are skipped, since
 // no request would be admitted by stepping through them.
-func (g *gate) below(now time.Duration, step int) message.Priority {
-	p := int(g.threshold)
+func (sh *shedder) below(now time.Duration, step int) message.Priority {
+	p := int(sh.threshold)
 	if hash := p & 255; step <= hash {
 		return message.Priority(p - step)
 	}
 	step -= p&255 + 1
 	for rank := p>>8 - 1; rank >= 0; rank-- {
-		if g.seen[rank] == 0 || now-g.seen[rank] > rankMemory {
+		if sh.seen[rank] == 0 || now-sh.seen[rank] > rankMemory {
 			continue
 		}
 		if step <= 255 {
--- a/internal/process/admission/trial.go
+++ b/internal/process/admission/trial.go
@@ -5,40 +5,6 @@
 	"time"
 )
 
-// estimate holds the measured time of requests at the target.
-type estimate struct {
-	mean     time.Duration // moving average
-	low      time.Duration // falls fast and rises slowly: the time that work needs at least, used to refuse work
-	variance float64       // of the latency relative to the mean
-	samples  int
-}
-
-const (
-	meanWeight = 16 // samples over which the mean is taken
-	fallWeight = 4
-	riseWeight = 32
-)
-
-// add records the end of a request. The latency of a cancelled request is a lower bound.
-func (e *estimate) add(r Result) {
-	if r.Failed || r.Latency <= 0 || (r.Cancelled && r.Latency < e.mean) {
-		return
-	}
-	if e.samples++; e.mean == 0 {
-		e.mean, e.low = r.Latency, r.Latency
-		return
-	}
-	d := r.Latency - e.mean
-	rel := float64(d) / float64(e.mean)
-	e.variance += (rel*rel - e.variance) / meanWeight
-	e.mean += d / meanWeight
-	if r.Latency < e.low {
-		e.low -= (e.low - r.Latency) / fallWeight
-	} else {
-		e.low += (r.Latency - e.low) / riseWeight
-	}
-}
-
 const (
 	// coarseStep and fineStep are the ratios of the two limits that a trial compares. The coarse step finds a target with
 	// far fewer slots than stated in few trials; the fine one is used after a coarse trial changed nothing. A rejected
@@ -141,15 +107,15 @@
 }
 
 // quiet takes the latency of an interval with few requests in flight as the known one.
-func (t *trial) quiet(now time.Duration, m *meter, hold *estimate) {
-	if t.active || hold.samples < meanWeight || m.departures == 0 ||
+func (t *trial) quiet(now time.Duration, m *meter, latency *estimate) {
+	if t.active || latency.samples < meanWeight || m.departures == 0 ||
 		m.busy >= quietShare*float64(t.learned)*(now-m.start).Seconds() {
 		return
 	}
 	if t.known == 0 {
 		t.down.next = min(t.down.next, now+trialFirst)
 	}
-	t.known = hold.mean
+	t.known = latency.mean
 }
 
 // saturated reports whether the interval shows the throughput of the target: work waited, all slots were in use, and
@@ -160,18 +126,18 @@
 }
 
 // observe takes in one interval of measurement.
-func (t *trial) observe(now time.Duration, m *meter, hold *estimate) {
+func (t *trial) observe(now time.Duration, m *meter, latency *estimate) {
 	saturated := saturated(now, m)
 	if !t.active {
 		if saturated {
-			t.begin(now, hold)
+			t.begin(now, latency)
 		}
 		return
 	}
-	length := min(max(trialTurn*hold.mean, trialMinTurn), trialMaxTurn)
+	length := min(max(trialTurn*latency.mean, trialMinTurn), trialMaxTurn)
 	if now-t.settled > trialPatience*length {
 		t.active = false
-		t.rest(now, hold)
+		t.rest(now, latency)
 		return
 	}
 	// A higher limit under which no work waits is still shown by more throughput than the saturated present limit had.
@@ -189,18 +155,18 @@
 		if over {
 			t.rounds++
 		}
-		if (over || t.turn >= trialMinLatencies*hold.mean.Seconds()) && t.decide(now, over, hold) {
+		if (over || t.turn >= trialMinLatencies*latency.mean.Seconds()) && t.decide(now, over, latency) {
 			return
 		}
 	}
 	if over {
-		t.switchTo(1-t.at, now, hold)
+		t.switchTo(1-t.at, now, latency)
 	}
 }
 
 // begin starts a trial if one is due. The present limit is measured first.
-func (t *trial) begin(now time.Duration, hold *estimate) {
-	slower := t.known == 0 || float64(hold.mean) > trialEvidence*float64(t.known)
+func (t *trial) begin(now time.Duration, latency *estimate) {
+	slower := t.known == 0 || float64(latency.mean) > trialEvidence*float64(t.known)
 	switch {
 	case t.learned < t.ceiling && now >= t.up.next:
 		t.limits, t.first = [2]int{t.learned, t.ceiling}, 0
@@ -214,31 +180,31 @@
 		return
 	}
 	t.sums, t.rounds, t.active = [2]side{}, 0, true
-	t.switchTo(t.first, now, hold)
+	t.switchTo(t.first, now, latency)
 }
 
 // switchTo starts a turn at one of the limits. The first departures still belong to the limit before.
-func (t *trial) switchTo(at int, now time.Duration, hold *estimate) {
+func (t *trial) switchTo(at int, now time.Duration, latency *estimate) {
 	t.at, t.turn = at, 0
-	t.settled = now + hold.mean
+	t.settled = now + latency.mean
 }
 
 // decide ends the trial if the measurements suffice, and reports whether it did. Inside a turn it decides for the higher
 // limit only.
-func (t *trial) decide(now time.Duration, over bool, hold *estimate) bool {
+func (t *trial) decide(now time.Duration, over bool, latency *estimate) bool {
 	low, high := t.sums[0], t.sums[1]
 	if low.departures == 0 || high.departures == 0 {
 		return false
 	}
 	ratio := (high.departures / high.seconds) / (low.departures / low.seconds)
-	spread := ratio * math.Sqrt(low.spread(hold)+high.spread(hold))
+	spread := ratio * math.Sqrt(low.spread(latency)+high.spread(latency))
 	switch {
 	case ratio-confidence*spread > trialGain:
-		t.end(now, 1, hold)
+		t.end(now, 1, latency)
 	case over && ratio+confidence*spread < trialGain:
-		t.end(now, 0, hold)
+		t.end(now, 0, latency)
 	case over && t.rounds >= trialRounds:
-		t.end(now, 1, hold)
+		t.end(now, 1, latency)
 	default:
 		return false
 	}
@@ -247,16 +213,16 @@
 
 // spread returns the squared relative error of the measured throughput: the part from varying latencies, and the part
 // from departures in bursts, of which a measurement may hold a part of one more or less.
-func (s side) spread(hold *estimate) float64 {
-	bursts := max(1, s.seconds/hold.mean.Seconds())
-	return hold.variance/s.departures + 1/(6*bursts*bursts)
+func (s side) spread(latency *estimate) float64 {
+	bursts := max(1, s.seconds/latency.mean.Seconds())
+	return latency.variance/s.departures + 1/(6*bursts*bursts)
 }
 
 // end takes the limit of one side.
-func (t *trial) end(now time.Duration, winner int, hold *estimate) {
+func (t *trial) end(now time.Duration, winner int, latency *estimate) {
 	t.active = false
 	if winner == t.first {
-		t.rest(now, hold)
+		t.rest(now, latency)
 	} else {
 		t.learned = t.limits[winner]
 		t.down = schedule{now, trialFirst}
@@ -268,12 +234,12 @@
 }
 
 // rest schedules the next trial after one that changed nothing.
-func (t *trial) rest(now time.Duration, hold *estimate) {
+func (t *trial) rest(now time.Duration, latency *estimate) {
 	if t.first == 0 {
 		t.up.rest(now, upBackoff, upMax)
 		return
 	}
-	t.known = hold.mean
+	t.known = latency.mean
 	t.fine = !t.fine
 	t.down.rest(now, trialBackoff, trialMax)
 }
