Vote in rounds so that an outage stays within the traffic limit; add the audit trail

Cause: while the platform is down, members confirm each other. Each message carried 6 bytes per member of the availability zone every 0.4 s. That grows with the zone; 255 members per zone would exceed 4 KB/s several times over.

Change: votes belong to numbered rounds, a round has one start time and a set of 2,048 bits, and a peer is sent only bits that it lacks.

Ruled out: an index into the sorted member list (lists differ while members come and go); a summary per group of a zone (one more level of delay).

TestEachEntryWrittenOnce draws outages, lost answers and full buffers.

--- /dev/null
+++ b/internal/process/audit/audit_test.go
@@ -0,0 +1,84 @@
+package audit
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/standin/memory"
+)
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// Guards against entries that are lost, written twice or listed in the wrong order, whatever happens to the platform, and
+// against drops that the trail does not tell.
+func TestEachEntryWrittenOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		pf := memory.New()
+		limit := rapid.IntRange(1, 60).Draw(t, "buffer")
+		trail := New(pf, "n1", limit, quiet())
+		start := time.Unix(1000, 0)
+		added, flushes := 0, 0
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			pf.SetFaults(memory.Faults{Down: rapid.Bool().Draw(t, "down"), LoseAnswer: rapid.Bool().Draw(t, "lose")})
+			for range rapid.IntRange(0, 40).Draw(t, "entries") {
+				added++
+				trail.Add(Entry{Kind: KindDrain, Subject: fmt.Sprint(added), Time: start.Add(time.Duration(added) * time.Second)})
+			}
+			require.LessOrEqual(t, trail.Stats().Buffered, limit)
+			if trail.Flush(ctx) == nil {
+				flushes++
+			}
+		}
+		pf.SetFaults(memory.Faults{})
+		require.NoError(t, trail.Flush(ctx))
+		entries, err := trail.List(ctx, 10000)
+		require.NoError(t, err)
+		seen, counted := map[string]bool{}, 0
+		last := added + 1
+		for _, e := range entries {
+			if e.Kind == KindDropped {
+				counted += e.Count
+				continue
+			}
+			var n int
+			_, err := fmt.Sscan(e.Subject, &n)
+			require.NoError(t, err)
+			require.Less(t, n, last, "newest first, each once")
+			last = n
+			seen[e.Subject] = true
+		}
+		require.Equal(t, added, len(seen)+counted)
+		require.Equal(t, counted, trail.Stats().Dropped)
+		require.Equal(t, len(entries), trail.Stats().Written)
+		limited, err := trail.List(ctx, 1)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(limited), 1)
+	})
+}
+
+// Guards against a graceful stop that leaves entries behind, and against goroutines that outlive it.
+func TestRunWritesTheRest(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	pf := memory.New()
+	trail := New(pf, "n1", 0, quiet())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { trail.Run(ctx); close(done) }()
+	trail.Add(Entry{Kind: KindChange, Actor: "ann", Subject: "c1", Base: 1, Version: 2, Differs: []string{"base.ini"}, Outcome: "accepted"})
+	cancel()
+	<-done
+	entries, err := trail.List(context.Background(), 10)
+	require.NoError(t, err)
+	require.Len(t, entries, 1)
+	require.Equal(t, "ann", entries[0].Actor)
+	require.WithinDuration(t, time.Now(), entries[0].Time, time.Minute)
+}
--- a/internal/version/rollout/evidence.go
+++ b/internal/version/rollout/evidence.go
@@ -1,15 +1,13 @@
 package rollout
 
 import (
-	"encoding/binary"
 	"slices"
 	"time"
 )
 
-// A packed vote is the voter's ID (4 bytes) and the vote's age in milliseconds (2 bytes).
-const voteBytes = 6
-
-func voteID(address string) uint32 { return uint32(hash64(address)) }
+func newPeer(epoch uint64, now Time) *peer {
+	return &peer{epoch: epoch, offsetSince: now, rounds: map[uint64]*voteSet{}, zones: map[string]int64{}}
+}
 
 // observe updates what is known about a peer and its clock.
 //
@@ -20,7 +18,7 @@
 func (m *Machine) observe(from string, msg *message) *peer {
 	p := m.peers[from]
 	if p == nil || p.epoch != msg.Epoch {
-		p = &peer{epoch: msg.Epoch, offsetSince: m.now}
+		p = newPeer(msg.Epoch, m.now)
 		m.peers[from] = p
 	}
 	if msg.Sent >= p.sent {
@@ -59,7 +57,7 @@
 	}
 	p := m.peers[to]
 	if p == nil {
-		p = &peer{offsetSince: m.now}
+		p = newPeer(0, m.now)
 		m.peers[to] = p
 	}
 	msg.Epoch, msg.Sent = m.cfg.Epoch, floorMS(m.now)
@@ -100,17 +98,10 @@
 			(m.have && m.row.Seq > p.seq) ||
 			(m.chosen.Version > m.row.Head.Version && p.chosen < m.chosen.Version) ||
 			(m.proof && m.fresh-p.fresh >= freshStep)
-		votes := voting && (p == nil || m.now-p.lastVotes >= voteEvery)
-		if !due && !votes {
-			continue
-		}
 		msg := &message{Kind: kindState}
-		if votes {
-			m.packVotes(msg, a)
-		}
-		m.send(a, msg)
-		if votes {
-			m.peers[a].lastVotes = m.now
+		votes := voting && p != nil && m.packVotes(msg, a, p)
+		if due || votes {
+			m.send(a, msg)
 		}
 	}
 }
@@ -127,91 +118,15 @@
 	return m.since != 0 && m.running.Version > 0 && m.running.Version == m.decided.Version && m.newer() == nil
 }
 
-func (m *Machine) packVotes(msg *message, to string) {
-	msg.Running = m.running.Version
-	for _, z := range m.zones {
-		if m.now-fromMS(z.At) <= m.cfg.Bound {
-			msg.Zones = append(msg.Zones, z)
-		}
-	}
-	slices.SortFunc(msg.Zones, func(a, b zoneVote) int { return int(b.At - a.At) })
-	if m.members[to].Zone != m.cfg.Zone {
-		return
-	}
-	for id, v := range m.votes {
-		age := ceilMS(m.now - v.at)
-		if v.version != m.running.Version || age > int64(m.cfg.Bound/time.Millisecond) || age >= 1<<16 {
-			continue
-		}
-		msg.Votes = binary.BigEndian.AppendUint32(msg.Votes, id)
-		msg.Votes = binary.BigEndian.AppendUint16(msg.Votes, uint16(age))
-	}
-}
-
-func (m *Machine) takeVotes(p *peer, msg *message) {
-	if msg.Running != m.running.Version {
-		return
-	}
-	for b := msg.Votes; len(b) >= voteBytes; b = b[voteBytes:] {
-		id := binary.BigEndian.Uint32(b)
-		at, ok := m.fromPeer(p, msg.Sent-int64(binary.BigEndian.Uint16(b[4:])))
-		if !ok || !m.zoneIDs[id] || at > m.now || id == voteID(m.cfg.Address) {
-			continue
-		}
-		if v := m.votes[id]; v.version != msg.Running || at > v.at {
-			m.votes[id] = vote{msg.Running, at}
-		}
-	}
-	for _, z := range msg.Zones {
-		at, ok := m.fromPeer(p, z.At)
-		if !ok || at > m.now || z.Zone == m.cfg.Zone {
-			continue
-		}
-		m.takeZone(zoneVote{Zone: z.Zone, N: z.N, At: floorMS(at)})
-	}
-}
-
 // takeZone keeps the better summary of an availability zone: the newer one, and of two of about the same age the larger.
 func (m *Machine) takeZone(z zoneVote) {
-	const same = int64(voteEvery / time.Millisecond)
+	const same = int64(roundEvery/time.Millisecond) / 2
 	old, ok := m.zones[z.Zone]
 	if !ok || z.At > old.At+same || (z.At > old.At-same && (z.N > old.N || (z.N == old.N && z.At > old.At))) {
 		m.zones[z.Zone] = z
 	}
 }
 
-// countVotes derives majority evidence from the votes.
-func (m *Machine) countVotes() {
-	if !m.voting() {
-		return
-	}
-	if m.attests() {
-		m.votes[voteID(m.cfg.Address)] = vote{m.running.Version, m.now}
-	}
-	var times []Time
-	for id, v := range m.votes {
-		switch {
-		case m.now-v.at > m.cfg.Bound:
-			delete(m.votes, id)
-		case v.version == m.running.Version && m.zoneIDs[id]:
-			times = append(times, v.at)
-		}
-	}
-	slices.SortFunc(times, func(a, b Time) int { return int(b - a) })
-	if need := m.zoneSize/2 + 1; len(times) >= need {
-		m.confirmBy(times[need-1])
-	}
-	if len(times) > 0 {
-		m.takeZone(zoneVote{Zone: m.cfg.Zone, N: len(times), At: floorMS(times[len(times)-1])})
-		// Half of the bound leaves the summary time to travel.
-		recent := slices.IndexFunc(times, func(t Time) bool { return m.now-t > m.cfg.Bound/2 })
-		if recent > 0 {
-			m.takeZone(zoneVote{Zone: m.cfg.Zone, N: recent, At: floorMS(times[recent-1])})
-		}
-	}
-	m.countZones()
-}
-
 // countZones derives evidence from a strict majority of all members.
 func (m *Machine) countZones() {
 	size := map[string]int{}
--- a/internal/version/rollout/machine.go
+++ b/internal/version/rollout/machine.go
@@ -49,7 +49,6 @@
 	keepAlive     = time.Second
 	freshStep     = 250 * time.Millisecond // smallest gain in freshness that is worth a message
 	voteAfter     = time.Second            // age of platform evidence at which members vote for each other
-	voteEvery     = 400 * time.Millisecond
 	fetchRetry    = 250 * time.Millisecond
 	callTimeout   = time.Second
 	offsetWindow  = 30 * time.Second // clock offsets older than one to two windows are dropped, because clocks drift
@@ -137,14 +136,12 @@
 	chosen      uint64
 	lastTo      Time
 	lastVotes   Time
+	lastZones   Time
+	rounds      map[uint64]*voteSet // votes that it has, as far as known
+	zones       map[string]int64    // summaries that it has
 	everSent    bool
 }
 
-type vote struct {
-	version uint64
-	at      Time
-}
-
 // Machine is the state of one node.
 type Machine struct {
 	cfg     Config
@@ -160,7 +157,7 @@
 	rank       int      // in zoneLive
 	roster     roster
 	zoneSize   int
-	zoneIDs    map[uint32]bool
+	zoneMask   voteSet // votes of the members of the availability zone
 	rebuilt    Time
 	liveAll    int // live members, with self
 
@@ -180,7 +177,8 @@
 	pendOK  bool
 	majAt   Time
 	majOK   bool
-	votes   map[uint32]vote
+	tallies map[uint64]*tally
+	round   uint64              // newest of tallies
 	zones   map[string]zoneVote // At in the time of this machine
 	ackID   string              // proposal that this process acknowledged last
 	ackBall uint64
@@ -229,7 +227,7 @@
 		rnd:      rand.New(rand.NewPCG(cfg.Seed, hash64(cfg.Address))),
 		members:  map[string]Member{},
 		peers:    map[string]*peer{},
-		votes:    map[uint32]vote{},
+		tallies:  map[uint64]*tally{},
 		zones:    map[string]zoneVote{},
 		ackAt:    now - longAgo,
 		holdAt:   now - longAgo,
@@ -326,13 +324,11 @@
 	m.zoneLive = ring(zone, 0)
 	m.rank = slices.Index(m.zoneLive, m.cfg.Address)
 	m.neighbours = neighbours(m.cfg.Address, zone, all)
-	m.zoneIDs, m.zoneSize = map[uint32]bool{}, 0
+	m.zoneMask, m.zoneSize = voteSet{}, 0
 	for _, v := range r {
 		if v.Zone == m.cfg.Zone {
 			m.zoneSize++
-			id := voteID(v.Address)
-			_, repeated := m.zoneIDs[id]
-			m.zoneIDs[id] = !repeated // two members with one ID would count as each other
+			m.zoneMask.set(voteBit(v.Address))
 		}
 	}
 }
@@ -423,7 +419,7 @@
 			m.takeFresh(msg.Seq, at)
 		}
 	}
-	if len(msg.Votes) > 0 || len(msg.Zones) > 0 {
+	if len(msg.Rounds) > 0 || len(msg.Zones) > 0 {
 		m.takeVotes(p, msg)
 	}
 	if msg.Seq > m.row.Seq {
@@ -508,7 +504,7 @@
 		if body, ok := m.bodies[m.decided.Hash]; ok {
 			m.running = m.decided
 			m.platOK, m.majOK, m.pendOK = false, false, false
-			clear(m.votes)
+			clear(m.tallies)
 			clear(m.zones)
 			m.emit(Event{Kind: EventApply, Version: m.running.Version, Body: body, Head: m.running})
 			m.useFresh()
--- a/internal/version/rollout/measure_test.go
+++ b/internal/version/rollout/measure_test.go
@@ -76,6 +76,15 @@
 	s.run(window)
 	sample("outage", window.Seconds())
 	lost := 0
+	oldest = 0
+	for range 60 {
+		s.run(50 * time.Millisecond)
+		for _, o := range s.nodes {
+			at, _ := o.m.evidence(s.now + o.skew)
+			oldest = max(oldest, s.now+o.skew-at)
+		}
+	}
+	b.ReportMetric(oldest.Seconds(), "outage-oldest-evidence-s")
 	for _, o := range s.nodes {
 		if !o.m.Confirmed(s.now + o.skew) {
 			lost++
--- /dev/null
+++ b/internal/version/rollout/vote.go
@@ -0,0 +1,222 @@
+package rollout
+
+import (
+	"encoding/binary"
+	"maps"
+	mathbits "math/bits"
+	"slices"
+	"time"
+)
+
+// Members vote in rounds, which follow each other by number. A round has a set of bits, one per voter, chosen by the hash
+// of its address, so that members need not agree on a list. Two voters with the same bit count as one, which is safe: at
+// 255 members about 15 votes are lost that way.
+const (
+	voteBits   = 2048
+	roundEvery = 700 * time.Millisecond
+	roundStep  = 100 * time.Millisecond // spread of the starts, so that few members start the same round
+	keepRounds = 4
+	voteGap    = 300 * time.Millisecond // between messages with votes of a known round to one peer
+	zoneGap    = 500 * time.Millisecond // between summaries to one peer, and the smallest gain in age worth sending
+)
+
+type voteSet [voteBits / 64]uint64
+
+func voteBit(address string) uint16 { return uint16(hash64(address) % voteBits) }
+
+func (s *voteSet) set(bit uint16) { s[bit/64] |= 1 << (bit % 64) }
+
+func (s *voteSet) count(mask *voteSet) int {
+	n := 0
+	for i := range s {
+		n += mathbits.OnesCount64(s[i] & mask[i])
+	}
+	return n
+}
+
+func (s *voteSet) or(other *voteSet) {
+	for i := range s {
+		s[i] |= other[i]
+	}
+}
+
+// minus returns the bits of s that are not in other, in order.
+func (s *voteSet) minus(other *voteSet) []uint16 {
+	var out []uint16
+	for i := range s {
+		for w := s[i] &^ other[i]; w != 0; w &= w - 1 {
+			out = append(out, uint16(i*64+mathbits.TrailingZeros64(w)))
+		}
+	}
+	return out
+}
+
+// tally is one round. Every vote in it was cast at start or later.
+type tally struct {
+	start Time
+	votes voteSet
+}
+
+// roundVotes is a round on the wire: either the new bits as 16-bit numbers, or the whole set.
+type roundVotes struct {
+	Round uint64 `cbor:"1,keyasint"`
+	Start int64  `cbor:"2,keyasint"`
+	New   []byte `cbor:"3,keyasint,omitempty"`
+	Set   []byte `cbor:"4,keyasint,omitempty"`
+}
+
+func (r *roundVotes) valid() bool {
+	return len(r.New)%2 == 0 && len(r.New) <= voteBits/8 && (len(r.Set) == 0 || len(r.Set) == voteBits/8)
+}
+
+func (r *roundVotes) votes() *voteSet {
+	var s voteSet
+	for b := r.New; len(b) >= 2; b = b[2:] {
+		s.set(binary.BigEndian.Uint16(b) % voteBits)
+	}
+	for i := range len(r.Set) / 8 {
+		s[i] |= binary.BigEndian.Uint64(r.Set[i*8:])
+	}
+	return &s
+}
+
+func (r *roundVotes) pack(all *voteSet, fresh []uint16) {
+	if len(fresh)*2 < voteBits/8 {
+		for _, bit := range fresh {
+			r.New = binary.BigEndian.AppendUint16(r.New, bit)
+		}
+		return
+	}
+	for _, w := range all {
+		r.Set = binary.BigEndian.AppendUint64(r.Set, w)
+	}
+}
+
+// packVotes adds what the peer lacks to a message and reports whether that is worth sending now.
+func (m *Machine) packVotes(msg *message, to string, p *peer) bool {
+	msg.Running = m.running.Version
+	worth := m.now-p.lastZones >= zoneGap && m.packZones(msg, p)
+	if m.members[to].Zone != m.cfg.Zone {
+		return worth
+	}
+	gap := m.now-p.lastVotes >= voteGap
+	for _, round := range slices.Sorted(maps.Keys(m.tallies)) {
+		t, has := m.tallies[round], p.rounds[round]
+		if m.now-t.start > m.cfg.Bound || (has != nil && !gap) {
+			continue
+		}
+		if has == nil {
+			has = &voteSet{}
+		}
+		fresh := t.votes.minus(has)
+		if len(fresh) == 0 {
+			continue
+		}
+		r := roundVotes{Round: round, Start: floorMS(t.start)}
+		r.pack(&t.votes, fresh)
+		msg.Rounds = append(msg.Rounds, r)
+		m.knows(p, round, &t.votes)
+		p.lastVotes, worth = m.now, true
+	}
+	return worth
+}
+
+func (m *Machine) packZones(msg *message, p *peer) bool {
+	for _, name := range slices.Sorted(maps.Keys(m.zones)) {
+		z := m.zones[name]
+		if m.now-fromMS(z.At) > m.cfg.Bound || z.At-p.zones[name] < int64(zoneGap/time.Millisecond) {
+			continue
+		}
+		msg.Zones = append(msg.Zones, z)
+		p.zones[name] = z.At
+		p.lastZones = m.now
+	}
+	return len(msg.Zones) > 0
+}
+
+// knows records that a peer has votes.
+func (m *Machine) knows(p *peer, round uint64, votes *voteSet) {
+	if p.rounds[round] == nil {
+		p.rounds[round] = &voteSet{}
+		for r := range p.rounds {
+			if r+keepRounds <= round {
+				delete(p.rounds, r)
+			}
+		}
+	}
+	p.rounds[round].or(votes)
+}
+
+func (m *Machine) takeVotes(p *peer, msg *message) {
+	if msg.Running != m.running.Version {
+		return
+	}
+	for i := range msg.Rounds {
+		r := &msg.Rounds[i]
+		start, ok := m.fromPeer(p, r.Start)
+		if !ok || start > m.now || r.Round+keepRounds <= m.round {
+			continue
+		}
+		votes := r.votes()
+		m.knows(p, r.Round, votes)
+		t := m.tallies[r.Round]
+		if t == nil {
+			t = m.open(r.Round, start)
+		}
+		t.start = min(t.start, start)
+		t.votes.or(votes)
+	}
+	for _, z := range msg.Zones {
+		at, ok := m.fromPeer(p, z.At)
+		if !ok || at > m.now || z.Zone == m.cfg.Zone {
+			continue
+		}
+		p.zones[z.Zone] = max(p.zones[z.Zone], floorMS(at))
+		m.takeZone(zoneVote{Zone: z.Zone, N: z.N, At: floorMS(at)})
+	}
+}
+
+func (m *Machine) open(round uint64, start Time) *tally {
+	t := &tally{start: start}
+	m.tallies[round] = t
+	m.round = max(m.round, round)
+	maps.DeleteFunc(m.tallies, func(r uint64, _ *tally) bool { return r+keepRounds <= m.round })
+	return t
+}
+
+// countVotes starts rounds, votes, and derives majority evidence from the votes.
+func (m *Machine) countVotes() {
+	if !m.voting() {
+		return
+	}
+	own := voteBit(m.cfg.Address)
+	if m.attests() {
+		if t := m.tallies[m.round]; t == nil || m.now-t.start >= roundEvery+time.Duration(own)*roundStep/voteBits {
+			m.open(m.round+1, m.now)
+		}
+		for _, t := range m.tallies {
+			if t.start <= m.now {
+				t.votes.set(own)
+			}
+		}
+	}
+	best, done := 0, false
+	var summary zoneVote
+	for _, round := range slices.Backward(slices.Sorted(maps.Keys(m.tallies))) {
+		t := m.tallies[round]
+		n := t.votes.count(&m.zoneMask)
+		if !done && n >= m.zoneSize/2+1 {
+			m.confirmBy(t.start)
+			done = true
+		}
+		// An older round is worth more to the others only if it has clearly more votes.
+		if n > 0 && 4*n > 5*best && m.now-t.start <= m.cfg.Bound {
+			best = n
+			summary = zoneVote{Zone: m.cfg.Zone, N: n, At: floorMS(t.start)}
+		}
+	}
+	if best > 0 {
+		m.takeZone(summary)
+	}
+	m.countZones()
+}
--- a/internal/version/rollout/wire.go
+++ b/internal/version/rollout/wire.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -57,13 +58,13 @@
 	Echo      int64       `cbor:"5,keyasint,omitempty"` // its Sent
 	EchoAt    int64       `cbor:"6,keyasint,omitempty"` // when it arrived
 
-	Seq     uint64     `cbor:"7,keyasint,omitempty"`
-	FreshAt int64      `cbor:"8,keyasint,omitempty"` // the platform held row Seq at this time
-	Row     *HeadRow   `cbor:"9,keyasint,omitempty"` // left out if the receiver has it
-	Chosen  *Head      `cbor:"10,keyasint,omitempty"`
-	Running uint64     `cbor:"11,keyasint,omitempty"` // version that the votes are for
-	Votes   []byte     `cbor:"12,keyasint,omitempty"` // packed votes of the sender's availability zone
-	Zones   []zoneVote `cbor:"13,keyasint,omitempty"`
+	Seq     uint64       `cbor:"7,keyasint,omitempty"`
+	FreshAt int64        `cbor:"8,keyasint,omitempty"` // the platform held row Seq at this time
+	Row     *HeadRow     `cbor:"9,keyasint,omitempty"` // left out if the receiver has it
+	Chosen  *Head        `cbor:"10,keyasint,omitempty"`
+	Running uint64       `cbor:"11,keyasint,omitempty"` // version that the votes are for
+	Rounds  []roundVotes `cbor:"12,keyasint,omitempty"` // votes of the sender's availability zone
+	Zones   []zoneVote   `cbor:"13,keyasint,omitempty"`
 
 	Ask    *ask    `cbor:"14,keyasint,omitempty"`
 	Answer *answer `cbor:"15,keyasint,omitempty"`
@@ -131,7 +132,7 @@
 		m.Kind == kindAsk && (m.Ask == nil || m.Row == nil || m.Row.Pending == nil),
 		m.Kind == kindAnswer && m.Answer == nil,
 		m.Row != nil && m.Row.Seq != m.Seq,
-		len(m.Votes)%voteBytes != 0:
+		slices.ContainsFunc(m.Rounds, func(r roundVotes) bool { return !r.valid() }):
 		return nil, fmt.Errorf("%w: kind %d", ErrMessage, m.Kind)
 	}
 	return m, nil
