Leave the capacity unknown until a latency was measured

Cause: if all slots were in use for an interval before the first response, as with 200 ms of service and overload from the first request on, the capacity started at limit over one nanosecond. By calculation it takes about 19 s of overload to fall to a true value, and the threshold stays at zero for so long. The new test fails with the code before (threshold 0 after 2 s of 2.5 times the capacity) and passes now.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -139,7 +139,7 @@
 	c.meter.arrive(w.Priority, c.shedder.threshold)
 	c.shedder.see(w.Priority.Rank(), now)
 	if reason := c.check(now, w); reason != message.ReasonNone {
-		return nil, c.refuseLocked(now, reason)
+		return nil, c.refuseLocked(reason)
 	}
 	if c.queue.len() == 0 && c.inFlight < c.limit {
 		p := c.grant()
@@ -149,7 +149,7 @@
 	}
 	wt, reason := c.enqueue(ctx, now, w)
 	if reason != message.ReasonNone {
-		return nil, c.refuseLocked(now, reason)
+		return nil, c.refuseLocked(reason)
 	}
 	wait := c.limits.QueueMaxWait
 	c.publish()
@@ -158,8 +158,8 @@
 }
 
 // refuseLocked builds a refusal and unlocks.
-func (c *Controller) refuseLocked(now time.Duration, reason message.Reason) error {
-	r := c.refusal(now, reason)
+func (c *Controller) refuseLocked(reason message.Reason) error {
+	r := c.refusal(reason)
 	c.publish()
 	c.mu.Unlock()
 	return r
@@ -216,7 +216,7 @@
 		if lowest < 0 || c.queue.items[lowest].work.Priority >= w.Priority {
 			return nil, message.ReasonOverload
 		}
-		c.refuseWaiter(now, c.queue.remove(lowest), message.ReasonOverload)
+		c.refuseWaiter(c.queue.remove(lowest), message.ReasonOverload)
 		at = c.queue.position(wt)
 	}
 	c.queue.insert(at, wt)
@@ -249,10 +249,10 @@
 		if reason == message.ReasonOverload {
 			c.meter.turnedAway++
 		}
-		c.refuseWaiter(now, c.queue.remove(at), reason)
+		c.refuseWaiter(c.queue.remove(at), reason)
 	} else if wt.permit != nil && reason != message.ReasonOverload {
 		wt.permit.released.Store(true)
-		wt.permit, wt.refusal = nil, c.refusal(now, reason)
+		wt.permit, wt.refusal = nil, c.refusal(reason)
 		c.inFlight--
 		c.dispatch(now)
 	}
@@ -260,8 +260,8 @@
 	c.mu.Unlock()
 }
 
-func (c *Controller) refuseWaiter(now time.Duration, wt *waiter, reason message.Reason) {
-	wt.refusal = c.refusal(now, reason)
+func (c *Controller) refuseWaiter(wt *waiter, reason message.Reason) {
+	wt.refusal = c.refusal(reason)
 	close(wt.ready)
 }
 
@@ -279,12 +279,12 @@
 	for c.inFlight < c.limit && c.queue.len() > 0 {
 		wt := c.queue.remove(0)
 		if reason := contextReason(wt.ctx); reason != message.ReasonNone {
-			c.refuseWaiter(now, wt, reason)
+			c.refuseWaiter(wt, reason)
 			continue
 		}
 		if !c.meets(now, 0, wt.work) {
 			c.meter.turnedAway++
-			c.refuseWaiter(now, wt, message.ReasonDeadline)
+			c.refuseWaiter(wt, message.ReasonDeadline)
 			continue
 		}
 		wt.permit = c.grant()
@@ -344,7 +344,7 @@
 		c.trial.reset(l.ceiling(), now)
 	}
 	for c.queue.len() > l.QueueLength {
-		c.refuseWaiter(now, c.queue.remove(c.queue.lowest()), message.ReasonOverload)
+		c.refuseWaiter(c.queue.remove(c.queue.lowest()), message.ReasonOverload)
 	}
 	c.limit = c.present(now)
 	c.dispatch(now)
@@ -387,13 +387,13 @@
 func (c *Controller) StopAdmitting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.advance()
+	c.advance()
 	c.leaving = true
 	if c.rampTimer != nil {
 		c.rampTimer.Stop()
 	}
 	for c.queue.len() > 0 {
-		c.refuseWaiter(now, c.queue.remove(0), message.ReasonLeaving)
+		c.refuseWaiter(c.queue.remove(0), message.ReasonLeaving)
 	}
 	c.publish()
 }
@@ -416,7 +416,10 @@
 // tick ends an interval of measurement.
 func (c *Controller) tick(now time.Duration) {
 	m := &c.meter
-	expected := float64(c.limit) * float64(tickInterval) / float64(max(1, c.latency.mean))
+	expected := 0.0
+	if c.latency.mean > 0 {
+		expected = float64(c.limit) * float64(tickInterval) / float64(c.latency.mean)
+	}
 	c.shedder.adjust(now, m, &c.queue, c.limits.QueueLength, expected)
 	c.trial.quiet(now, m, &c.latency)
 	if c.rampFrom < 0 {
@@ -448,7 +451,7 @@
 
 // refusal builds the error for refused work. The time to return grows with the time that the backlog needs and with the
 // share of work that is refused.
-func (c *Controller) refusal(now time.Duration, reason message.Reason) *Refusal {
+func (c *Controller) refusal(reason message.Reason) *Refusal {
 	r := &Refusal{Reason: reason, Threshold: c.shedder.threshold}
 	switch reason {
 	case message.ReasonOverload, message.ReasonDeadline:
--- a/internal/process/admission/admission_test.go
+++ b/internal/process/admission/admission_test.go
@@ -146,6 +146,23 @@
 	}
 }
 
+// Guards against an overload from the first request on that is not seen for lack of a measured latency, and against times
+// to return that do not grow with the overload or are the same for all.
+func TestOverloadBeforeFirstAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newController(testLimits(40))
+		l := &load{c: c, target: newTarget(40, 200*time.Millisecond, false), timeout: time.Second,
+			rates: map[uint8]float64{rankOrder: 50, rankRead: 450}}
+		quiet := c.refusal(message.ReasonOverload).RetryAfter
+		l.run(2 * time.Second)
+		require.Positive(t, c.Threshold())
+		require.Equal(t, l.sent[rankOrder], l.good[rankOrder])
+		first, second := c.refusal(message.ReasonOverload).RetryAfter, c.refusal(message.ReasonOverload).RetryAfter
+		require.Greater(t, min(first, second), quiet)
+		require.NotEqual(t, first, second)
+	})
+}
+
 // Guards against a limit that shrinks because a target with all its slots became slower.
 func TestSlowTargetKeepsItsSlots(t *testing.T) {
 	for _, spread := range []bool{false, true} {
