Log ejected targets and changes of the measured limit

Operators see neither from outcomes: an ejection moves traffic silently, and a lowered limit means that the policy states more slots than the target or its back ends have.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -11,12 +11,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
@@ -423,12 +425,26 @@
 	c.shedder.adjust(now, m, &c.queue, c.limits.QueueLength, expected)
 	c.trial.quiet(now, m, &c.latency)
 	if c.rampFrom < 0 {
+		before := c.trial.learned
 		c.trial.observe(now, m, &c.latency)
+		logLimit(before, c.trial.learned)
 	}
 	m.restart(now)
 	c.nextTick.Store(int64(now + tickInterval))
 }
 
+// logLimit logs a change of the measured limit, in a goroutine of its own because the mutex is held.
+func logLimit(before, after int) {
+	e := event.LimitLowered
+	switch {
+	case before == after:
+		return
+	case after > before:
+		e = event.LimitRaised
+	}
+	go event.Log(slog.Default(), e, slog.Int("before", before), slog.Int("after", after))
+}
+
 // present returns the limit on requests in flight at the given time.
 func (c *Controller) present(now time.Duration) int {
 	limit := c.trial.limit()
--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -9,6 +9,7 @@
 package balance
 
 import (
+	"log/slog"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -16,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
 )
@@ -337,7 +339,7 @@
 		m.refused.Store(now)
 	case r.Failed:
 		if m.failures.Add(1) >= int64(p.settings.Load().EjectFailures) {
-			p.eject(m)
+			p.eject(m, "failures")
 		}
 	default:
 		if m.failures.Load() != 0 {
@@ -345,7 +347,7 @@
 		}
 		m.observe(time.Duration(now - start).Seconds())
 		if n := m.samples.Add(1); n >= outlierSamples && n%outlierEvery == 0 && p.outlier(m, now) {
-			p.eject(m)
+			p.eject(m, "latency")
 		}
 	}
 }
@@ -380,8 +382,16 @@
 	return m.seconds() > outlierFactor*others[len(others)/2]+outlierFloor.Seconds()
 }
 
-// eject takes a target out for a time that doubles with each ejection, unless too many targets are out already.
-func (p *Picker) eject(m *member) {
+// eject takes a target out and logs the cause, unless too many targets are out already.
+func (p *Picker) eject(m *member, cause string) {
+	if d := p.takeOut(m); d > 0 {
+		event.Log(slog.Default(), event.TargetEjected, slog.String("address", m.Address),
+			slog.String("cause", cause), slog.Duration("time", d))
+	}
+}
+
+// takeOut ejects a target for a time that doubles with each ejection. It returns zero if the target stays.
+func (p *Picker) takeOut(m *member) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, set, all := p.now(), p.settings.Load(), p.snapshot.Load().all
@@ -393,7 +403,7 @@
 	}
 	until := m.ejected.Load()
 	if until > now || float64(out+1) > set.EjectShare*float64(len(all)) {
-		return
+		return 0
 	}
 	if m.ejectTime == 0 || now-until > int64(calmFactor*set.EjectTime) {
 		m.ejectTime = set.EjectTime
@@ -407,6 +417,7 @@
 	// The first failure after the return ejects the target again; a response clears the count.
 	m.failures.Store(int64(set.EjectFailures) - 1)
 	m.ejected.Store(back)
+	return m.ejectTime
 }
 
 // Ejected returns the addresses of the targets that are ejected now.
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -34,5 +34,6 @@
 		ProcessStarted, ProcessStopped, DrainStarted, DrainCut, SettingsRead, InvariantFail, ServerFailed,
 		LinkOpened, LinkClosed, LinkSilent, LinkRefused, FrameInvalid,
 		TargetAnnounced, TargetLapsed,
+		TargetEjected, LimitLowered, LimitRaised,
 	}
 }
