--- a/internal/process/admission/trial.go
+++ b/internal/process/admission/trial.go
@@ -7,8 +7,7 @@
 
 const (
 	// coarseStep and fineStep are the ratios of the two limits that a trial compares. The coarse step finds a target with
-	// far fewer slots than stated in few trials; the fine one is used after a coarse trial changed nothing. A rejected
-	// trial costs both about the same, because a larger difference in throughput is seen sooner.
+	// far fewer slots than stated in few trials; the fine one is used after a coarse trial changed nothing.
 	coarseStep = 0.5
 	fineStep   = 0.75
 	// coarseMinLimit is the lowest limit that is halved. Half of a small one may be less than the highest ranks need.
@@ -34,8 +33,9 @@
 	// trialMinLatencies is the length in mean latencies after which the second side of a trial may already decide for
 	// the higher limit.
 	trialMinLatencies = 2
-	// trialFirst and trialMax bound the time between trials of a lower limit. A trial of a lower limit costs a target with enough slots
-	// the work of one to two latencies, so the time grows by trialBackoff with each trial that changes nothing.
+	// trialFirst and trialMax bound the time between trials of a lower limit. The first trial cost a target with all its
+	// 40 slots the work of two (constant service) to five latencies (exponential), so the time grows by trialBackoff with
+	// each trial that changes nothing.
 	trialFirst   = 2 * time.Second
 	trialBackoff = 4
 	trialMax     = 2 * time.Minute
