--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -37,6 +37,7 @@
 		LeaveUnsent, ConfigUnusable,
 		LinkOpened, LinkClosed, LinkSilent, LinkRefused, FrameInvalid,
 		TargetAnnounced, TargetLapsed,
+		TargetEjected, LimitLowered, LimitRaised,
 		MemberJoined, MemberReplaced, MemberSuspected, MemberDied, MemberLeft, SelfActive, SelfIsolated,
 		SelfChecking, SelfRefuted, SelfReplaced, SelfLeft, RegistrationFailed, LookupFailed, GossipInvalid,
 		CommandFailed,
