Damp the shedding threshold and let orders wait longer

Orders were refused because the threshold entered their rank at 90 % of the capacity, although they fit.

Changes: steps follow the share of idle slots; reports are averaged over 300 ms; the threshold enters a rank only from 110 % of the capacity; work of classes that must not repeat may wait in a queue of three times the length for up to half of its time left.

--- a/internal/measure/real.go
+++ b/internal/measure/real.go
@@ -34,7 +34,7 @@
 		world:     w,
 		keys:      keys,
 		balancers: engine.NewBalancers(zoneName(m.zone), pol.Balance),
-		control:   admission.New(admission.LimitsOf(&svc, pol.Queue, 0)),
+		control:   admission.New(admission.LimitsOf(pol, &svc, 0)),
 		mislead:   mislead,
 	}
 	n.Engine = engine.New(engine.Config{
--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -31,11 +31,21 @@
 	QueueLength  int           // requests that may wait
 	QueueMaxWait time.Duration // longest wait in the queue
 	RampTime     time.Duration // time from a cold start to the full limit; zero: no ramp
+	// LongWaitRank is the rank from which work may wait longer: in a queue of longQueue times the length and for up to
+	// half of the time that is left to it. Zero: none.
+	LongWaitRank uint8
 }
 
-// LimitsOf returns the limits that a policy sets for the targets of a service.
-func LimitsOf(s *policy.Service, q policy.Queue, ramp time.Duration) Limits {
+// longQueue is the length of the queue for work of LongWaitRank, as a multiple of the normal one. At 95 % load by orders
+// alone their waits often exceed the normal queue, and an order that is refused after work of the hops above is lost.
+const longQueue = 3
+
+// LimitsOf returns the limits that a policy sets for the targets of a service. Work of the classes whose requests must not
+// be repeated may wait longer.
+func LimitsOf(p *policy.Policy, s *policy.Service, ramp time.Duration) Limits {
+	q := p.Queue
 	return Limits{
+		LongWaitRank: p.OnceRank(),
 		Slots:        s.Slots,
 		Connections:  s.Connections,
 		QueueLength:  int(math.Ceil(q.Length * float64(s.Slots))),
@@ -153,7 +163,7 @@
 	if reason != message.ReasonNone {
 		return nil, c.refuseLocked(reason)
 	}
-	wait := c.limits.QueueMaxWait
+	wait := c.maxWait(now, w)
 	c.publish()
 	c.mu.Unlock()
 	return c.await(ctx, wt, wait)
@@ -204,7 +214,7 @@
 	wt := &waiter{ctx: ctx, work: w, ready: make(chan struct{})}
 	at := c.queue.position(wt)
 	wait := time.Duration(at+1) * c.latency.mean / time.Duration(c.limit)
-	if wait > c.limits.QueueMaxWait {
+	if wait > c.maxWait(now, w) {
 		c.meter.turnedAway++
 		return nil, message.ReasonOverload
 	}
@@ -212,7 +222,7 @@
 		c.meter.turnedAway++
 		return nil, message.ReasonDeadline
 	}
-	if c.queue.len() >= c.limits.QueueLength {
+	if c.queue.len() >= c.maxLength(w) {
 		c.meter.turnedAway++
 		lowest := c.queue.lowest()
 		if lowest < 0 || c.queue.items[lowest].work.Priority >= w.Priority {
@@ -225,6 +235,28 @@
 	return wt, message.ReasonNone
 }
 
+// longWait reports whether the work may wait longer than other work.
+func (c *Controller) longWait(w Work) bool {
+	return c.limits.LongWaitRank > 0 && w.Priority.Rank() >= c.limits.LongWaitRank
+}
+
+// maxWait returns the longest wait of the work in the queue.
+func (c *Controller) maxWait(now time.Duration, w Work) time.Duration {
+	if !c.longWait(w) || w.Deadline.IsZero() {
+		return c.limits.QueueMaxWait
+	}
+	left := w.Deadline.Sub(c.origin) - now - c.latency.mean
+	return max(c.limits.QueueMaxWait, left/2)
+}
+
+// maxLength returns the length of the queue from which the work is refused or displaces other work.
+func (c *Controller) maxLength(w Work) int {
+	if c.longWait(w) {
+		return longQueue * c.limits.QueueLength
+	}
+	return c.limits.QueueLength
+}
+
 // await blocks until the waiter is granted a permit or refused, its context ends or the longest wait has passed.
 func (c *Controller) await(ctx context.Context, wt *waiter, wait time.Duration) (*Permit, error) {
 	timer := time.NewTimer(wait)
--- a/internal/process/admission/shedder.go
+++ b/internal/process/admission/shedder.go
@@ -39,6 +39,15 @@
 	firstStep = 8
 	// maxStep bounds the decrease of one interval to one rank.
 	maxStep = 256
+	// idleStep is the decrease of one interval as a part of a rank, for a target whose slots all stand idle. A request that
+	// an entry node admits after a decrease arrives some intervals later, when the hops above have done their work; larger
+	// steps let the threshold fall far below its balance in that time, and what was admitted then is refused here.
+	idleStep = 0.3
+	// minIdleStep keeps the threshold falling while few slots are idle.
+	minIdleStep = 2
+	// rankShare is the demand of a rank and those above, as a share of the capacity, from which the threshold enters the
+	// rank. Work of a rank that fits is left to the queue, which absorbs bursts; a threshold would refuse it at all nodes.
+	rankShare = 1.1
 )
 
 // shedder holds the threshold: the lowest priority that is admitted.
@@ -109,7 +118,7 @@
 func (sh *shedder) top() message.Priority {
 	sum, lowest := 0.0, message.MaxRank+1
 	for rank := message.MaxRank; rank >= 0; rank-- {
-		if sum += sh.demand[rank]; sum >= keepShare*sh.capacity {
+		if sum += sh.demand[rank]; sum >= rankShare*sh.capacity {
 			break
 		}
 		lowest = rank
@@ -142,6 +151,7 @@
 // lower sets the threshold so that refused arrivals would have filled part of the idle slots, by at most one step.
 func (sh *shedder) lower(now time.Duration, m *meter, use float64) {
 	sh.step = min(max(firstStep, 2*sh.step), maxStep)
+	sh.step = min(sh.step, max(minIdleStep, int((1-use)*idleStep*maxStep)))
 	next := sh.below(now, sh.step)
 	s, weight := sh.samples(m)
 	from, _ := slices.BinarySearch(s, sh.threshold)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -213,7 +213,7 @@
 	if announced := int(n.slots.Load()); announced > 0 {
 		own.Slots = min(own.Slots, announced)
 	}
-	n.control.SetLimits(admission.LimitsOf(&own, pol.Queue, rampTime))
+	n.control.SetLimits(admission.LimitsOf(pol, &own, rampTime))
 }
 
 // Interfaces are the listeners of a node.
--- a/internal/process/shed/shed.go
+++ b/internal/process/shed/shed.go
@@ -26,9 +26,9 @@
 	lapseAfter = 1200 * time.Millisecond
 	// smoothing is the time in which reports of one service are averaged. Its targets have thresholds of their own, and
 	// without an average the table would follow whichever target responded last.
-	smoothing = 100 * time.Millisecond
+	smoothing = 300 * time.Millisecond
 	// minWeight is the least weight of a new report.
-	minWeight = 0.25
+	minWeight = 0.1
 	// snapDistance is the difference below which a report is taken as it is, so that an average reaches zero.
 	snapDistance = 16
 	// probeShare is the share of requests below a threshold that pass, and probeInterval the shortest time between two
--- a/internal/version/policy/policy.go
+++ b/internal/version/policy/policy.go
@@ -80,6 +80,20 @@
 	return &q
 }
 
+// OnceRank returns the lowest rank of the routes that must not be executed twice, or zero if there are none.
+func (p *Policy) OnceRank() uint8 {
+	var lowest uint8
+	for _, s := range p.Services {
+		for i := range s.Routes {
+			r := &s.Routes[i]
+			if !r.Idempotent && (lowest == 0 || r.Rank < lowest) {
+				lowest = r.Rank
+			}
+		}
+	}
+	return lowest
+}
+
 // Match returns the route for a request of a service.
 func (s *Service) Match(method, path string) (*Route, bool) {
 	for i := range s.Routes {
