Count answers as goodput only in the phase of their first attempt

Cause: the best possible goodput takes demand above the capacity as lost at once, but refused callers come back after Retry-After, so that up to 7.5 s of surplus demand was answered after the trigger, when 40 % of the slots are idle. The curves show it: goodput above the offered load for some seconds after the trigger. An answer now counts only if it arrives in the phase (before or after the trigger's end) of the request's first attempt.

Ruled out: answers to requests from before the measured window; they are left out already.

--- a/internal/measure/figures.go
+++ b/internal/measure/figures.go
@@ -61,7 +61,7 @@
 		if r.start.Sub(start) < warmUp {
 			continue
 		}
-		if r.whole && at < s.Length {
+		if r.whole && at < s.countsUntil(site, r, start) {
 			whole++
 		}
 		if r.route.Once {
@@ -96,6 +96,21 @@
 	}
 }
 
+// countsUntil returns the time until which an answer counts as goodput. The best possible goodput treats demand that the
+// slots cannot serve at once as lost. Callers carry such demand over the end of the trigger by retries, into a time with
+// idle slots, so an answer counts only in the phase of the request's first attempt. A request that arrives at the end of a
+// phase gets the time that the idle chain needs.
+func (s Scenario) countsUntil(site Site, r *result, start time.Time) time.Duration {
+	end, slow := s.Length, map[string]float64(nil)
+	if r.start.Sub(start) < s.TriggerEnd {
+		end = s.TriggerEnd
+		if s.Slow != nil {
+			slow = s.Slow(site)
+		}
+	}
+	return end + 2*site.ToClient + 2*site.OneWay + site.hold(r.route.Service, slow)
+}
+
 // best returns the whole answers that the slots could complete at most after the warm-up.
 func best(site Site, s Scenario) float64 {
 	total := 0.0
