Count order success against the orders that the slots could serve

An order that cannot be served because orders alone exceed the slots is not a fault of the system. The divisor is now the orders sent, times the share that the slots could serve if there were only orders. The page names the scenarios where that share is below 1.

--- a/internal/measure/figures.go
+++ b/internal/measure/figures.go
@@ -10,7 +10,7 @@
 // Figures are the measurements of one run.
 type Figures struct {
 	Goodput      float64 // whole answers in time over what the slots could complete at most
-	OrderSuccess float64 // orders answered whole in time over orders sent
+	OrderSuccess float64 // orders answered whole in time over the orders sent that the slots could serve
 	Recovery     float64 // seconds from the trigger's end to goodput as before; +Inf if it does not come back
 	Wasted       float64 // target time spent on requests that failed over all target time
 	Attempts     int     // most attempts for one root request over the whole chain
@@ -72,7 +72,7 @@
 		}
 	}
 	f.Goodput = whole / best(site, s)
-	f.OrderSuccess = ordersWhole / orders
+	f.OrderSuccess = ordersWhole / (orders * s.ordersServable(site))
 	f.Recovery = recovery(f.Buckets, s)
 	f.Wasted = t.world.ledger.wasted(t.results)
 	for _, n := range t.world.ledger.attempts {
@@ -120,6 +120,25 @@
 	return total
 }
 
+// ordersServable returns the share of the orders after the warm-up that the slots could serve if there were only orders.
+func (s Scenario) ordersServable(site Site) float64 {
+	alone := site
+	alone.Routes = nil
+	share := 0.0
+	for _, r := range site.Routes {
+		if r.Once {
+			alone.Routes = append(alone.Routes, r)
+			share += r.Share
+		}
+	}
+	offered, served := 0.0, 0.0
+	for at := warmUp; at < s.Length; at += bucketTime {
+		offered += site.Rate * s.Load(at) * share
+		served += s.bestAt(alone, at)
+	}
+	return served / offered
+}
+
 // bestAt returns the whole answers a second that the slots could complete at most at a moment of the scenario.
 func (s Scenario) bestAt(site Site, at time.Duration) float64 {
 	var slow, present map[string]float64
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -51,7 +51,7 @@
 	},
 	{
 		Name: "order_success", Unit: "ratio", Goal: ">= 0.999", met: atLeast(0.999),
-		Definition: "Orders and commissions with a complete response, divided by those sent after the fifth second.",
+		Definition: "Orders and commissions with a complete response, divided by those sent after the fifth second that the slots could serve if there were only orders; the scenarios below name the exceptions.",
 		Error:      "One order of a run is about 0.0002.",
 		value:      func(f Figures) float64 { return f.OrderSuccess },
 	},
@@ -148,8 +148,12 @@
 	}
 	var scenarios []Scenario
 	var rows [][]string
+	short := map[string]string{}
 	for _, x := range r {
 		rows = append(rows, row(x))
+		if share := x.Scenario.ordersServable(x.Site); share < 1 {
+			short[x.name()] = fmt.Sprintf("%.1f %%", 100*share)
+		}
 		if !slices.ContainsFunc(scenarios, func(s Scenario) bool { return s.Name == x.Scenario.Name }) {
 			scenarios = append(scenarios, x.Scenario)
 		}
@@ -160,7 +164,7 @@
 		}
 	}
 	var b bytes.Buffer
-	data := map[string]any{"Rows": rows, "Metrics": metrics, "Scenarios": scenarios}
+	data := map[string]any{"Rows": rows, "Metrics": metrics, "Scenarios": scenarios, "Short": short}
 	if err := page.Execute(&b, data); err != nil {
 		return fmt.Errorf("write page: %w", err)
 	}
