Make the scenario deep-slow harsher

Cause: the connections of a target there (300 at 40 slots) bound the wait in front of the slots to about 1.5 s, and callers waited 2 s, so that even full queues gave answers in time.

--- a/internal/measure/client.go
+++ b/internal/measure/client.go
@@ -16,6 +16,16 @@
 	Tries int // attempts of one request, the first included
 	// Hard clients come back after hardWait whatever they were told; others wait as long as the answer asks for.
 	Hard bool
+	// Timeout is how long a caller waits for one attempt; zero: clientTimeout.
+	Timeout time.Duration
+}
+
+// timeout returns how long a caller waits for one attempt.
+func (c Clients) timeout() time.Duration {
+	if c.Timeout > 0 {
+		return c.Timeout
+	}
+	return clientTimeout
 }
 
 const (
@@ -120,7 +130,7 @@
 			r.key = m.server.IssueKey()
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), t.clients.timeout())
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	if !sleep(ctx, w.site.ToClient) {
