Add faults and stricter checks to the measurement model

Faults for tests: targets that refuse connections, callers that leave, nodes that leave gracefully, and faults outside the trigger. Checks: attempts per request against the bound (chain length times the caller's attempts plus the retry budget, derived at attemptsBound), and "not run" per attempt by its span. The check before compared only the last outcome of a request, so a false "not run" in an earlier attempt went unseen.

--- a/internal/measure/client.go
+++ b/internal/measure/client.go
@@ -18,6 +18,8 @@
 	Hard bool
 	// Timeout is how long a caller waits for one attempt; zero: clientTimeout.
 	Timeout time.Duration
+	// Leave is the share of the requests whose caller leaves before its timeout and does not come back.
+	Leave float64
 }
 
 // timeout returns how long a caller waits for one attempt.
@@ -43,9 +45,11 @@
 	end     time.Time
 	whole   bool // answered, complete, in time
 	outcome message.Outcome
-	doubt   bool // an attempt may have run
-	mixed   bool // an answer of another request
-	unbound bool // an order with a key of the caller's own, sent while the platform was down
+	doubt   bool             // an attempt may have run
+	mixed   bool             // an answer of another request
+	tries   int              // attempts of the caller
+	refused []message.SpanID // attempts that were reported as not run
+	unbound bool             // an order with a key of the caller's own, sent while the platform was down
 }
 
 // traffic is the arrivals of a run and their results.
@@ -85,17 +89,21 @@
 	r := &result{route: route, id: message.NewID(), start: time.Now()}
 	retries := 1 << 30
 	for try := range t.clients.Tries {
-		resp := t.attempt(r, retries)
+		r.tries++
+		leave, span := t.leaveAfter(), message.NewSpanID()
+		resp := t.attempt(r, span, retries, leave)
 		retries = resp.RetriesLeft
 		r.outcome = resp.Outcome
-		if resp.Outcome != message.NotRun {
+		if resp.Outcome == message.NotRun {
+			r.refused = append(r.refused, span)
+		} else {
 			r.doubt = true
 		}
 		if resp.Outcome == message.Answered {
 			r.mixed = r.mixed || !bytes.Equal(resp.Body, r.id[:]) && resp.Status == http.StatusOK
 			r.whole = resp.Status == http.StatusOK
 		}
-		if r.whole || try == t.clients.Tries-1 {
+		if r.whole || leave > 0 || try == t.clients.Tries-1 {
 			break
 		}
 		time.Sleep(t.wait(resp))
@@ -109,6 +117,14 @@
 	t.results = append(t.results, r)
 }
 
+// leaveAfter returns the time after which the caller leaves during its next attempt; zero: it stays.
+func (t *traffic) leaveAfter() time.Duration {
+	if t.clients.Leave == 0 || t.world.random() >= t.clients.Leave {
+		return 0
+	}
+	return 1 + time.Duration(t.world.random()*float64(t.clients.timeout()))
+}
+
 // wait returns how long the caller waits before its next attempt.
 func (t *traffic) wait(resp *message.Response) time.Duration {
 	spread := 0.5 + t.world.random()
@@ -123,7 +139,7 @@
 }
 
 // attempt sends one attempt to a node that callers can reach.
-func (t *traffic) attempt(r *result, retries int) *message.Response {
+func (t *traffic) attempt(r *result, span message.SpanID, retries int, leave time.Duration) *message.Response {
 	w := t.world
 	m := w.entry()
 	if r.route.Once && r.key == "" {
@@ -131,6 +147,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), t.clients.timeout())
 	defer cancel()
+	if leave > 0 {
+		time.AfterFunc(leave, cancel)
+	}
 	deadline, _ := ctx.Deadline()
 	if !sleep(ctx, w.site.ToClient) {
 		return message.Doubt(message.ReasonDeadline, nil)
@@ -138,7 +157,7 @@
 	response := make(chan *message.Response, 1)
 	go func() {
 		resp := m.server.Serve(ctx, &message.Request{
-			ID: r.id, Span: message.NewSpanID(), Service: r.route.Service, Method: http.MethodPost, Path: "/",
+			ID: r.id, Span: span, Service: r.route.Service, Method: http.MethodPost, Path: "/",
 			Deadline: deadline.Add(-2 * w.site.ToClient), Retries: retries, Key: r.key,
 		})
 		time.Sleep(w.site.ToClient)
@@ -166,7 +185,7 @@
 func (w *World) entry() *member {
 	for {
 		m := w.members[int(w.random()*float64(len(w.members)))]
-		if m.zone != int(w.cut.Load()) {
+		if m.zone != int(w.cut.Load()) && !m.leaving.Load() {
 			return m
 		}
 	}
--- a/internal/measure/figures.go
+++ b/internal/measure/figures.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
 )
 
 // Figures are the measurements of one run.
@@ -17,6 +18,8 @@
 	Duplicates   int     // orders that more than one target began to run
 	FalseNotRun  int     // requests reported as not run that a target had begun to run
 	Mixed        int     // answers that belong to another request
+	OverBound    int     // requests with more attempts over the chain than attemptsBound
+	ReadSuccess  float64 // as OrderSuccess, for the other requests
 	Requests     int
 	Unbound      int       // orders with keys of their callers that were first sent while the platform was down
 	UnboundWhole int       // such orders that were answered whole in time, after the platform had come back
@@ -39,6 +42,9 @@
 func Run(site Site, system System, s Scenario) Figures {
 	w := NewWorld(site, system, s.Options)
 	t := &traffic{world: w, clients: s.Clients}
+	if s.Begin != nil {
+		s.Begin(w)
+	}
 	if s.Start != nil {
 		time.AfterFunc(s.TriggerStart, func() { s.Start(w) })
 	}
@@ -53,9 +59,9 @@
 
 func figures(site Site, s Scenario, t *traffic, start time.Time) Figures {
 	f := Figures{Requests: len(t.results), Buckets: make([]float64, int(s.Length/bucketTime))}
-	var whole, orders, ordersWhole float64
+	var whole, orders, ordersWhole, reads, readsWhole float64
 	for _, r := range t.results {
-		f.check(t.world.ledger, r)
+		f.check(t.world, r)
 		at := r.end.Sub(start)
 		if r.whole && at < s.Length {
 			f.Buckets[int(at/bucketTime)] += 1 / bucketTime.Seconds()
@@ -72,6 +78,12 @@
 				f.UnboundWhole++
 			}
 		}
+		if !r.route.Once {
+			reads++
+			if r.whole {
+				readsWhole++
+			}
+		}
 		if r.route.Once && !r.unbound {
 			orders++
 			if r.whole {
@@ -81,6 +93,7 @@
 	}
 	f.Goodput = whole / best(site, s)
 	f.OrderSuccess = ordersWhole / (orders * s.ordersServable(site))
+	f.ReadSuccess = readsWhole / reads
 	f.Recovery = recovery(f.Buckets, s)
 	f.Wasted = t.world.ledger.wasted(t.results)
 	for _, n := range t.world.ledger.attempts {
@@ -94,14 +107,44 @@
 	return f
 }
 
-// check holds what the caller was told against what ran.
-func (f *Figures) check(l *ledger, r *result) {
-	if r.outcome == message.NotRun && l.ran(r.id, r.route.Service) {
+// check compares what the caller was told with what ran. An attempt that was reported as not run must not have run, even if
+// a later attempt of the same request did.
+func (f *Figures) check(w *World, r *result) {
+	l := w.ledger
+	if r.outcome == message.NotRun && l.ran(r.id, r.route.Service) || l.began(r.refused) {
 		f.FalseNotRun++
 	}
 	if r.mixed {
 		f.Mixed++
 	}
+	if l.attempts[r.id] > w.attemptsBound(r) {
+		f.OverBound++
+	}
+}
+
+// attemptsBound returns the most sends between nodes for a root request. An attempt of the caller goes through the chain
+// once, with one send per service, and an order takes one more to the home node of its key. All hops and all attempts of
+// the caller share one retry budget. A retry follows an attempt that was not run, which took one send, or one on a
+// connection that went silent, which may have gone through the rest of the chain.
+func (w *World) attemptsBound(r *result) int {
+	chain := w.site.chain(r.route.Service)
+	if r.route.Once {
+		chain++
+	}
+	retryCost := 1
+	if w.wasCut.Load() {
+		retryCost = chain
+	}
+	return chain*r.tries + retryCost*policy.DefaultRetryBudget
+}
+
+// chain returns the calls that one request of the service takes, its own included.
+func (s Site) chain(name string) int {
+	n := 1
+	for _, below := range s.service(name).Calls {
+		n += s.chain(below)
+	}
+	return n
 }
 
 // countsUntil returns the time until which an answer counts as goodput. The best possible goodput treats demand that the
--- a/internal/measure/real.go
+++ b/internal/measure/real.go
@@ -63,6 +63,12 @@
 	n.balancers.Update(out)
 }
 
+// Leave refuses new work, as a node does after SIGTERM.
+func (n *realNode) Leave() {
+	n.Engine.Leave()
+	n.control.StopAdmitting()
+}
+
 // HandlePeer counts the attempt and hides the load if the node misleads.
 func (n *realNode) HandlePeer(ctx context.Context, req *message.Request) *message.Response {
 	r := n.Engine.HandlePeer(ctx, req)
--- a/internal/measure/target.go
+++ b/internal/measure/target.go
@@ -25,6 +25,7 @@
 	slots   chan struct{}
 	factor  atomic.Uint64 // of the service time, in thousandths
 	open    atomic.Int64  // connections
+	refuse  atomic.Bool   // accepts no connection
 }
 
 const thousand = 1000
@@ -40,9 +41,12 @@
 
 // Do implements engine.Target.
 func (t *fakeTarget) Do(ctx context.Context, req *message.Request) *message.Response {
+	if t.refuse.Load() {
+		return t.refused()
+	}
 	if t.open.Add(1) > int64(t.service.Connections) {
 		t.open.Add(-1)
-		return message.Refuse(message.ReasonConnection, message.Errorf(message.StepDial, t.service.Name, "connection refused"))
+		return t.refused()
 	}
 	defer t.open.Add(-1)
 	select {
@@ -112,10 +116,12 @@
 	runs     map[message.ID][]*execution
 	attempts map[message.ID]int // requests handed to a target's node
 	keys     map[string]int     // executions by idempotency key
+	spans    map[message.SpanID]bool
 }
 
 func newLedger() *ledger {
-	return &ledger{runs: map[message.ID][]*execution{}, attempts: map[message.ID]int{}, keys: map[string]int{}}
+	return &ledger{runs: map[message.ID][]*execution{}, attempts: map[message.ID]int{}, keys: map[string]int{},
+		spans: map[message.SpanID]bool{}}
 }
 
 // begin records the start of an execution and returns the function that ends it.
@@ -124,6 +130,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[req.ID] = append(l.runs[req.ID], x)
+	l.spans[req.Span] = true
 	if req.Key != "" {
 		l.keys[req.Key]++
 	}
@@ -152,6 +159,18 @@
 	return false
 }
 
+// began reports whether a target began to run one of the attempts, which their callers identify by spans.
+func (l *ledger) began(attempts []message.SpanID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, span := range attempts {
+		if l.spans[span] {
+			return true
+		}
+	}
+	return false
+}
+
 // random returns a number from 0 to 1.
 func (w *World) random() float64 {
 	w.rngMu.Lock()
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -42,6 +42,7 @@
 	service string
 	server  server
 	target  *fakeTarget
+	leaving atomic.Bool
 }
 
 // World is a deployment with its callers.
@@ -52,6 +53,7 @@
 	members []*member
 	byAddr  map[string]*member
 	cut     atomic.Int64 // availability zone that is cut off; -1: none
+	wasCut  atomic.Bool  // an availability zone has been cut off
 	ledger  *ledger
 
 	platform     *memory.Platform
@@ -147,12 +149,13 @@
 // it after the time that membership takes.
 func (w *World) CutZone(zone int) {
 	w.cut.Store(int64(zone))
+	w.wasCut.Store(true)
 	time.AfterFunc(detectTime, func() {
 		if w.cut.Load() != int64(zone) {
 			return
 		}
 		var rest []*member
-		for _, m := range w.members {
+		for _, m := range w.present() {
 			if m.zone != zone {
 				rest = append(rest, m)
 			}
@@ -164,7 +167,7 @@
 // Heal ends a cut.
 func (w *World) Heal() {
 	w.cut.Store(-1)
-	time.AfterFunc(detectTime, func() { w.announce(w.members) })
+	time.AfterFunc(detectTime, func() { w.announce(w.present()) })
 }
 
 // connected reports whether two availability zones reach each other.
