--- /dev/null
+++ b/internal/measure/differential_test.go
@@ -0,0 +1,110 @@
+package measure
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// smallSite is a deployment that a test simulates in about a second.
+func smallSite() Site {
+	return Site{
+		Name: "small", Zones: 3, OneWay: 500 * time.Microsecond, ToClient: time.Millisecond,
+		Services: []Service{
+			{Name: "front", Targets: 3, Slots: 4, Connections: 60, Mean: 40 * time.Millisecond, Calls: []string{"middle"}},
+			{Name: "order", Targets: 3, Slots: 4, Connections: 60, Mean: 60 * time.Millisecond, Calls: []string{"middle"}},
+			{Name: "middle", Targets: 3, Slots: 4, Connections: 60, Mean: 40 * time.Millisecond, Calls: []string{"deep"}},
+			{Name: "deep", Targets: 3, Slots: 1, Connections: 60, Mean: 20 * time.Millisecond},
+		},
+		Routes: []Route{
+			{Name: "read", Service: "front", Share: 0.85, Class: "browse", Rank: rankBrowse},
+			{Name: "order", Service: "order", Share: 0.15, Class: "order", Rank: rankOrder, Once: true},
+		},
+	}.withRate()
+}
+
+// smallDeepSlow is the scenario deep-slow with short phases.
+func smallDeepSlow(seed uint64) Scenario {
+	s := Scenario{
+		Name: "small-deep-slow", Clients: Clients{Tries: 6, Hard: true, Timeout: 500 * time.Millisecond}, Options: Options{Seed: seed},
+		TriggerStart: 8 * time.Second, TriggerEnd: 12 * time.Second, Length: 20 * time.Second,
+	}
+	deepSlow(&s)
+	return s
+}
+
+// requirePromises fails unless the run kept what the system promises under every fault.
+func requirePromises(t *testing.T, f Figures) {
+	t.Helper()
+	require.Zero(t, f.Duplicates, "orders that ran twice")
+	require.Zero(t, f.FalseNotRun, "requests reported as not run that ran")
+	require.Zero(t, f.Mixed, "responses of other requests")
+	require.Zero(t, f.OverBound, "requests with more attempts than the bound")
+}
+
+// smallRefusal is a scenario in which all targets of the deepest service but one refuse connections for a while.
+func smallRefusal(seed uint64) Scenario {
+	s := Scenario{
+		Name: "small-refusal", Clients: Clients{Tries: 3}, Options: Options{Seed: seed},
+		TriggerStart: 7 * time.Second, TriggerEnd: 9 * time.Second, Length: 12 * time.Second,
+	}
+	s.Load = between(s.TriggerStart, s.TriggerEnd, steadyLoad)
+	set := func(w *World, refuse bool) {
+		spared := false
+		for _, m := range w.members {
+			if m.service == w.site.deepest() {
+				w.SetRefusing(m, refuse && spared)
+				spared = true
+			}
+		}
+	}
+	s.Start = func(w *World) { set(w, true) }
+	s.End = func(w *World) { set(w, false) }
+	return s
+}
+
+// Guards against duplicates and orders that are shed before reads under an overload that outlasts its trigger, and against
+// a check for duplicates that finds nothing: the naive version runs orders twice under the same arrivals and faults.
+func TestSystemsDifferUnderOverload(t *testing.T) {
+	for seed := uint64(1); seed <= 2; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			naive, real := both(t, smallDeepSlow(seed))
+			requirePromises(t, real)
+			require.Less(t, real.ReadSuccess, 0.9, "the scenario overloads the system")
+			require.Greater(t, real.OrderSuccess, real.ReadSuccess)
+			require.Positive(t, naive.Duplicates)
+		})
+	}
+}
+
+// Guards against retries that multiply along the chain, and against a check of their bound that finds nothing.
+func TestSystemsDifferUnderRefusal(t *testing.T) {
+	naive, real := both(t, smallRefusal(1))
+	requirePromises(t, real)
+	require.Positive(t, naive.Duplicates)
+	require.Positive(t, naive.OverBound)
+}
+
+// both runs a scenario on both systems with the same arrivals.
+func both(t *testing.T, s Scenario) (naive, real Figures) {
+	naive, real = run(t, smallSite(), Naive, s), run(t, smallSite(), Real, s)
+	t.Logf("seed %d, naive: %s", s.Options.Seed, naive.summary())
+	t.Logf("seed %d, wigeoncleat: %s", s.Options.Seed, real.summary())
+	require.Equal(t, naive.Requests, real.Requests)
+	return naive, real
+}
+
+// Guards against overload that outlasts its trigger.
+func TestRecoversFromSlowService(t *testing.T) {
+	f := run(t, smallSite(), Real, smallDeepSlow(4))
+	t.Logf("real %s", f.summary())
+	require.LessOrEqual(t, f.Recovery, 2.0, "seconds")
+}
+
+func (f Figures) summary() string {
+	return fmt.Sprintf("goodput %.3f orders %.4f reads %.4f recovery %.2f wasted %.3f attempts %d over bound %d duplicates %d false not run %d mixed %d of %d",
+		f.Goodput, f.OrderSuccess, f.ReadSuccess, f.Recovery, f.Wasted, f.Attempts, f.OverBound, f.Duplicates, f.FalseNotRun, f.Mixed, f.Requests)
+}
