--- a/internal/measure/real.go
+++ b/internal/measure/real.go
@@ -41,6 +41,7 @@
 		Address: m.address, Service: m.service, Policy: w.policy, Confirmed: always, Ready: always,
 		Peers: sender{w, m}, Target: m.target, Admission: engine.Guard(n.control), Pickers: n.balancers,
 		Shedder: shed.New(), Keys: keys,
+		Binder: once.NewBinder(keys, w.platform, once.BinderOptions{}),
 	})
 	return n
 }
@@ -62,6 +63,12 @@
 	n.balancers.Update(out)
 }
 
+// Leave refuses new work, as a node does after SIGTERM.
+func (n *realNode) Leave() {
+	n.Engine.Leave()
+	n.control.StopAdmitting()
+}
+
 // HandlePeer counts the attempt and hides the load if the node misleads.
 func (n *realNode) HandlePeer(ctx context.Context, req *message.Request) *message.Response {
 	r := n.Engine.HandlePeer(ctx, req)
