Count majorities over recorded sizes and never refuse without proof

A process that had just started refused, because "everyone seen within the last hour" was itself.

Rule: the head row records the sizes of the availability zones, and majorities are counted over the larger of record and roster. A takeover refuses only with proof and otherwise accepts. It also asks members that the first roster lacks, but counts only the first roster for roll-forward.

Also: a body that this node's check rejects is not run (event 705), the runner confirms a version only once it is applied.

--- a/internal/process/event/rollout.go
+++ b/internal/process/event/rollout.go
@@ -9,6 +9,7 @@
 	ConfigUnconfirmed = Event{702, slog.LevelWarn, "configuration version not confirmed, no new work is taken", "Check whether this VM reaches the platform or most nodes of its availability zone."}
 	ConfigForwarded   = Event{703, slog.LevelWarn, "configuration change rolled forward while the platform is down", "None at once; the change is recorded when the platform is back."}
 	ConfigConflict    = Event{704, slog.LevelError, "two bodies for one configuration version", "Report the line with the lines around it: this is a fault of the program or of the table."}
+	ConfigUnusable    = Event{705, slog.LevelError, "accepted configuration version rejected by this node, no new work is taken", "Check that this node runs the same release as the others."}
 	ChangeAccepted    = Event{710, slog.LevelInfo, "configuration change accepted", ""}
 	ChangeRefused     = Event{711, slog.LevelWarn, "configuration change refused", "See the reason; correct the change and submit it again with a new ID."}
 	ChangeTakenOver   = Event{712, slog.LevelWarn, "configuration change taken over from another coordinator", ""}
@@ -18,7 +19,7 @@
 
 func rolloutEvents() []Event {
 	return []Event{
-		ConfigApplied, ConfigConfirmed, ConfigUnconfirmed, ConfigForwarded, ConfigConflict,
+		ConfigApplied, ConfigConfirmed, ConfigUnconfirmed, ConfigForwarded, ConfigConflict, ConfigUnusable,
 		ChangeAccepted, ChangeRefused, ChangeTakenOver, ChangeSuperseded, AuditDropped,
 	}
 }
--- a/internal/version/rollout/change.go
+++ b/internal/version/rollout/change.go
@@ -88,6 +88,7 @@
 	cond     platform.Condition
 	stored   bool
 	roster   roster
+	extra    roster // members that the roster of the first ballot lacks
 	rosterID string
 	takeover bool // the ballot is not the first: an earlier coordinator may have rolled forward
 	issued   bool // an acceptance was written, with unknown result or in vain
@@ -181,7 +182,7 @@
 // could not settle the change, and would only interrupt a coordinator that can.
 func (m *Machine) takeOverStale() {
 	p := m.row.Pending
-	if p == nil || m.rank >= pollers || 2*m.liveAll <= len(m.roster) || !m.proof || m.now-m.fresh > staleAfter {
+	if p == nil || m.rank >= pollers || 2*m.liveAll <= m.size.atLeast(m.row.Sizes).total() || !m.proof || m.now-m.fresh > staleAfter {
 		return
 	}
 	rank := hash64(m.cfg.Address, p.Head.ID)
@@ -393,6 +394,7 @@
 			Author: c.spec.Author, Comment: c.spec.Comment, Changed: res.Changed,
 		},
 		Ballot: 1, Coordinator: c.m.cfg.Address, Epoch: c.m.cfg.Epoch, FirstSeq: next.Seq, Roster: c.rosterID,
+		Sizes: c.roster.sizes().next(c.row.Sizes, c.m.now-c.m.started),
 	}
 	res.State = StatePending
 	c.tried = true
@@ -532,9 +534,33 @@
 		return false
 	}
 	c.roster, c.asked = r, c.m.now
+	c.extend()
 	return true
 }
 
+// extend adds members that a first coordinator with few known members did not list. Without them a takeover could neither
+// accept nor refuse. They do not count in a roll-forward, so that the locks of every ballot come from one roster, and fill
+// the recorded sizes at most, so that a set that blocks still meets every sufficient set of locks.
+func (c *change) extend() {
+	count := c.roster.sizes()
+	c.extra = nil
+	for _, v := range c.m.roster {
+		listed := slices.ContainsFunc(c.roster, func(x rosterMember) bool { return x.Address == v.Address })
+		if !listed && count[v.Zone] < c.row.Pending.Sizes[v.Zone] {
+			count[v.Zone]++
+			c.extra = append(c.extra, v)
+		}
+	}
+}
+
+// full returns the members that are asked.
+func (c *change) full() roster {
+	if len(c.extra) == 0 {
+		return c.roster
+	}
+	return slices.Concat(c.roster, c.extra)
+}
+
 func (c *change) phase() phase {
 	if c.locking {
 		return phaseLock
@@ -552,7 +578,7 @@
 	}
 	maps.DeleteFunc(c.asks, func(_ uint64, q relayAsk) bool { return m.now-q.at > relayTaskLife })
 	zones := map[string][]string{}
-	for _, v := range c.roster {
+	for _, v := range c.full() {
 		a := c.acks[v.Address]
 		if a == nil || (c.locking && !a.locked) || (!c.locking && !a.ok && a.nack == "") {
 			if !c.locking {
@@ -567,7 +593,7 @@
 // sendParts sends one ask to a relay for every part of the members.
 func (c *change) sendParts(zones map[string][]string, p phase) {
 	m := c.m
-	size := max(int(math.Sqrt(float64(len(c.roster)))), 4)
+	size := max(int(math.Sqrt(float64(len(c.roster)+len(c.extra)))), 4)
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		list := zones[zone]
 		for i := 0; i < len(list); i += size {
@@ -588,7 +614,7 @@
 	m := c.m
 	c.nextHold = m.now + holdStep
 	zones := map[string][]string{}
-	for _, v := range c.roster {
+	for _, v := range c.full() {
 		if a := c.acks[v.Address]; a != nil && a.ok && (a.held == 0 || m.now-a.held >= holdEvery) {
 			a.held = m.now
 			zones[v.Zone] = append(zones[v.Zone], v.Address)
@@ -661,7 +687,15 @@
 
 func (c *change) missing(address string) bool {
 	a := c.acks[address]
-	return a == nil || !a.ok
+	return (a == nil || !a.ok) && !c.gone(address)
+}
+
+// gone reports whether a member fell out of the roster since the proposal: this process would have heard it within the
+// window, and is not itself the one that is cut off.
+func (c *change) gone(address string) bool {
+	m := c.m
+	_, seen := m.members[address]
+	return !seen && address != m.cfg.Address && m.now-m.started >= rosterWindow && 2*m.liveAll > c.row.Pending.Sizes.total()
 }
 
 // silent reports whether a member has not been heard, and has not answered, for longer than the bound.
@@ -684,7 +718,7 @@
 // judge accepts, refuses or waits.
 func (c *change) judge() {
 	var noisy, locked, nacked int
-	for _, v := range c.roster {
+	for _, v := range c.full() {
 		a := c.acks[v.Address]
 		switch {
 		case a != nil && a.locked:
@@ -697,7 +731,7 @@
 		}
 	}
 	overdue := c.m.now-c.asked > ackDeadline
-	blocked := c.roster.blocks(c.missing)
+	blocked := c.full().blocks(c.row.Pending.Sizes, true, c.missing)
 	switch {
 	case locked > 0 && !blocked:
 		c.accept() // an earlier coordinator may have rolled forward
@@ -719,20 +753,10 @@
 	if !c.takeover {
 		return !c.issued
 	}
-	if c.roster.blocks(func(address string) bool {
+	return c.full().blocks(c.row.Pending.Sizes, false, func(address string) bool {
 		a := c.acks[address]
 		return a != nil && !a.locked && (a.clean || a.nack != "")
-	}) {
-		return true
-	}
-	// Nobody who could run the version is left: everyone seen within the last hour answered without a lock.
-	for _, v := range c.roster {
-		_, seen := c.m.members[v.Address]
-		if a := c.acks[v.Address]; (seen || v.Address == c.m.cfg.Address) && (a == nil || a.at == 0 || a.locked) {
-			return false
-		}
-	}
-	return true
+	})
 }
 
 func (c *change) accept() {
@@ -756,7 +780,7 @@
 	if !c.adopted() {
 		return
 	}
-	for _, v := range c.roster {
+	for _, v := range c.full() {
 		a := c.acks[v.Address]
 		switch {
 		case a != nil && a.nack != "":
@@ -775,7 +799,7 @@
 
 // writeAccept writes the acceptance. Until the result is known, the coordinator asks for locks to roll forward.
 func (c *change) writeAccept() {
-	next := HeadRow{Seq: c.row.Seq + 1, Head: c.row.Pending.Head}
+	next := HeadRow{Seq: c.row.Seq + 1, Head: c.row.Pending.Head, Sizes: c.row.Pending.Sizes}
 	h := next.Head
 	res := Result{
 		ID: h.ID, State: StateAccepted, Base: c.row.Head.Version, Version: h.Version, Hash: h.Hash,
@@ -788,7 +812,7 @@
 }
 
 func (c *change) writeRefuse() {
-	next := HeadRow{Seq: c.row.Seq + 1, Head: c.row.Head}
+	next := HeadRow{Seq: c.row.Seq + 1, Head: c.row.Head, Sizes: c.row.Sizes}
 	res := c.result
 	start := c.m.now
 	c.commit(next, res, platform.Condition{}, func(err error) { c.wrote(next, res, start, err) })
@@ -842,10 +866,10 @@
 func (c *change) rollForward() {
 	m := c.m
 	unlocked := func(address string) bool { a := c.acks[address]; return a == nil || !a.locked }
-	if c.roster.blocks(unlocked) {
+	if c.roster.blocks(c.row.Pending.Sizes, true, unlocked) {
 		return
 	}
-	for _, v := range c.roster {
+	for _, v := range c.full() {
 		a := c.acks[v.Address]
 		if a == nil || a.locked {
 			continue
--- a/internal/version/rollout/evidence.go
+++ b/internal/version/rollout/evidence.go
@@ -128,11 +128,7 @@
 }
 
 // countZones derives evidence from a strict majority of all members.
-func (m *Machine) countZones() {
-	size := map[string]int{}
-	for _, v := range m.roster {
-		size[v.Zone]++
-	}
+func (m *Machine) countZones(size sizes) {
 	var list []zoneVote
 	for _, z := range m.zones {
 		if m.now-fromMS(z.At) <= m.cfg.Bound {
@@ -143,7 +139,7 @@
 	slices.SortFunc(list, func(a, b zoneVote) int { return int(b.At - a.At) })
 	n := 0
 	for _, z := range list {
-		if n += z.N; 2*n > len(m.roster) {
+		if n += z.N; 2*n > size.total() {
 			m.confirmBy(fromMS(z.At))
 			return
 		}
--- a/internal/version/rollout/machine.go
+++ b/internal/version/rollout/machine.go
@@ -106,6 +106,7 @@
 	EventSuperseded                      // another coordinator took the change over
 	EventTakenOver                       // this node took a change over
 	EventConflict                        // the platform or a peer holds another body for the running version
+	EventUnusable                        // the check rejects the accepted body: the node takes no new work
 )
 
 // Event is something that the driver acts on.
@@ -115,6 +116,7 @@
 	Body    []byte
 	Head    Head
 	Result  Result
+	Err     error
 }
 
 // Output is what a step produced.
@@ -156,7 +158,7 @@
 	zoneLive   []string // live members of the availability zone, with self
 	rank       int      // in zoneLive
 	roster     roster
-	zoneSize   int
+	size       sizes   // of the roster
 	zoneMask   voteSet // votes of the members of the availability zone
 	rebuilt    Time
 	liveAll    int // live members, with self
@@ -168,23 +170,24 @@
 	since uint64  // first row that a read after the start of this process showed
 	have  bool    // row is set
 
-	decided Head // newest version known to be accepted or rolled forward
-	chosen  Head // newest version that was rolled forward
-	running Head
-	platAt  Time // the platform accepted nothing newer than running at this time
-	platOK  bool
-	pendAt  Time // as platAt, but the row held the proposal and ballot that this node acknowledged
-	pendOK  bool
-	majAt   Time
-	majOK   bool
-	tallies map[uint64]*tally
-	round   uint64              // newest of tallies
-	zones   map[string]zoneVote // At in the time of this machine
-	ackID   string              // proposal that this process acknowledged last
-	ackBall uint64
-	ackAt   Time   // when the coordinator asked for it
-	holdAt  Time   // when the coordinator said that it has the acknowledgement
-	lockID  string // proposal that this process holds for roll-forward
+	decided  Head // newest version known to be accepted or rolled forward
+	chosen   Head // newest version that was rolled forward
+	running  Head
+	unusable string // hash of the decided body if the check rejects it
+	platAt   Time   // the platform accepted nothing newer than running at this time
+	platOK   bool
+	pendAt   Time // as platAt, but the row held the proposal and ballot that this node acknowledged
+	pendOK   bool
+	majAt    Time
+	majOK    bool
+	tallies  map[uint64]*tally
+	round    uint64              // newest of tallies
+	zones    map[string]zoneVote // At in the time of this machine
+	ackID    string              // proposal that this process acknowledged last
+	ackBall  uint64
+	ackAt    Time   // when the coordinator asked for it
+	holdAt   Time   // when the coordinator said that it has the acknowledgement
+	lockID   string // proposal that this process holds for roll-forward
 
 	bodies  map[string][]byte
 	order   []string // of bodies, oldest first
@@ -324,10 +327,9 @@
 	m.zoneLive = ring(zone, 0)
 	m.rank = slices.Index(m.zoneLive, m.cfg.Address)
 	m.neighbours = neighbours(m.cfg.Address, zone, all)
-	m.zoneMask, m.zoneSize = voteSet{}, 0
+	m.zoneMask, m.size = voteSet{}, r.sizes()
 	for _, v := range r {
 		if v.Zone == m.cfg.Zone {
-			m.zoneSize++
 			m.zoneMask.set(voteBit(v.Address))
 		}
 	}
@@ -501,7 +503,7 @@
 // settleState runs the newest decided version as soon as its body is there.
 func (m *Machine) settleState() {
 	if m.decided.Version > m.running.Version {
-		if body, ok := m.bodies[m.decided.Hash]; ok {
+		if body, ok := m.bodies[m.decided.Hash]; ok && m.usable(body) {
 			m.running = m.decided
 			m.platOK, m.majOK, m.pendOK = false, false, false
 			clear(m.tallies)
@@ -513,6 +515,20 @@
 	m.answerAsked()
 }
 
+// usable reports whether this node can run the decided body. A node of another release may reject a body that the others
+// accepted while this one was silent; it then takes no new work.
+func (m *Machine) usable(body []byte) bool {
+	if m.unusable == m.decided.Hash {
+		return false
+	}
+	if err := m.cfg.Check(body); err != nil {
+		m.unusable = m.decided.Hash
+		m.emit(Event{Kind: EventUnusable, Version: m.decided.Version, Head: m.decided, Err: err})
+		return false
+	}
+	return true
+}
+
 // maybePoll reads the head row: the first members of the zone by rank regularly, the others when evidence gets stale.
 func (m *Machine) maybePoll() {
 	if m.polling || m.now < m.nextPoll {
--- a/internal/version/rollout/measure_test.go
+++ b/internal/version/rollout/measure_test.go
@@ -92,3 +92,27 @@
 	}
 	b.ReportMetric(float64(lost), "outage-unconfirmed")
 }
+
+// BenchmarkTick measures the processor time of one node at the size of the design page: a second has ten ticks, two views
+// of the members and one rebuild. b.N counts seconds.
+func BenchmarkTick(b *testing.B) {
+	m := New(Config{Address: "n0", Zone: "z0", Epoch: 1}, 0)
+	var view []Member
+	for i := range 2300 {
+		view = append(view, Member{Address: fmt.Sprint("n", i), Zone: fmt.Sprint("z", i%9)})
+	}
+	now := Time(0)
+	for b.Loop() {
+		for i := range 10 {
+			now += 100 * time.Millisecond
+			if i%5 == 0 {
+				for j := range view {
+					view[j].LastHeard = now
+				}
+				m.SetMembers(now, view)
+			}
+			m.Tick(now)
+			m.Output()
+		}
+	}
+}
--- a/internal/version/rollout/roster.go
+++ b/internal/version/rollout/roster.go
@@ -34,18 +34,62 @@
 	return r, err
 }
 
-// blocks reports whether the set holds a strict majority of an availability zone or of all.
-func (r roster) blocks(in func(address string) bool) bool {
-	total := 0
-	size, count := map[string]int{}, map[string]int{}
+// sizes are numbers of members by availability zone.
+type sizes map[string]int
+
+func (r roster) sizes() sizes {
+	out := sizes{}
+	for _, m := range r {
+		out[m.Zone]++
+	}
+	return out
+}
+
+// atLeast returns the larger of both sizes for every availability zone.
+func (s sizes) atLeast(other sizes) sizes {
+	out := sizes{}
+	for _, x := range []sizes{s, other} {
+		for zone, n := range x {
+			out[zone] = max(out[zone], n)
+		}
+	}
+	return out
+}
+
+func (s sizes) total() int {
+	n := 0
+	for _, x := range s {
+		n += x
+	}
+	return n
+}
+
+// next returns the sizes to record with a proposal, from what the coordinator knows and what was recorded last. Only a
+// process as old as the window that knows a strict majority of the recorded members may record smaller sizes: others may
+// have missed members, or are cut off.
+func (s sizes) next(recorded sizes, age Time) sizes {
+	if age >= rosterWindow && 2*s.total() > recorded.total() {
+		return s
+	}
+	return s.atLeast(recorded)
+}
+
+// blocks reports whether the set holds a strict majority of an availability zone or of all. The sizes may exceed the
+// roster; unlisted says whether the members that it lacks belong to the set.
+func (r roster) blocks(size sizes, unlisted bool, in func(address string) bool) bool {
+	count, listed := sizes{}, r.sizes()
 	for _, m := range r {
-		size[m.Zone]++
 		if in(m.Address) {
 			count[m.Zone]++
-			total++
 		}
 	}
-	if 2*total > len(r) {
+	size = size.atLeast(listed)
+	if unlisted {
+		for zone, n := range size {
+			count[zone] += n - listed[zone]
+		}
+	}
+	if 2*count.total() > size.total() {
 		return true
 	}
 	for zone, n := range count {
--- a/internal/version/rollout/runner.go
+++ b/internal/version/rollout/runner.go
@@ -190,12 +190,13 @@
 // publish makes version and confirmation readable without the lock.
 func (r *Runner) publish() {
 	now := r.now() + r.skipped
-	at, ok := r.m.evidence(now)
-	if !ok {
-		at = -r.m.cfg.Bound
+	// Until a new version is applied, the deadline of the old one stands: it came from evidence for the old one.
+	if r.version.Load() == r.m.Version() {
+		if at, ok := r.m.evidence(now); ok {
+			r.deadline.Store(int64(at + r.m.cfg.Bound - r.skipped))
+		}
 	}
-	r.deadline.Store(int64(at + r.m.cfg.Bound - r.skipped))
-	confirmed := ok && now-at <= r.m.cfg.Bound
+	confirmed := int64(now-r.skipped) <= r.deadline.Load()
 	if confirmed == r.confirmed {
 		return
 	}
@@ -249,6 +250,7 @@
 				r.o.Apply(e.Version, e.Body)
 			}
 			r.version.Store(e.Version)
+			r.step(func(Time) {}) // publishes the confirmation
 			event.Log(r.o.Logger, event.ConfigApplied, slog.Uint64("version", e.Version), slog.String("change", e.Head.ID))
 		}
 	}
@@ -309,6 +311,8 @@
 		event.Log(r.o.Logger, event.ChangeSuperseded, change)
 	case EventTakenOver:
 		event.Log(r.o.Logger, event.ChangeTakenOver, change)
+	case EventUnusable:
+		event.Log(r.o.Logger, event.ConfigUnusable, slog.Uint64("version", e.Version), change, slog.Any("error", e.Err))
 	case EventConflict:
 		event.Log(r.o.Logger, event.ConfigConflict, slog.Uint64("version", e.Version), change)
 	}
--- a/internal/version/rollout/vote.go
+++ b/internal/version/rollout/vote.go
@@ -189,6 +189,7 @@
 	if !m.voting() {
 		return
 	}
+	size := m.size.atLeast(m.row.Sizes)
 	own := voteBit(m.cfg.Address)
 	if m.attests() {
 		if t := m.tallies[m.round]; t == nil || m.now-t.start >= roundEvery+time.Duration(own)*roundStep/voteBits {
@@ -205,7 +206,7 @@
 	for _, round := range slices.Backward(slices.Sorted(maps.Keys(m.tallies))) {
 		t := m.tallies[round]
 		n := t.votes.count(&m.zoneMask)
-		if !done && n >= m.zoneSize/2+1 {
+		if !done && n >= size[m.cfg.Zone]/2+1 {
 			m.confirmBy(t.start)
 			done = true
 		}
@@ -218,5 +219,5 @@
 	if best > 0 {
 		m.takeZone(summary)
 	}
-	m.countZones()
+	m.countZones(size)
 }
--- a/internal/version/rollout/wire.go
+++ b/internal/version/rollout/wire.go
@@ -30,6 +30,7 @@
 	Epoch       uint64 `cbor:"4,keyasint"` // of the coordinator's process
 	FirstSeq    uint64 `cbor:"5,keyasint"` // row that held the first ballot
 	Roster      string `cbor:"6,keyasint"` // hash of the encoded roster, which is the same for every ballot
+	Sizes       sizes  `cbor:"7,keyasint"` // of the availability zones, the same for every ballot
 }
 
 // HeadRow is the value of the head row. Every write increments Seq.
@@ -37,6 +38,8 @@
 	Seq     uint64   `cbor:"1,keyasint"`
 	Head    Head     `cbor:"2,keyasint"`
 	Pending *Pending `cbor:"3,keyasint,omitempty"`
+	// Sizes are the numbers of members of the availability zones when the head was proposed.
+	Sizes sizes `cbor:"4,keyasint,omitempty"`
 }
 
 type messageKind uint8
