Let a replacement win over one that died while it joined

Cause: a process that was killed while it joined had spread its first record. Its successor joined through a peer that did not have that record, adopted the same first incarnation, and took the larger instance for its replacement. Change: at an equal first incarnation a node yields only if it was paused or cut off before, or after repeated claims.

--- a/internal/process/membership/self.go
+++ b/internal/process/membership/self.go
@@ -202,7 +202,7 @@
 		m.contests++
 	}
 	contested := m.contests > maxContests
-	tied := u.born() == m.self.Born || contested
+	tied := contested || m.doubt && u.born() == m.self.Born
 	switch {
 	case tied && u.Info == nil:
 		m.send(from, &Message{Kind: KindWant, Wants: []string{m.self.Address}})
