Ask one seed at first when joining

Cause: a node that joins asked two seeds at once, and each answered with its whole view. Change: the first attempt asks one seed, later ones two.

--- a/internal/process/membership/self.go
+++ b/internal/process/membership/self.go
@@ -134,7 +134,11 @@
 		return
 	}
 	m.nextJoin = m.now.Add(m.cfg.JoinInterval)
-	for range min(seedsPerAttempt, len(m.seeds)) {
+	asked := seedsPerAttempt
+	if m.now.Sub(m.started) < m.cfg.JoinInterval {
+		asked = 1 // an answer holds the whole view, so that two are asked only if the first does not answer
+	}
+	for range min(asked, len(m.seeds)) {
 		to := m.seeds[m.rng.IntN(len(m.seeds))]
 		m.send(to, &Message{Kind: KindJoin, Updates: []Update{m.self.full()}})
 	}
