--- a/internal/process/membership/self.go
+++ b/internal/process/membership/self.go
@@ -134,7 +134,11 @@
 		return
 	}
 	m.nextJoin = m.now.Add(m.cfg.JoinInterval)
-	for range min(seedsPerAttempt, len(m.seeds)) {
+	asked := seedsPerAttempt
+	if m.now.Sub(m.started) < m.cfg.JoinInterval {
+		asked = 1 // an answer holds the whole view, so that two are asked only if the first does not answer
+	}
+	for range min(asked, len(m.seeds)) {
 		to := m.seeds[m.rng.IntN(len(m.seeds))]
 		m.send(to, &Message{Kind: KindJoin, Updates: []Update{m.self.full()}})
 	}
@@ -152,8 +156,8 @@
 	}
 	updates := make([]Update, 0, len(m.members)+1)
 	updates = append(updates, m.self.full())
-	for _, a := range sortedKeys(m.members) {
-		if e := m.members[a]; a != from {
+	for _, e := range m.sorted {
+		if e.Address != from {
 			updates = append(updates, m.complete(e))
 		}
 	}
@@ -164,9 +168,8 @@
 	if len(m.seeds) == 0 {
 		m.joined()
 	}
-	// A node that joins itself knows too little to let another one in, and has still to learn what the members hold
-	// about its address.
-	member := m.status != StatusJoining
+	// A node that joins itself or has left knows too little to let another one in.
+	member := m.status != StatusJoining && m.status != StatusLeft
 	m.send(from, &Message{Kind: KindSync, Updates: updates, Last: member})
 	m.met = m.met || member
 }
@@ -203,12 +206,12 @@
 		m.contests++
 	}
 	contested := m.contests > maxContests
-	tied := u.born() == m.self.Born || contested
+	tied := contested || m.doubt && u.born() == m.self.Born
 	switch {
 	case tied && u.Info == nil:
 		m.send(from, &Message{Kind: KindWant, Wants: []string{m.self.Address}})
 	case tied && u.Info.Instance > m.self.Instance,
-		!tied && m.met && m.doubt && u.born() > m.self.Born:
+		!tied && m.doubt && u.born() > m.self.Born:
 		// This holds even if the later process is dead: the side of a partition that holds it to be dead may be wrong.
 		m.setStatus(StatusReplaced)
 		m.order = nil
@@ -251,7 +254,11 @@
 		return
 	}
 	m.send(from, &Message{Kind: KindGossip, Updates: []Update{m.self.full()}})
-	m.send(from, &Message{Kind: KindDigest, Hash: m.viewHash()})
+	// Views are compared with a peer that is dead to this node, that is, after a partition. One that is alive tells all
+	// members of its side, and answers of all of them with their views would be several MB for it.
+	if e := m.members[from]; e != nil && !e.State.Live() {
+		m.send(from, &Message{Kind: KindDigest, Hash: m.viewHash()})
+	}
 	m.confirmCheck(from)
 }
 
@@ -259,7 +266,7 @@
 // node dead or seen a replacement.
 func (m *Machine) resume(now time.Time, gap time.Duration) {
 	m.advance(now)
-	m.doubt = m.doubt || m.met
+	m.doubt = m.doubt || m.status != StatusJoining
 	m.lastHeard = now
 	m.probes, m.relays = nil, nil
 	for _, e := range m.suspects {
@@ -310,7 +317,6 @@
 
 // checkSelf repeats the question after a pause until it is answered, and notices isolation and its end.
 func (m *Machine) checkSelf() {
-	m.doubt = m.doubt || m.met && m.graph.size == 1
 	silent := m.graph.size > 1 && m.met && m.now.Sub(m.lastHeard) >= m.cfg.IsolationTimeout
 	switch {
 	case m.status == StatusChecking && len(m.answered) > 0 && m.now.Sub(m.checkStarted) >= m.cfg.SuspicionTimeout:
@@ -337,10 +343,9 @@
 		return
 	}
 	var live []string
-	for _, a := range sortedKeys(m.members) {
-		e := m.members[a]
+	for _, e := range m.sorted {
 		if e.State.Live() {
-			live = append(live, a)
+			live = append(live, e.Address)
 		}
 		m.detach(e)
 		m.graph.remove(zoneKey{e.Region, e.Zone}, point{e.hash, e.Address})
@@ -349,6 +354,7 @@
 	m.rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 	m.AddSeeds(m.now, live[:min(len(live), maxSeeds/2)])
 	clear(m.members)
+	m.sorted = nil
 	clear(m.pending)
 	m.order = m.order[:0]
 	m.near, m.nearOld = nil, true
