--- a/cmd/wigeon-standin/target.go
+++ b/cmd/wigeon-standin/target.go
@@ -41,6 +41,7 @@
 		&cli.DurationFlag{Name: "announce-every", Value: time.Second, Usage: "time between announcements"},
 		&cli.DurationFlag{Name: "lease", Value: 3 * time.Second, Usage: "validity of an announcement"},
 		&cli.DurationFlag{Name: "drain-grace", Value: time.Second, Usage: "time between the draining announcement and the end of the listener"},
+		&cli.StringFlag{Name: "record", Usage: "`FILE` that gets each execution as a line of JSON when it begins"},
 		&cli.DurationFlag{Name: "drain-limit", Value: 30 * time.Second, Usage: "longest wait for running requests when draining"},
 	}
 }
@@ -55,6 +56,7 @@
 		StartDelay: c.Duration("start-delay"), ColdFor: c.Duration("cold-for"), ColdFactor: c.Float("cold-factor"),
 		Calls: c.StringSlice("call"), ReportLag: c.Duration("report-lag"), ReportIdle: c.Bool("report-idle"),
 		AnnounceEvery: c.Duration("announce-every"), Lease: c.Duration("lease"), DrainGrace: c.Duration("drain-grace"),
+		RecordFile: c.String("record"),
 	})
 	if err != nil {
 		return err
--- a/internal/standin/target/report.go
+++ b/internal/standin/target/report.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -25,8 +26,9 @@
 
 // record holds every execution. It is not bounded: a target of a test or trial lives for minutes.
 type record struct {
-	mu  sync.Mutex
-	all []Execution
+	mu   sync.Mutex
+	all  []Execution
+	file *os.File // gets each execution as it begins; may be nil
 }
 
 // begin adds an execution and returns the function that ends it.
@@ -35,6 +37,12 @@
 	defer r.mu.Unlock()
 	i := len(r.all)
 	r.all = append(r.all, e)
+	if r.file != nil {
+		// A line that cannot be written ends the process: a record with gaps would hide executions.
+		if err := json.NewEncoder(r.file).Encode(e); err != nil {
+			panic(fmt.Sprintf("record of executions: %v", err))
+		}
+	}
 	return func(completed bool) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,10 @@
 	AnnounceEvery time.Duration // time between announcements; default 1 s
 	Lease         time.Duration // validity of an announcement; default 3 s
 	DrainGrace    time.Duration // time between the draining announcement and the end of the listener; default 1 s
+
+	// RecordFile gets each execution as a line of JSON when it begins, so that the record outlives a target that is
+	// killed. Default: none.
+	RecordFile string
 }
 
 const (
@@ -123,8 +128,15 @@
 	if err != nil {
 		return nil, err
 	}
+	file, err := openRecord(o.RecordFile)
+	if err != nil {
+		return nil, err
+	}
 	l, err := net.Listen("tcp", o.Listen)
 	if err != nil {
+		if file != nil {
+			_ = file.Close()
+		}
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -138,6 +150,7 @@
 		slots: make(chan struct{}, o.Slots),
 		rng:   rand.New(rand.NewPCG(o.Seed, 0)),
 	}
+	t.record.file = file
 	t.mean.Store(int64(o.Mean))
 	t.server = &http.Server{Handler: t.handler(), ReadHeaderTimeout: headerTimeout}
 	t.loops.Go(func() { _ = t.server.Serve(t.listener) })
@@ -148,6 +161,18 @@
 	return t, nil
 }
 
+// openRecord opens the file for executions, or returns nil without a name.
+func openRecord(name string) (*os.File, error) {
+	if name == "" {
+		return nil, nil
+	}
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("record of executions: %w", err)
+	}
+	return f, nil
+}
+
 // Addr returns the address that the target serves on.
 func (t *Target) Addr() string { return t.listener.Addr().String() }
 
