--- a/test/process/callers_test.go
+++ b/test/process/callers_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wigeoncleat/wigeoncleat/client"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/standin/target"
 )
 
@@ -188,17 +190,46 @@
 			l.byRequest[e.RequestID] = append(l.byRequest[e.RequestID], e)
 		}
 	}
+	for at, ran := range l.byPath {
+		if strings.Contains(at, http.MethodPost) {
+			s.verifyKeys(at, ran)
+		}
+	}
 	for _, o := range outcomes {
 		s.verifyOne(o, l)
 	}
+	s.verifyInvariants()
+	return l
+}
+
+// verifyInvariants checks that no node has counted a violation, and that none has logged one before it was stopped.
+func (s *site) verifyInvariants() {
+	s.t.Helper()
 	for _, v := range s.vms {
-		if st, ok := v.status(); v.node.running() && ok {
-			for name, count := range st.Violations {
-				assert.Zero(s.t, count, "%s: invariant %s", v.name(), name)
-			}
+		log := s.output(v.node)
+		assert.NotContains(s.t, log, event.InvariantFail.Text, v.name())
+		if !v.node.running() {
+			continue
+		}
+		st, ok := v.status()
+		require.True(s.t, ok, v.name())
+		require.NotEmpty(s.t, st.Violations, v.name())
+		for name, count := range st.Violations {
+			assert.Zero(s.t, count, "%s: invariant %s", v.name(), name)
 		}
 	}
-	return l
+}
+
+// verifyKeys checks that no key was executed twice, whichever request sent it.
+func (s *site) verifyKeys(at string, ran []target.Execution) {
+	s.t.Helper()
+	byKey := map[string]int{}
+	for _, e := range ran {
+		byKey[e.Key]++
+	}
+	for key, n := range byKey {
+		assert.Equal(s.t, 1, n, "%s: executions under key %q", at, key)
+	}
 }
 
 func (s *site) verifyOne(o *outcome, l ledger) {
--- a/test/process/site_test.go
+++ b/test/process/site_test.go
@@ -116,8 +116,8 @@
 	http         *http.Client
 }
 
-// calls are the services, in the order of their start, with the call that each makes for a request.
-var calls = []struct{ service, call string }{
+// services are in the order of their start, with the call that a target makes for each request.
+var services = []struct{ name, call string }{
 	{"royalty", ""},
 	{"supply", "royalty/statements"},
 	{"menu", "supply/status"},
@@ -126,8 +126,16 @@
 
 var zones = []string{"az1", "az2"}
 
-// newSite starts a site and returns when all its nodes take requests for all services.
-func newSite(t *testing.T) *site {
+// orderedSupplies makes the targets of ordering call a route that must not repeat. The key of the call is bound in the
+// platform's table.
+func orderedSupplies(v *vm) {
+	if v.service == "ordering" {
+		v.call = "POST:supply/orders"
+	}
+}
+
+// newSite starts a site and returns when all its nodes take requests for all services. Options change it before its start.
+func newSite(t *testing.T, options ...func(v *vm)) *site {
 	t.Helper()
 	t.Parallel()
 	slots <- struct{}{}
@@ -135,17 +143,20 @@
 	s := &site{t: t, dir: t.TempDir(), http: &http.Client{Timeout: patience}}
 	t.Cleanup(s.http.CloseIdleConnections)
 	t.Cleanup(s.showLogs)
-	addresses := freeAddresses(t, 1+5*len(calls)*len(zones))
+	addresses := freeAddresses(t, 1+5*len(services)*len(zones))
 	s.platformAddr = addresses[0]
 	s.startPlatform()
 	next := addresses[1:]
-	for _, c := range calls {
+	for _, c := range services {
 		for _, zone := range zones {
 			v := &vm{
-				site: s, service: c.service, zone: zone, call: c.call,
+				site: s, service: c.name, zone: zone, call: c.call,
 				caller: next[0], peer: next[1], own: next[2], admin: next[3], serve: next[4],
 			}
 			next = next[5:]
+			for _, option := range options {
+				option(v)
+			}
 			v.settings = filepath.Join(s.dir, v.name()+".ini")
 			v.record = filepath.Join(s.dir, v.name()+".executions")
 			require.NoError(t, os.WriteFile(v.settings, []byte(s.settings(v)), 0o644))
--- /dev/null
+++ b/test/process/submit_test.go
@@ -0,0 +1,259 @@
+package process
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/node"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
+	"github.com/wigeoncleat/wigeoncleat/internal/standin/platformserver"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/rollout"
+)
+
+// Exit codes of wigeonctl, see docs/wigeonctl.md.
+const (
+	exitOK        = 0
+	exitRefused   = 4
+	exitUnsettled = 5
+)
+
+// addition is a service that a change adds to the overlay, so that changes differ.
+func addition(name string) string {
+	return fmt.Sprintf("[service %s]\nslots = 1\nconnections = 1\n", name)
+}
+
+var changeID = regexp.MustCompile(`(?m)^change (\S+) against version`)
+
+// startSubmit starts a submit and returns the ID of its change as soon as wigeonctl has printed it.
+func (s *site) startSubmit(at *vm, against uint64, author, comment, added string) (string, *process) {
+	s.t.Helper()
+	args := append([]string{
+		"submit", "--node", at.admin, "--against", strconv.FormatUint(against, 10), "--author", author, "--comment", comment,
+	}, s.policyFiles(added)...)
+	name := "submit-" + strings.ReplaceAll(comment, " ", "-") + "-" + author
+	p := launch(s.t, s.dir, name, ctlBinary, args...)
+	var id string
+	s.await("ID of the change", func() bool {
+		if found := changeID.FindStringSubmatch(s.output(p)); found != nil {
+			id = found[1]
+		}
+		return id != ""
+	})
+	return id, p
+}
+
+// output returns what a process has printed.
+func (s *site) output(p *process) string {
+	s.t.Helper()
+	body, err := os.ReadFile(filepath.Join(s.dir, p.name+".log"))
+	require.NoError(s.t, err)
+	return string(body)
+}
+
+// resume asks for the result of a change until it is definite.
+func (s *site) resume(at *vm, id string) rollout.Result {
+	s.t.Helper()
+	var resp node.CommandResponse
+	s.await("definite result of "+id, func() bool {
+		_, out := s.ctl("submit", "--json", "--node", at.admin, "--resume", id)
+		from, to := strings.Index(out, "{"), strings.LastIndex(out, "}")
+		resp = node.CommandResponse{}
+		return from >= 0 && to > from && json.Unmarshal([]byte(out[from:to+1]), &resp) == nil && resp.Result.Definite()
+	})
+	return resp.Result
+}
+
+// awaitResult waits until all nodes run what the result of a change says, and checks that each of them gives that result.
+func (s *site) awaitResult(vms []*vm, want rollout.Result) {
+	s.t.Helper()
+	for _, v := range vms {
+		got := s.resume(v, want.ID)
+		require.Equal(s.t, want.State, got.State, v.name())
+		require.Equal(s.t, want.Version, got.Version, v.name())
+	}
+	s.t.Logf("change %s: %s %s, version %d, at all nodes", want.ID, want.State, want.Reason, want.Version)
+	version := want.Version
+	if want.State == rollout.StateRefused {
+		version = 1
+	}
+	s.awaitVersion(vms, version)
+}
+
+// awaitVersion waits until all nodes run a version and are confirmed.
+func (s *site) awaitVersion(vms []*vm, version uint64) {
+	s.t.Helper()
+	for _, v := range vms {
+		s.await(fmt.Sprintf("%s confirmed at version %d", v.name(), version), func() bool {
+			st, ok := v.status()
+			require.LessOrEqual(s.t, st.Version, version, v.name())
+			return ok && st.Confirmed && st.Version == version
+		})
+	}
+}
+
+// runs reports whether the configuration in force at a VM's node has a service.
+func (v *vm) runs(service string) bool {
+	v.site.t.Helper()
+	var now node.CurrentResponse
+	require.True(v.site.t, v.site.get("http://"+v.admin+"/config", &now))
+	for _, f := range now.Files {
+		if strings.Contains(string(f.Body), addition(service)) {
+			return true
+		}
+	}
+	return false
+}
+
+// issueKeys gets keys that the VM's node is the home of.
+func (s *site) issueKeys(v *vm, count int) []string {
+	s.t.Helper()
+	resp, err := s.http.Post(fmt.Sprintf("http://%s/-/keys?n=%d", v.caller, count), "", nil)
+	require.NoError(s.t, err)
+	defer resp.Body.Close()
+	var issued struct {
+		Keys []string `json:"keys"`
+	}
+	require.NoError(s.t, json.NewDecoder(resp.Body).Decode(&issued))
+	require.Len(s.t, issued.Keys, count)
+	return issued.Keys
+}
+
+// setFaults switches the faults of the platform stand-in.
+func (s *site) setFaults(f platformserver.Faults) {
+	s.t.Helper()
+	body, err := json.Marshal(f)
+	require.NoError(s.t, err)
+	req, err := http.NewRequest(http.MethodPut, "http://"+s.platformAddr+platformserver.PathFaults, strings.NewReader(string(body)))
+	require.NoError(s.t, err)
+	resp, err := s.http.Do(req)
+	require.NoError(s.t, err)
+	defer resp.Body.Close()
+	require.Equal(s.t, http.StatusOK, resp.StatusCode)
+}
+
+// awaitProposed waits until the row of the configuration's head in the platform's table names a change.
+func (s *site) awaitProposed(id string) {
+	s.t.Helper()
+	table, err := platform.NewHTTPTable("http://"+s.platformAddr, patience)
+	require.NoError(s.t, err)
+	s.await("proposal of "+id, func() bool {
+		row, err := table.Get(s.t.Context(), "config/head")
+		return err == nil && bytes.Contains(row.Value, []byte(id))
+	})
+}
+
+// Guards against a change that takes effect on some nodes only: with a paused node it is either refused, naming the node,
+// or accepted, and then the node takes no work under the old version when it resumes.
+func TestSubmitWhileNodeStopped(t *testing.T) {
+	s := newSite(t)
+	v := s.vm("menu", "az1")
+	v.node.signal(t, syscall.SIGSTOP)
+	id, done := s.startSubmit(s.vms[0], 1, "alice", "while a node is stopped", addition("alice"))
+	code := done.exitCode(t)
+	require.Contains(t, []int{exitOK, exitRefused, exitUnsettled}, code, s.output(done))
+	result := s.resume(s.vms[0], id)
+	if result.State == rollout.StateRefused {
+		require.Equal(t, rollout.ReasonUnreached, result.Reason)
+		require.Contains(t, result.Unreached, v.peer)
+	}
+	v.node.signal(t, syscall.SIGCONT)
+	s.await("answer of the resumed node", func() bool {
+		// A node that is confirmed runs the version that is in force everywhere.
+		st, ok := v.status()
+		if ok && st.Confirmed && result.State == rollout.StateAccepted {
+			require.Equal(t, result.Version, st.Version, "the resumed node takes work under an old version")
+		}
+		return ok && st.Confirmed
+	})
+	s.awaitResult(s.vms, result)
+	for _, v := range s.vms {
+		require.Equal(t, result.State == rollout.StateAccepted, v.runs("alice"), v.name())
+	}
+}
+
+// Guards against two accepted changes that overwrite each other, and against a loser that is not told who changed what.
+func TestRacingSubmits(t *testing.T) {
+	s := newSite(t)
+	type submitted struct {
+		author, id string
+		at         *vm
+		done       *process
+	}
+	var all []submitted
+	s.setFaults(platformserver.Faults{Delay: "100ms"}) // makes the two overlap
+	for i, author := range []string{"alice", "bob"} {
+		at := s.vms[i]
+		id, done := s.startSubmit(at, 1, author, "race", addition(author))
+		all = append(all, submitted{author, id, at, done})
+	}
+	var results []rollout.Result
+	for i, x := range all {
+		code := x.done.exitCode(t)
+		require.Contains(t, []int{exitOK, exitRefused, exitUnsettled}, code, s.output(x.done))
+		result := s.resume(all[1-i].at, x.id) // through the other node
+		if code != exitUnsettled {
+			require.Equal(t, code == exitOK, result.State == rollout.StateAccepted, s.output(x.done))
+		}
+		results = append(results, result)
+	}
+	s.setFaults(platformserver.Faults{})
+	t.Logf("results: %s %s and %s %s", results[0].State, results[0].Reason, results[1].State, results[1].Reason)
+	winner := 0
+	if results[1].State == rollout.StateAccepted {
+		winner = 1
+	}
+	require.Equal(t, rollout.StateAccepted, results[winner].State, "no change was accepted")
+	require.Equal(t, rollout.StateRefused, results[1-winner].State, "both changes were accepted")
+	require.Contains(t, s.output(all[1-winner].done), all[winner].author, "the loser is not told who changed the configuration")
+	require.Contains(t, s.output(all[1-winner].done), siteName+".ini", "the loser is not told what was changed")
+	s.awaitVersion(s.vms, results[winner].Version)
+	for _, v := range s.vms {
+		require.True(t, v.runs(all[winner].author), v.name())
+		require.False(t, v.runs(all[1-winner].author), v.name())
+	}
+}
+
+// Guards against a change without a definite result after its submit was interrupted: first the command alone dies, then
+// also the node that coordinates the change.
+func TestSubmitKilledAndResumed(t *testing.T) {
+	s := newSite(t)
+	others := s.vms[1:]
+	s.setFaults(platformserver.Faults{Delay: "200ms"}) // leaves time between the proposal and the acceptance
+	id, command := s.startSubmit(s.vms[0], 1, "alice", "command killed", addition("alice"))
+	s.awaitProposed(id)
+	command.kill(t)
+	result := s.resume(others[0], id)
+	s.awaitResult(s.vms, result)
+	version := max(result.Version, 1)
+
+	id, command = s.startSubmit(s.vms[0], version, "bob", "node killed", addition("bob"))
+	s.awaitProposed(id)
+	s.vms[0].node.kill(t)
+	require.NotEqual(t, exitOK, command.exitCode(t), s.output(command))
+	result = s.resume(others[0], id)
+	for _, v := range others {
+		got := s.resume(v, id)
+		require.Equal(t, result.State, got.State, v.name())
+	}
+	t.Logf("change %s: %s %s, version %d, at all nodes but the coordinator", id, result.State, result.Reason, result.Version)
+	if result.State == rollout.StateAccepted {
+		version = result.Version
+	}
+	s.setFaults(platformserver.Faults{})
+	s.vms[0].startNode()
+	s.awaitVersion(s.vms, version)
+	for _, v := range s.vms {
+		require.Equal(t, result.State == rollout.StateAccepted, v.runs("bob"), v.name())
+	}
+}
