--- a/internal/process/node/configadmin.go
+++ b/internal/process/node/configadmin.go
@@ -38,6 +38,7 @@
 	if n.rollout == nil {
 		return
 	}
+	mux.HandleFunc("GET /audit", n.serveAudit)
 	mux.HandleFunc("POST /config/changes", n.serveSubmit)
 	mux.HandleFunc("GET /config/changes/{id}", func(w http.ResponseWriter, r *http.Request) {
 		command(w, r, func(ctx context.Context) (rollout.Result, error) { return n.rollout.Status(ctx, r.PathValue("id")) })
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/link"
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/audit"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/engine"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
@@ -60,6 +61,7 @@
 	announcements *membership.Announcements
 	members       *membership.Runner
 	rollout       *rollout.Runner // nil without a platform
+	trail         *audit.Trail    // nil without a platform
 	current       atomic.Pointer[current]
 	unusable      atomic.Bool // the accepted version could not be put in force
 	ready         atomic.Bool // the target takes work
@@ -118,6 +120,9 @@
 	})
 	n.members = n.newMembers()
 	n.rollout = n.newRollout()
+	if opts.Table != nil {
+		n.trail = audit.New(opts.Table, s.Node.PeerAddress, 0, n.log)
+	}
 	return n, nil
 }
 
@@ -146,7 +151,10 @@
 		Table:         n.opts.Table,
 		Logger:        n.log,
 	})
-	r.Subscribe(func(snap *membership.Snapshot, _ []membership.Event) { n.updateTargets(snap) })
+	r.Subscribe(func(snap *membership.Snapshot, events []membership.Event) {
+		n.updateTargets(snap)
+		n.recordMembers(snap, events)
+	})
 	return r
 }
 
@@ -266,6 +274,7 @@
 	parts.Go(func() { n.watchTarget(background) })
 	if n.rollout != nil {
 		parts.Go(func() { n.rollout.Run(background) })
+		parts.Go(func() { n.trail.Run(background) })
 	}
 	event.Log(n.log, event.ProcessStarted, slog.String("peer_address", n.settings.Node.PeerAddress),
 		slog.String("caller_address", n.settings.Node.CallerAddress), slog.Uint64("incarnation", n.incarnation))
@@ -273,8 +282,10 @@
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
+		n.recordDrain("signal")
 		err = n.stop(hurry, servers)
 	case <-n.drain:
+		n.recordDrain("operator")
 		err = n.stop(hurry, servers)
 	}
 	stop()
--- /dev/null
+++ b/internal/process/node/trail.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/audit"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/membership"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/rollout"
+)
+
+const (
+	defaultAuditLimit = 100
+	maxAuditLimit     = 1000
+)
+
+// record adds an entry to the audit trail, if there is a platform to keep it.
+func (n *Node) record(e audit.Entry) {
+	if n.trail != nil {
+		n.trail.Add(e)
+	}
+}
+
+// recordChange records the result of a configuration change that this node coordinated.
+func (n *Node) recordChange(r rollout.Result) {
+	n.record(audit.Entry{
+		Kind: audit.KindChange, Actor: r.Author, Subject: r.ID, Base: r.Base, Version: r.Version,
+		Differs: r.Changed, Outcome: string(r.State), Reason: string(r.Reason), Comment: r.Comment,
+	})
+}
+
+// recordDrain records a graceful stop of this node.
+func (n *Node) recordDrain(actor string) {
+	n.record(audit.Entry{Kind: audit.KindDrain, Actor: actor, Subject: n.settings.Node.PeerAddress})
+}
+
+var memberOutcomes = map[membership.EventKind]string{
+	membership.MemberJoined:   "joined",
+	membership.MemberReplaced: "replaced",
+	membership.MemberDied:     "died",
+	membership.MemberLeft:     "left",
+}
+
+// recordMembers records changes of the members of the own availability zone. All nodes learn of a change, so only the
+// live one with the lowest address in the zone writes it. While views differ, two nodes may write the same change.
+func (n *Node) recordMembers(snap *membership.Snapshot, events []membership.Event) {
+	own := n.settings.Node
+	for i := range snap.Members {
+		m := &snap.Members[i]
+		if m.Zone == own.AvailabilityZone && m.State.Live() && m.Address < own.PeerAddress {
+			return
+		}
+	}
+	for i := range events {
+		m := &events[i].Member
+		outcome, ok := memberOutcomes[events[i].Kind]
+		if !ok || m.Zone != own.AvailabilityZone {
+			continue
+		}
+		n.record(audit.Entry{Kind: audit.KindMembership, Subject: m.Address, Outcome: outcome, Comment: m.Service})
+	}
+}
+
+// AuditResponse is the response of the admin interface's audit path.
+type AuditResponse struct {
+	Entries []audit.Entry `json:"entries"`
+	// Buffered entries of this node wait for the platform; Dropped ones were lost since it started.
+	Buffered int `json:"buffered"`
+	Dropped  int `json:"dropped"`
+}
+
+func (n *Node) serveAudit(w http.ResponseWriter, r *http.Request) {
+	limit := defaultAuditLimit
+	if text := r.URL.Query().Get("limit"); text != "" {
+		l, err := strconv.Atoi(text)
+		if err != nil || l < 1 || l > maxAuditLimit {
+			writeJSON(w, http.StatusBadRequest, CommandResponse{Error: "limit is not between 1 and 1000"})
+			return
+		}
+		limit = l
+	}
+	entries, err := n.trail.List(r.Context(), limit)
+	if err != nil {
+		writeJSON(w, http.StatusServiceUnavailable, CommandResponse{Error: err.Error()})
+		return
+	}
+	stats := n.trail.Stats()
+	writeJSON(w, http.StatusOK, AuditResponse{Entries: entries, Buffered: stats.Buffered, Dropped: stats.Dropped})
+}
--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -130,5 +130,7 @@
 request GET "$gnomon/catalogue/dials/7"
 request POST "$gnomon/commission/commissions" "Idempotency-Key: $(key "$gnomon")"
 for admin in "$haetsal_admin" "$gnomon_admin"; do
-	echo "status of ${admin#http://}: $(curl -s "$admin/status")"
+	echo "== status of node ${admin#http://}"
+	"$bin/wigeonctl" status --node "${admin#http://}"
+	"$bin/wigeonctl" audit --node "${admin#http://}" --limit 3
 done
