--- a/internal/process/membership/capacity_test.go
+++ b/internal/process/membership/capacity_test.go
@@ -43,7 +43,6 @@
 
 // measureSize prints what n members cost at rest and per change.
 func measureSize(n int) {
-	begin := time.Now()
 	s := newSim(uint64(n), Config{})
 	s.cluster(n)
 	s.measure = true
@@ -104,7 +103,6 @@
 	s.cut = nil
 	change("healing", time.Minute, func() {}, s.agree)
 	fmt.Printf("n=%d cut: %.2f of the deaths that were right\n", n, float64(deaths)/float64(2*(n/9)*(n-n/9)))
-	fmt.Printf("n=%d: %v of processor time\n", n, time.Since(begin).Round(time.Second))
 }
 
 // apart reports whether no member of the availability zone holds a member outside to be live, or the reverse.
--- a/internal/process/membership/message_test.go
+++ b/internal/process/membership/message_test.go
@@ -37,7 +37,6 @@
 		got, err := Decode(b)
 		require.NoError(t, err)
 		require.Equal(t, want, got)
-		t.Logf("kind %d: %d bytes", want.Kind, len(b))
 	}
 	m := sampleMember()
 	full, brief := m.full(), m.brief()
--- a/internal/process/membership/sim_test.go
+++ b/internal/process/membership/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -237,11 +238,9 @@
 		if n.address == address {
 			continue
 		}
-		e := n.members[address]
-		if e == nil && ok(0) || e != nil && ok(e.State) {
-			continue
+		if e, _ := n.Member(address); !ok(e.State) {
+			return false
 		}
-		return false
 	}
 	return true
 }
@@ -276,12 +275,5 @@
 }
 
 func in(states ...State) func(State) bool {
-	return func(s State) bool {
-		for _, x := range states {
-			if s == x {
-				return true
-			}
-		}
-		return false
-	}
+	return func(s State) bool { return slices.Contains(states, s) }
 }
