Hand all retries but one down the chain

Trace of the failed orders: all ended with 502 of their own target, whose call two hops below one target had refused (overload at admission, or connection refused). The entry node of an order kept 2 of 3 retries although it only forwards the request to the key's home node, the home node handed 1/2 = 0 of the remaining one down, and so the hops below could not try another target. The 502 is recorded for the key, so the caller's repeats could not help either.

A hop now keeps one retry and hands the rest down, and a node that only forwards to a home node hands down all of them. The bound on retries is the same. A target that makes several calls at once has fewer retries left for the later ones.

--- a/internal/process/engine/keyed.go
+++ b/internal/process/engine/keyed.go
@@ -52,7 +52,8 @@
 	if key.Home == e.cfg.Address {
 		return e.claim(ctx, c, key)
 	}
-	share := c.ledger.HandDown()
+	// This node makes no attempts of its own, so the home node gets all retries.
+	share := c.ledger.HandDownAll()
 	home := *c.req
 	home.Mode = message.ModeHome
 	home.Retries = share.Size()
--- a/internal/request/retry/ledger.go
+++ b/internal/request/retry/ledger.go
@@ -43,12 +43,18 @@
 	size   int
 }
 
-// HandDown moves half of what is left, rounded down, to a call. The hop keeps the larger half: a retry close to the root
-// can route around a failed branch, one near the leaf only around a failed leaf.
-func (l *Ledger) HandDown() *Share {
+// HandDown moves all but one of what is left to a call. Of the budget of 3, halves would leave nothing for the third hop of
+// a chain, where a refusal by one target would then fail the whole request. The one that stays can route around a branch
+// that was not reached.
+func (l *Ledger) HandDown() *Share { return l.handDown(1) }
+
+// HandDownAll moves all that is left to a call. It is for a hop that makes no attempts of its own.
+func (l *Ledger) HandDownAll() *Share { return l.handDown(0) }
+
+func (l *Ledger) handDown(keep int) *Share {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := l.left / 2
+	n := max(0, l.left-keep)
 	l.left -= n
 	l.held += n
 	return &Share{ledger: l, size: n}
