--- a/internal/measure/plot.go
+++ b/internal/measure/plot.go
@@ -19,6 +19,9 @@
 	plotDPI    = 90
 )
 
+// legendRoom is the factor on the height of the axes that leaves room for the legend above the curves.
+const legendRoom = 1.4
+
 // plotBucket is the time over which the curves are averaged.
 const plotBucket = 4
 
@@ -83,7 +86,6 @@
 	}
 	p.Add(line)
 	p.Legend.Add(name, line)
-	p.Y.Max *= 1.05
 	return nil
 }
 
@@ -106,6 +108,7 @@
 	tiles := draw.Tiles{Rows: 1, Cols: len(panels), PadX: vg.Points(12), PadRight: vg.Points(8), PadTop: vg.Points(4), PadBottom: vg.Points(4)}
 	canvases := plot.Align([][]*plot.Plot{panels}, tiles, draw.New(img))
 	for i, p := range panels {
+		p.Y.Max *= legendRoom
 		p.Draw(canvases[0][i])
 	}
 	f, err := os.Create(path)
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -148,9 +148,14 @@
 	}
 	var scenarios []Scenario
 	var rows [][]string
+	var unbound []string
 	short := map[string]string{}
 	for _, x := range r {
 		rows = append(rows, row(x))
+		if f := x.Figures; f.Unbound > 0 {
+			unbound = append(unbound, fmt.Sprintf("%s, %s: %d orders with keys of their callers were first sent while the platform was down; %d got a complete response from a later attempt.",
+				x.name(), x.System, f.Unbound, f.UnboundWhole))
+		}
 		if share := x.Scenario.ordersServable(x.Site); share < 1 {
 			short[x.name()] = fmt.Sprintf("%.1f %%", 100*share)
 		}
@@ -164,7 +169,7 @@
 		}
 	}
 	var b bytes.Buffer
-	data := map[string]any{"Rows": rows, "Metrics": metrics, "Scenarios": scenarios, "Short": short}
+	data := map[string]any{"Rows": rows, "Metrics": metrics, "Scenarios": scenarios, "Short": short, "Unbound": unbound}
 	if err := page.Execute(&b, data); err != nil {
 		return fmt.Errorf("write page: %w", err)
 	}
