--- a/internal/request/retry/ledger.go
+++ b/internal/request/retry/ledger.go
@@ -46,12 +46,17 @@
 // HandDown moves what is left to a call, except for one retry if there are several. Deep hops need retries most: a
 // request that fails there wastes the work of all hops above. The one that stays lets the hop fail over when the answer,
 // and with it the share, is lost.
-func (l *Ledger) HandDown() *Share {
+func (l *Ledger) HandDown() *Share { return l.handDown(1) }
+
+// HandDownAll moves all that is left to a call. It is for a hop that makes no attempts of its own.
+func (l *Ledger) HandDownAll() *Share { return l.handDown(0) }
+
+func (l *Ledger) handDown(keep int) *Share {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := l.left
-	if n > 1 {
-		n--
+	if n > keep {
+		n -= keep
 	}
 	l.left -= n
 	l.held += n
