Stagger the reads of the head row, record results with their change, measure

Cause: at the start of an outage every member read the head row within 2 s and again after 1, 2 and 4 s.

Change: members that are not pollers read one after the other by rank, and again after about two minutes. Pollers read only if the evidence is older than 0.33 s plus 0.15 s per rank.

A coordinator that had rolled forward and took its own change over again asked nobody.

A definite result carries rows of the caller (Options.Record) in the same transaction; audit.Row and audit.ChangeEntry make the entry. The model checks that every change is recorded once.

--- a/internal/process/audit/audit_test.go
+++ b/internal/process/audit/audit_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/standin/memory"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/rollout"
 )
 
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
@@ -65,6 +66,24 @@
 	})
 }
 
+// Guards against a change whose entry lacks who changed what, or why it was refused.
+func TestChangeEntry(t *testing.T) {
+	pf := memory.New()
+	w, err := Row(ChangeEntry("n1", time.Unix(5, 0), rollout.Result{
+		ID: "b", State: rollout.StateRefused, Reason: rollout.ReasonBase, Base: 3, Author: "ben", Changed: []string{"base.ini"},
+		Other: &rollout.Head{ID: "a", Author: "ann"},
+	}))
+	require.NoError(t, err)
+	_, err = pf.Put(context.Background(), w.Key, w.Value, w.Cond)
+	require.NoError(t, err)
+	entries, err := New(pf, "n2", 0, quiet()).List(context.Background(), 5)
+	require.NoError(t, err)
+	require.Equal(t, []Entry{{
+		ID: "b", Time: time.Unix(5, 0), Nanos: time.Unix(5, 0).UnixNano(), Kind: KindChange, Node: "n1", Actor: "ben", Subject: "b",
+		Base: 3, Differs: []string{"base.ini"}, Outcome: "refused", Reason: "base-changed: change a by ann",
+	}}, entries)
+}
+
 // Guards against a graceful stop that leaves entries behind, and against goroutines that outlive it.
 func TestRunWritesTheRest(t *testing.T) {
 	defer goleak.VerifyNone(t)
--- a/internal/version/rollout/change.go
+++ b/internal/version/rollout/change.go
@@ -300,7 +300,7 @@
 // writeChange settles a change that was never proposed, unless it has a row by now.
 func (c *change) writeChange(res Result) {
 	w := platform.Write{Key: changePrefix + c.spec.ID, Value: must(encMode.Marshal(res)), Cond: platform.Condition{Absent: true}}
-	c.call(Call{Op: OpCommit, Writes: []platform.Write{w}}, func(r Reply) {
+	c.call(Call{Op: OpCommit, Writes: append([]platform.Write{w}, c.record(res)...)}, func(r Reply) {
 		if r.Err == nil {
 			c.settleAs(res)
 			return
@@ -421,10 +421,11 @@
 
 // commit writes the head row and the change row together.
 func (c *change) commit(next HeadRow, res Result, cond platform.Condition, done func(error)) {
-	c.call(Call{Op: OpCommit, Writes: []platform.Write{
+	writes := []platform.Write{
 		{Key: headKey, Value: must(encMode.Marshal(next)), Cond: c.cond},
 		{Key: c.key(), Value: must(encMode.Marshal(res)), Cond: cond},
-	}}, func(r Reply) {
+	}
+	c.call(Call{Op: OpCommit, Writes: append(writes, c.record(res)...)}, func(r Reply) {
 		if r.Err == nil {
 			c.cond = platform.Condition{Version: r.Versions[0]}
 		}
@@ -432,6 +433,14 @@
 	})
 }
 
+// record returns the rows that belong to a definite result. The transaction applies once, so they are written once.
+func (c *change) record(res Result) []platform.Write {
+	if c.m.cfg.Record == nil || !res.Definite() {
+		return nil
+	}
+	return c.m.cfg.Record(res)
+}
+
 // confirmLead reads the head row back after a write of a ballot failed or stayed in doubt.
 func (c *change) confirmLead(want HeadRow) {
 	c.readHead(func() {
@@ -449,6 +458,7 @@
 // lead begins to coordinate with the ballot in the row.
 func (c *change) lead(row HeadRow) {
 	c.row, c.takeover = row, row.Pending.Ballot > 1
+	c.issued, c.locking, c.rolled = false, false, false // of an earlier ballot
 	c.hash, c.rosterID = row.Pending.Head.Hash, row.Pending.Roster
 	c.spec.Base, c.spec.Author, c.spec.Comment = row.Head.Version, row.Pending.Head.Author, row.Pending.Head.Comment
 	c.stage, c.asked, c.rounds, c.lastQ = stageCollect, c.m.now, 0, c.m.now-askRetry
@@ -518,7 +528,7 @@
 		m.emit(Event{Kind: EventSuperseded, Head: c.row.Pending.Head})
 	}
 	c.stage, c.began, c.status, c.tried = stageFollow, m.now, true, true
-	c.locking, c.issued = false, false
+	c.locking = false // a roll-forward of this ballot must not begin any more
 	c.next = m.now
 }
 
--- a/internal/version/rollout/machine.go
+++ b/internal/version/rollout/machine.go
@@ -26,6 +26,8 @@
 	Bound   time.Duration
 	Check   func(body []byte) error // must depend on the body alone
 	Seed    uint64                  // of the jitter
+	// Record returns rows to write together with a definite result, in the same transaction; may be nil.
+	Record func(r Result) []platform.Write
 	// Join lists peers to ask while the members are unknown.
 	Join []string
 }
@@ -39,12 +41,14 @@
 	pollEvery = time.Second
 	// pollers is the number of members of an availability zone that poll the head row regularly.
 	pollers = 3
-	// pollRetryMax bounds the retries of the other members while the platform is down: 2,300 nodes make 38 reads a second.
-	pollRetryMax  = 60 * time.Second
-	staleAfter    = 1200 * time.Millisecond // age of evidence at which other members start to poll, in order of rank
-	staleSpread   = 800 * time.Millisecond  // time over which they start
-	liveWithin    = 3 * time.Second         // a member heard within this time counts for ranks and neighbours
-	rosterWindow  = time.Hour               // a member heard within this time counts in majorities
+	// pollRetry is the mean time between failed reads of the other members: 19 reads a second at 2,300 nodes.
+	pollRetry   = 2 * time.Minute
+	pollStagger = 150 * time.Millisecond  // longer than a read and its way through the zone
+	staleAfter  = 1200 * time.Millisecond // age of evidence at which the first other member of a zone reads
+	// staleStep is the time until the next member by rank reads: 9 reads a second in 9 availability zones.
+	staleStep     = time.Second
+	liveWithin    = 3 * time.Second // a member heard within this time counts for ranks and neighbours
+	rosterWindow  = time.Hour       // a member heard within this time counts in majorities
 	rebuildEvery  = time.Second
 	keepAlive     = time.Second
 	freshStep     = 250 * time.Millisecond // smallest gain in freshness that is worth a message
@@ -195,11 +199,13 @@
 	asked   []askedBy
 	tasks   []*relayTask
 
-	token    uint64
-	pendCall map[uint64]func(Reply)
-	nextPoll Time
-	polling  bool
-	pollFail int
+	token      uint64
+	pendCall   map[uint64]func(Reply)
+	polled     bool // lastPoll is set
+	lastPoll   Time
+	polling    bool
+	pollFailed bool
+	pollJitter float64 // factor of the time until the next read
 
 	pendSince Time // when the pending ballot was first seen
 	pendBall  uint64
@@ -239,7 +245,6 @@
 		pendCall: map[uint64]func(Reply){},
 		changes:  map[string]*change{},
 	}
-	m.nextPoll = now + time.Duration(m.rnd.Int64N(int64(pollEvery/4)))
 	m.rebuild()
 	return m
 }
@@ -529,46 +534,42 @@
 	return true
 }
 
-// maybePoll reads the head row: the first members of the zone by rank regularly, the others when evidence gets stale.
+// maybePoll reads the head row: the first members of the zone by rank regularly, the others when evidence gets stale, one
+// after the other, so that a slow platform is not met by a read of every node.
 func (m *Machine) maybePoll() {
-	if m.polling || m.now < m.nextPoll {
-		return
-	}
+	every := pollEvery
 	if m.rank >= pollers {
-		wait := staleAfter + staleSpread*time.Duration(m.rank)/time.Duration(len(m.zoneLive))
-		if m.proof && m.now-m.fresh < wait {
-			return
+		wait := staleAfter + staleStep*time.Duration(m.rank-pollers)
+		since := m.started
+		if m.proof {
+			since = m.fresh
 		}
-		if !m.proof && m.now-m.started < wait {
+		if m.now-since < wait {
 			return
 		}
+		if m.pollFailed {
+			every = pollRetry
+		}
+	} else if m.proof && m.now-m.fresh < pollEvery/pollers+pollStagger*time.Duration(m.rank) {
+		return // keeps the pollers from reading all at once
+	}
+	if m.polling || m.polled && m.now-m.lastPoll < time.Duration(float64(every)*m.pollJitter) {
+		return
 	}
-	m.polling = true
+	m.polling, m.polled, m.lastPoll = true, true, m.now
 	start := m.now
 	m.call(Call{Op: OpGet, Key: headKey}, func(r Reply) {
-		m.polling = false
 		row, _, err := parseHead(r)
+		m.polling, m.pollFailed, m.pollJitter = false, err != nil, 1
 		if err != nil {
-			m.pollFail++
-			m.nextPoll = m.now + m.pollBackoff()
+			m.pollJitter = 0.5 + m.rnd.Float64()
 			return
 		}
-		m.pollFail = 0
-		m.nextPoll = max(m.now, start+pollEvery)
 		m.takeRow(row, "")
 		m.takeFresh(row.Seq, start)
 	})
 }
 
-// pollBackoff is short for the regular pollers, so that evidence is back a second after the platform.
-func (m *Machine) pollBackoff() time.Duration {
-	wait := pollEvery
-	if m.rank >= pollers {
-		wait = min(pollEvery<<min(m.pollFail, 6), pollRetryMax)
-	}
-	return wait/2 + time.Duration(m.rnd.Int64N(int64(wait)))
-}
-
 // want fetches a body unless it is there or on its way.
 func (m *Machine) want(hash, from string) {
 	if hash == "" || m.bodies[hash] != nil {
--- a/internal/version/rollout/runner.go
+++ b/internal/version/rollout/runner.go
@@ -46,7 +46,10 @@
 	Check     func(body []byte) error           // must depend on the body alone
 	Apply     func(version uint64, body []byte) // called in order of ascending versions, from one goroutine
 	Settled   func(r Result)                    // optional: every definite result that this node learns as coordinator
-	Logger    *slog.Logger                      // default slog.Default()
+	// Record returns rows to write together with a definite result, in the same transaction; optional. It is called with the
+	// runner's lock held and must not call the runner.
+	Record func(r Result) []platform.Write
+	Logger *slog.Logger // default slog.Default()
 }
 
 // Errors of commands.
@@ -99,6 +102,7 @@
 	}
 	r.m = New(Config{
 		Address: o.Address, Zone: o.Zone, Epoch: r.epoch, Bound: o.Bound, Check: o.Check, Seed: rand.Uint64(), Join: o.Join,
+		Record: o.Record,
 	}, r.now())
 	return r
 }
--- a/internal/version/rollout/sim_test.go
+++ b/internal/version/rollout/sim_test.go
@@ -111,6 +111,10 @@
 	n.dead, n.paused, n.waiting, n.heard = false, false, nil, map[string]Time{}
 	n.m = New(Config{
 		Address: n.address, Zone: n.zone, Epoch: n.epoch, Seed: s.rnd.Uint64(),
+		Record: func(r Result) []platform.Write {
+			s.seq++
+			return []platform.Write{{Key: fmt.Sprintf("record/%s/%d", r.ID, s.seq), Cond: platform.Condition{Absent: true}}}
+		},
 		Check: func(body []byte) error {
 			if s.checkup != nil {
 				return s.checkup(body)
@@ -409,6 +413,15 @@
 		if err != nil || !row.Definite() {
 			s.fail("change %s: row %+v, %v", id, row, err)
 		}
+		records := 0
+		for key := range s.rows {
+			if strings.HasPrefix(key, "record/"+id+"/") {
+				records++
+			}
+		}
+		if records != 1 {
+			s.fail("change %s is recorded %d times", id, records)
+		}
 		if s.ran[id] && row.State != StateAccepted {
 			s.fail("change %s was run and is %s (%s)", id, row.State, row.Reason)
 		}
