Let a target that has its slots back end a trial of a lower limit

TestFewerSlotsThanStated: after all slots were back the limit stayed at 11 or 15 of 40 for more than 10 s. A trace showed a trial of a still lower limit that stayed undecided for all of that time and kept the trial of the highest limit from starting. It now ends when the other is due, and trials of the highest limit come at most 4 s apart instead of 8.

TestNodeTerminated: an order failed because its target, whose node was leaving, made a call of a route that must not repeat, and the node refused the claim of that call's own key. Calls of requests that run are served now; 3 of 3 runs passed after.

--- a/internal/process/admission/trial.go
+++ b/internal/process/admission/trial.go
@@ -42,7 +42,7 @@
 	// upBackoff and upMax are the same for trials of the highest limit. These cost latency and no throughput, and a target
 	// that has recovered must not be held at a lower limit for long.
 	upBackoff = 2
-	upMax     = 8 * time.Second
+	upMax     = 4 * time.Second
 	// trialUnknown is the time before the first trial of a target whose latency without saturation is not known.
 	trialUnknown = 10 * time.Second
 	// trialEvidence is the ratio of the latency to the known one from which a lower limit is tried. Requests that wait
@@ -128,6 +128,12 @@
 // observe takes in one interval of measurement.
 func (t *trial) observe(now time.Duration, m *meter, latency *estimate) {
 	saturated := saturated(now, m)
+	if t.active && t.first == 1 && t.learned < t.ceiling && now >= t.up.next {
+		// A trial of a still lower limit can stay undecided for many turns. A target that has its slots back must not wait
+		// for its end.
+		t.active = false
+		t.down.next = now + t.down.pause
+	}
 	if !t.active {
 		if saturated {
 			t.begin(now, latency)
--- a/internal/process/engine/keyed.go
+++ b/internal/process/engine/keyed.go
@@ -116,7 +116,8 @@
 // repeat of the request gets it.
 func (e *Engine) runClaim(ctx context.Context, c *call, claim *once.Claim) *message.Response {
 	defer claim.Unknown(nil)
-	if r := e.closed(); r != nil {
+	// A node that is leaving still makes the calls of requests that run at its target.
+	if r := e.closed(); r != nil && c.parent == nil {
 		claim.Refuse(r)
 		return r
 	}
