Replace a coordinator that is gone without the wait for a live one

Change: a takeover without a command writes the next ballot at once, if the row still holds the ballot that it saw. The quick form requires that a majority was heard within the same 1.5 s; a window of 3 s let a node that was just cut off take over ("Should be zero, but was 2").

Without the majority rule TestNodeCutOffDoesNotBlockChanges now fails (2 takeovers).

--- a/internal/version/rollout/change.go
+++ b/internal/version/rollout/change.go
@@ -75,8 +75,9 @@
 	m       *Machine
 	spec    Change
 	hash    string
-	status  bool // asked for by a status command: never proposes
-	tried   bool // a proposal was written, with unknown result
+	status  bool   // asked for by a status command: never proposes
+	auto    uint64 // ballot that is to be taken over without a command and without following it first
+	tried   bool   // a proposal was written, with unknown result
 	stage   stage
 	began   Time
 	busy    bool // a platform call is on its way
@@ -187,14 +188,25 @@
 	}
 	rank := hash64(m.cfg.Address, p.Head.ID)
 	wait := takeoverAfter + time.Duration(rank%uint64(takeoverSpread))
-	if v, ok := m.members[p.Coordinator]; !ok || m.now-v.LastHeard > coordinatorSilent {
+	if v, ok := m.members[p.Coordinator]; m.hearsMajority() && (!ok || m.now-v.LastHeard > coordinatorSilent) {
 		wait = time.Duration(rank % uint64(goneSpread))
 	}
 	if c := m.changes[p.Head.ID]; m.now-m.pendSince < wait || (c != nil && c.stage != stageSettled) {
 		return
 	}
-	c := m.start(Change{ID: p.Head.ID}, true)
-	c.began = m.now - followFor
+	m.start(Change{ID: p.Head.ID}, true).auto = p.Ballot
+}
+
+// hearsMajority reports whether most members were heard more recently than a coordinator that counts as gone. A node that
+// was just cut off hears nobody, and must not take that for the loss of one.
+func (m *Machine) hearsMajority() bool {
+	n := 1
+	for _, v := range m.members {
+		if m.now-v.LastHeard <= coordinatorSilent {
+			n++
+		}
+	}
+	return 2*n > m.size.atLeast(m.row.Sizes).total()
 }
 
 func (c *change) step() {
@@ -266,6 +278,8 @@
 		switch {
 		case res.Definite():
 			c.settleAs(res)
+		case c.auto != 0:
+			c.stage = stageTakeover
 		case c.stage == stageStart:
 			c.stage = stageFollow
 			c.later(followEvery)
@@ -479,6 +493,12 @@
 		c.stage = stageStart // settled meanwhile
 		return
 	}
+	if c.auto != 0 && c.auto != p.Ballot {
+		c.auto, c.stage = 0, stageFollow // another node was faster
+		c.later(followEvery)
+		return
+	}
+	c.auto = 0
 	next := c.row
 	taken := *p
 	taken.Ballot++
