Ask for the view again until the answer to a join has arrived

A restarted node could stay in the state "joining" for ever: it ran, was confirmed and knew its target as ready, but all other nodes kept it as a member without a service, so its target got no work.

Cause: every sync message set the flag that the whole view was received, and the flag ends the repeats of the join. Syncs also come from peers that compare their views with the new node. If the answer to the join was lost, which happens while the seed still has its link to the process before, such a sync stopped the node from asking again, and the fallback for a node that meets nobody stands behind the same flag. Only the last message of an answer to a join sets the flag now.

Ruled out: the announcement of the target (the node logged it and reported target_ready), the configuration (confirmed), the links (opened to all peers). "node is a member" (505) was missing in the log of every failing process.

--- a/internal/process/membership/machine_test.go
+++ b/internal/process/membership/machine_test.go
@@ -180,3 +180,21 @@
 		s.require(t, s.count(MemberJoined, simAddress(20)) == before, "a dead member was a member for a while")
 	}
 }
+
+// Guards against a restarted node that never joins: the answer to its join is lost, and the views that other members
+// compare with it do not replace that answer.
+func TestJoinAnswerLost(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(10) {
+		s := newSim(seed, Config{})
+		s.cluster(30)
+		s.run(2*time.Second, nil)
+		s.nodes[3].killed = true
+		s.cut = func(from, to string) bool { return from == simAddress(8) && to == simAddress(3) }
+		fresh := s.start(3, 0, simAddress(8))
+		s.pass(5 * time.Second)
+		s.cut = nil
+		s.require(t, s.run(10*time.Second, func() bool { return fresh.status == StatusActive }), "restarted node did not join")
+		s.require(t, s.run(20*time.Second, s.agree), "views differ after a restart")
+	}
+}
--- a/internal/process/membership/sync.go
+++ b/internal/process/membership/sync.go
@@ -168,9 +168,11 @@
 	m.sendUpdates(from, KindSync, updates)
 }
 
-// handleSync takes over newer records and sends back those that are newer here.
+// handleSync takes over newer records and sends back those that are newer here. Only the last message of the answer to a
+// join says that the whole view has arrived. Others also come from peers that compare views, and a node that stopped to ask
+// after one of these would never join if the answer to its join was lost.
 func (m *Machine) handleSync(from string, msg *Message) {
-	m.meet()
+	m.met = true
 	var corrections []Update
 	for i := range msg.Updates {
 		u := &msg.Updates[i]
@@ -182,6 +184,7 @@
 	}
 	m.sendUpdates(from, KindSync, corrections)
 	if msg.Last {
+		m.meet()
 		m.joined()
 	}
 }
