Add a soak test with random faults

make soak runs the faults of test/process one at a time in random order at random VMs while callers send requests, and checks the same rules; SOAK_DURATION and SOAK_SEED set its length and the order. Each process of a target gets a record file of its own: with one file for all, the comparison with GET /-/executions failed after a target was started again, because a new process reports only its own executions (seed 1, seen once, fault of the test).

A wait that fails prints what every node says about itself and the others.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,12 @@
 test:
 	scripts/test.sh
 
+# Faults in random order against real processes, for example `make soak SOAK_DURATION=10m SOAK_SEED=7`.
+SOAK_DURATION ?= 2m
+SOAK_SEED ?= 1
+soak:
+	$(GO) test -race -count=1 -timeout 0 -run '^TestSoak$$' -v ./test/process -soak.duration=$(SOAK_DURATION) -soak.seed=$(SOAK_SEED)
+
 fmt:
 	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt differs: $$out"; exit 1; fi
 
--- a/test/process/callers_test.go
+++ b/test/process/callers_test.go
@@ -182,7 +182,8 @@
 		if v.target.running() {
 			reported, ok := v.reported()
 			require.True(s.t, ok)
-			require.Len(s.t, reported, len(all), "%s: the record file and the target differ", v.name())
+			recorded := v.recorded(v.records[len(v.records)-1])
+			require.Equal(s.t, len(recorded), len(reported), "%s: the record file and the target differ", v.name())
 		}
 		for _, e := range all {
 			at := v.service + " " + e.Method + " " + e.Path
--- a/test/process/site_test.go
+++ b/test/process/site_test.go
@@ -100,7 +100,8 @@
 	service, zone                   string
 	caller, peer, own, admin, serve string // addresses; serve is the target's
 	call                            string
-	settings, record                string // files
+	settings                        string   // file
+	records                         []string // files of the target's processes, the running one last
 	node, target                    *process
 }
 
@@ -158,7 +159,6 @@
 				option(v)
 			}
 			v.settings = filepath.Join(s.dir, v.name()+".ini")
-			v.record = filepath.Join(s.dir, v.name()+".executions")
 			require.NoError(t, os.WriteFile(v.settings, []byte(s.settings(v)), 0o644))
 			s.vms = append(s.vms, v)
 			v.startNode()
@@ -200,9 +200,11 @@
 
 func (v *vm) startTarget() {
 	v.site.t.Helper()
+	record := filepath.Join(v.site.dir, fmt.Sprintf("%s.%d.executions", v.name(), len(v.records)))
+	v.records = append(v.records, record)
 	args := []string{
 		"target", "--listen", v.serve, "--service", v.service, "--node", v.own, "--slots", "40",
-		"--mean", "10ms", "--spread", "5ms", "--record", v.record,
+		"--mean", "10ms", "--spread", "5ms", "--record", record,
 	}
 	if v.call != "" {
 		args = append(args, "--call", v.call)
@@ -331,22 +333,42 @@
 	s.t.Helper()
 	for end := time.Now().Add(patience); !condition(); time.Sleep(pollTime) {
 		if time.Now().After(end) {
+			s.showStatus()
 			require.Fail(s.t, "condition not met", what)
 		}
 	}
 }
 
-// executions returns what the VM's target ran, also after the target was killed.
+// showStatus prints what every node says about itself and the others.
+func (s *site) showStatus() {
+	for _, v := range s.vms {
+		st, ok := v.status()
+		s.t.Logf("%s: answered %t, incarnation %d, version %d, confirmed %t, target ready %t, in flight %d, members %v",
+			v.name(), ok, st.Incarnation, st.Version, st.Confirmed, st.TargetReady, st.Active, st.Members)
+	}
+}
+
+// executions returns what the VM's target ran, also in processes that were killed.
 func (v *vm) executions() []target.Execution {
+	v.site.t.Helper()
+	var all []target.Execution
+	for _, name := range v.records {
+		all = append(all, v.recorded(name)...)
+	}
+	return all
+}
+
+// recorded returns what one process of the VM's target ran.
+func (v *vm) recorded(name string) []target.Execution {
 	t := v.site.t
 	t.Helper()
-	body, err := os.ReadFile(v.record)
+	body, err := os.ReadFile(name)
 	require.NoError(t, err)
 	var all []target.Execution
 	lines := bufio.NewScanner(bytes.NewReader(body))
 	for lines.Scan() {
 		var e target.Execution
-		require.NoError(t, json.Unmarshal(lines.Bytes(), &e), "%s: %q", v.record, lines.Text())
+		require.NoError(t, json.Unmarshal(lines.Bytes(), &e), "%s: %q", name, lines.Text())
 		all = append(all, e)
 	}
 	require.NoError(t, lines.Err())
