Test the engine in virtual time and fix five faults of its responses

Small fakes stand at the engine's interfaces; keys, binder and the memory platform are real. The tests cover retries over a chain with fan-out, replays, truth of "not run", keyed requests, a platform that is down, callers that leave, leaving and unconfirmed nodes, and what a chain inherits from its root. The fixes are in one commit because the tests that show them share their fakes.

Faults found by the tests, with the cause: 1. Retries beyond the budget (5 of 3, seed 7 of TestRetriesOfARootStayWithinBudget): the entry node took the whole share back when the home node of a key answered "not run", although the home node had used retries for attempts that were refused. The home node's own count is taken now; a request that never reached it still costs nothing. 2. "Not run" for a repeated request ID while the earlier attempt still runs: only attempts that had ended left a doubt. Open attempts count now. 3. "Not run" for a key whose request ran, from a home node that is leaving, unconfirmed or shedding: these refusals came before the key's record. The record is looked up first now. Refusals also consider what the node knows of the request ID, and no longer report a retry budget of 0. 4. A keyed call of a request that runs at the target of a leaving node was refused when its key was homed there, which is so for every call without a key of its own: the graceful stop failed the request. 5. A full memory of root requests replaced a root of the previous generation by an empty one and so lost its doubt.

Ruled out: double execution after a lost response, after a restart of the home node and with a binding whose write answer was lost; the tests passed on the old code.

--- a/internal/process/engine/call.go
+++ b/internal/process/engine/call.go
@@ -30,6 +30,9 @@
 func (e *Engine) route(ctx context.Context, c *call) *message.Response {
 	ctx, cancel := context.WithDeadline(ctx, c.req.Deadline)
 	defer cancel()
+	if r := e.recorded(ctx, c.req); r != nil {
+		return r
+	}
 	if ok, blocking, after := e.cfg.Shedder.Admit(c.req.Service, c.route.Name, c.req.Priority); !ok {
 		r := e.refuse(message.ReasonOverload, message.StepShed, "service %q sheds priority %d", blocking, c.req.Priority)
 		r.RetryAfter = after
--- a/internal/process/engine/engine.go
+++ b/internal/process/engine/engine.go
@@ -122,15 +122,41 @@
 	defer e.active.Add(-1)
 	pol, svc, route, refusal := e.prepare(req)
 	if refusal != nil {
-		return refusal
+		return e.refused(ctx, req, refusal)
 	}
 	req.Hop = 0
 	req.Priority = message.NewPriority(route.Rank, req.ID)
 	root := e.roots.get(req.ID, min(req.Retries, pol.Retry.Budget))
-	r := e.route(ctx, &call{req: req, svc: svc, route: route, ledger: root.ledger, ratio: pol.Retry.Ratio})
+	root.begin()
+	r := root.end(e.route(ctx, &call{req: req, svc: svc, route: route, ledger: root.ledger, ratio: pol.Retry.Ratio}))
 	r.RetriesLeft = root.ledger.Left()
 	invariant.CheckErr(invariant.RetryConservation, root.ledger.Check())
-	return root.truthful(r)
+	return r
+}
+
+// refused answers a caller's request that this node does not take. The response is still true for earlier attempts that
+// this node knows of, and leaves the caller its retries.
+func (e *Engine) refused(ctx context.Context, req *message.Request, refusal *message.Response) *message.Response {
+	root := e.roots.known(req.ID)
+	if root == nil {
+		budget := policy.DefaultRetryBudget
+		if pol := e.cfg.Policy.Load(); pol != nil {
+			budget = pol.Retry.Budget
+		}
+		root = newRoot(min(req.Retries, budget))
+	}
+	root.begin()
+	if !req.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+		defer cancel()
+	}
+	if r := e.recorded(ctx, req); r != nil {
+		refusal = r
+	}
+	refusal = root.end(refusal)
+	refusal.RetriesLeft = root.ledger.Left()
+	return refusal
 }
 
 // ServeOwn answers a request of the target beside this node. A request that belongs to one that runs at the target keeps
--- /dev/null
+++ b/internal/process/engine/engine_test.go
@@ -0,0 +1,307 @@
+package engine
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/standin/memory"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
+
+// Guards against retries that multiply over the hops of a chain, over lost responses, over the home node of a key and over
+// a caller that repeats its request ID.
+func TestRetriesOfARootStayWithinBudget(t *testing.T) {
+	most := 0
+	for seed := range uint64(200) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t, "a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2", "c3")
+			rng := rand.New(rand.NewPCG(seed, 1))
+			var calls atomic.Int64
+			var fates [64]fate
+			for i := range fates {
+				fates[i] = fate(seed / 4 % 3)
+				if rng.IntN(2) == 0 {
+					fates[i] = fate(rng.IntN(3))
+				}
+			}
+			var next atomic.Int64
+			m.fate = func(string, *message.Request) fate { return fates[next.Add(1)%64] }
+			m.do = func(ctx context.Context, n *meshNode, req *message.Request) *message.Response {
+				below := map[string]string{"a": "b", "b": "c"}[req.Service]
+				for range 2 {
+					if below != "" {
+						calls.Add(1)
+						n.ServeOwn(ctx, own(req, below, []string{"GET", "POST"}[seed%2]))
+					}
+				}
+				return ok("done")
+			}
+			req := read("a")
+			if seed%4 >= 2 {
+				req = order("a", m.node("c1").keys.Issue(1)[0])
+			}
+			for range 5 {
+				again := *req
+				before := m.attempts.Load()
+				m.node("b1").Serve(t.Context(), &again)
+				if m.attempts.Load() > before {
+					calls.Add(1)
+				}
+			}
+			retries := int(m.attempts.Load() - calls.Load())
+			require.LessOrEqual(t, retries, policy.DefaultRetryBudget, "seed %d", seed)
+			most = max(most, retries)
+		})
+	}
+	require.Equal(t, policy.DefaultRetryBudget, most, "no seed used the whole budget")
+}
+
+// Guards against a second execution of a request whose response was lost, and against a call that gives up although the
+// first target refused the connection.
+func TestOnlyProvablyUnsentRequestsMoveToAnotherTarget(t *testing.T) {
+	for _, c := range []struct {
+		method string
+		first  fate
+		runs   int
+		want   message.Outcome
+	}{
+		{"GET", refused, 1, message.Answered},
+		{"POST", refused, 1, message.Answered},
+		{"GET", lost, 2, message.Answered},
+		{"POST", lost, 1, message.Unknown},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t, "a1", "b1", "b2")
+			m.fate = func(to string, _ *message.Request) fate {
+				if to == "b1" {
+					return c.first
+				}
+				return delivered
+			}
+			req := order("b", m.node("a1").keys.Issue(1)[0])
+			req.Method = c.method
+			require.Equal(t, c.want, m.node("a1").Serve(t.Context(), req).Outcome, "%+v", c)
+			require.Equal(t, c.runs, m.runs("b"), "%+v", c)
+		})
+	}
+}
+
+// Guards against "not run" after an attempt that may have run: within a call, for a repeated request ID whose earlier
+// attempt has ended or still runs, and while the node leaves or sheds.
+func TestNotRunIsNeverFalse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a1", "b1", "b2")
+		a := m.node("a1")
+		m.fate = func(to string, _ *message.Request) fate { return map[string]fate{"b1": lost, "b2": refused}[to] }
+		req := read("b")
+		repeat := func() message.Outcome { again := *req; return a.Serve(t.Context(), &again).Outcome }
+		require.Equal(t, message.Unknown, repeat(), "lost, then refused")
+		m.fate = func(string, *message.Request) fate { return refused }
+		require.Equal(t, message.Unknown, repeat(), "repeat that is refused")
+		require.Equal(t, message.NotRun, a.Serve(t.Context(), read("b")).Outcome, "another request")
+		a.shed.Store(true)
+		require.Equal(t, message.Unknown, repeat(), "repeat that is shed")
+		a.shed.Store(false)
+
+		m.fate = func(string, *message.Request) fate { return delivered }
+		m.do = func(context.Context, *meshNode, *message.Request) *message.Response {
+			time.Sleep(time.Second)
+			return ok("late")
+		}
+		req = read("b")
+		go repeat()
+		time.Sleep(100 * time.Millisecond)
+		a.shed.Store(true)
+		require.Equal(t, message.Unknown, repeat(), "repeat while the first attempt runs")
+		a.Leave()
+		require.Equal(t, message.Unknown, repeat(), "repeat at a node that is leaving")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, message.Unknown, repeat(), "repeat after the first attempt")
+	})
+}
+
+// Guards against a second execution of a key, a lost recorded response and "not run" for a key that may have run: repeats
+// at the home node and elsewhere, another body, a restarted home node and one that cannot be reached.
+func TestKeyedRequests(t *testing.T) {
+	for _, chosen := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t, "a1", "a2", "b1")
+			home := m.node("a1")
+			key := "order-17"
+			if !chosen {
+				key = home.keys.Issue(1)[0]
+			}
+			send := func(at, body string) *message.Response {
+				r := order("b", key)
+				r.Body = []byte(body)
+				return m.node(at).Serve(t.Context(), r)
+			}
+			for _, at := range []string{"a1", "a1", "a2"} {
+				require.Equal(t, "done", string(send(at, "x").Body), at)
+			}
+			for _, at := range []string{"a1", "a2"} {
+				require.Equal(t, message.ReasonKeyConflict, send(at, "y").Reason)
+			}
+			home.shed.Store(true)
+			require.Equal(t, message.Answered, send("a1", "x").Outcome, "repeat at a home node that sheds")
+			m.fate = func(to string, _ *message.Request) fate { return map[string]fate{"a1": refused}[to] }
+			r := send("a2", "x")
+			require.Equal(t, []any{message.Unknown, message.ReasonConnection}, []any{r.Outcome, r.Reason})
+			m.fate = func(string, *message.Request) fate { return delivered }
+			m.start("a1", 2)
+			for _, at := range []string{"a1", "a2"} {
+				r := send(at, "x")
+				require.Equal(t, []any{message.Unknown, message.ReasonKeyExpired}, []any{r.Outcome, r.Reason}, at)
+			}
+			require.Equal(t, 1, m.runs("b"))
+		})
+	}
+}
+
+// Guards against a caller-supplied key that runs, or counts as not run, while its binding cannot be read, and against
+// node-issued keys that need the platform.
+func TestPlatformDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a1", "b1")
+		a := m.node("a1")
+		for i, f := range []memory.Faults{{Down: true}, {Hang: true}} {
+			m.platform.SetFaults(f)
+			r := a.Serve(t.Context(), order("b", "order-1"))
+			require.Equal(t, []any{message.Unknown, message.ReasonPlatform}, []any{r.Outcome, r.Reason})
+			require.Positive(t, r.RetryAfter)
+			require.Equal(t, message.Answered, a.Serve(t.Context(), order("b", a.keys.Issue(1)[0])).Outcome)
+			require.Equal(t, i+1, m.runs("b"))
+		}
+		m.platform.SetFaults(memory.Faults{LoseAnswer: true})
+		for range 2 {
+			require.Equal(t, message.Answered, a.Serve(t.Context(), order("b", "order-1")).Outcome)
+		}
+		require.Equal(t, 3, m.runs("b"))
+	})
+}
+
+// Guards against an order that is cancelled, run again or answered without its response because its caller left.
+func TestCallerLeavesAndRepeats(t *testing.T) {
+	for _, at := range []string{"a1", "a2"} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t, "a1", "a2", "b1")
+			m.do = func(ctx context.Context, _ *meshNode, _ *message.Request) *message.Response {
+				select {
+				case <-time.After(500 * time.Millisecond):
+					return ok("done")
+				case <-ctx.Done():
+					return message.Doubt(message.ReasonCancelled, message.Errorf(message.StepRun, "", "cancelled"))
+				}
+			}
+			key := m.node("a1").keys.Issue(1)[0]
+			ctx, leave := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer leave()
+			go m.node(at).Serve(ctx, order("b", key))
+			time.Sleep(200 * time.Millisecond)
+			r := m.node(at).Serve(t.Context(), order("b", key))
+			require.Equal(t, []any{message.Answered, "done"}, []any{r.Outcome, string(r.Body)})
+			require.Equal(t, 1, m.runs("b"))
+		})
+	}
+}
+
+// Guards against a graceful stop that takes new work, cuts off the calls of a request that runs at the target, or denies
+// that a finished key ran; and against work under a configuration that is not confirmed.
+func TestLeavingAndUnconfirmedNodes(t *testing.T) {
+	for _, reason := range []message.Reason{message.ReasonLeaving, message.ReasonUnconfirmed} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t, "a1", "a2", "b1")
+			a := m.node("a1")
+			var below []message.Outcome
+			m.do = func(ctx context.Context, n *meshNode, req *message.Request) *message.Response {
+				if req.Service == "a" {
+					time.Sleep(time.Second)
+					for _, method := range []string{"GET", "POST"} {
+						below = append(below, n.ServeOwn(ctx, own(req, "b", method)).Outcome)
+					}
+				}
+				return ok("done")
+			}
+			keys := append(a.keys.Issue(1), "order-17")
+			for _, key := range keys {
+				require.Equal(t, message.Answered, a.Serve(t.Context(), order("b", key)).Outcome)
+			}
+			started := make(chan *message.Response, 1)
+			go func() { started <- a.Serve(t.Context(), read("a")) }()
+			time.Sleep(time.Millisecond)
+			if reason == message.ReasonLeaving {
+				a.Leave()
+			} else {
+				a.unconfirmed.Store(true)
+			}
+			for _, r := range []*message.Response{
+				a.Serve(t.Context(), read("b")), a.Serve(t.Context(), order("b", a.keys.Issue(1)[0])),
+				a.Serve(t.Context(), order("b", "order-18")), a.ServeOwn(t.Context(), read("b")), a.HandlePeer(t.Context(), read("a")),
+			} {
+				require.Equal(t, []any{message.NotRun, reason}, []any{r.Outcome, r.Reason})
+			}
+			require.Equal(t, policy.DefaultRetryBudget, a.Serve(t.Context(), read("b")).RetriesLeft)
+			require.Equal(t, message.Answered, m.node("a2").Serve(t.Context(), order("b", "order-18")).Outcome,
+				"the node took a key that it will not run")
+			for _, at := range []string{"a1", "a2"} {
+				for _, key := range keys {
+					require.Equal(t, message.Answered, m.node(at).Serve(t.Context(), order("b", key)).Outcome, at)
+				}
+			}
+			require.Equal(t, message.Answered, (<-started).Outcome)
+			require.Equal(t, []message.Outcome{message.Answered, message.Answered}, below)
+			require.Equal(t, 5, m.runs("b"))
+		})
+	}
+}
+
+// Guards against a call of a target that is shed before, or outlasts, the request that it belongs to, and against thresholds
+// of deeper services that get lost on the way to the entry node.
+func TestChainFollowsItsRoot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a1", "b1", "c1")
+		m.node("b1").threshold, m.node("c1").threshold = 7, 9
+		m.do = func(ctx context.Context, n *meshNode, req *message.Request) *message.Response {
+			if below := map[string]string{"a": "b", "b": "c"}[req.Service]; below != "" {
+				call := own(req, below, "GET")
+				call.Span = message.NewSpanID()
+				call.Deadline = time.Now().Add(time.Hour)
+				require.Equal(t, message.Answered, n.ServeOwn(ctx, call).Outcome)
+			}
+			return ok("done")
+		}
+		req := order("a", m.node("c1").keys.Issue(1)[0])
+		req.Deadline = time.Now().Add(300 * time.Millisecond)
+		deadline := req.Deadline
+		require.Equal(t, message.Answered, m.node("c1").Serve(t.Context(), req).Outcome)
+		for hop, address := range []string{"a1", "b1", "c1"} {
+			got := m.node(address).ran[0]
+			require.Equal(t, []any{req.ID, message.NewPriority(20, req.ID), uint8(hop)}, []any{got.ID, got.Priority, got.Hop})
+			require.True(t, got.Deadline.Before(deadline), "hop %d", hop)
+			deadline = got.Deadline
+		}
+		require.Equal(t, map[string]message.Priority{"a": 0, "b": 7, "c": 9}, m.node("c1").learned)
+	})
+}
+
+// Guards against a memory for root requests that forgets, when it is full, what it still knows of an earlier attempt.
+func TestFullRootMemoryKeepsKnownRoots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRoots()
+		first := message.ID{0: 1}
+		r.get(first, 3).doubt.Store(true)
+		time.Sleep(rootMemory + time.Second)
+		for i := range maxRootsPerShard {
+			require.Equal(t, 3, r.get(message.ID{2: byte(i), 3: byte(i >> 8), 4: 1}, 3).ledger.Left())
+		}
+		require.True(t, r.get(first, 3).doubt.Load())
+		require.Zero(t, r.get(message.ID{0: 2}, 3).ledger.Left())
+	})
+}
--- a/internal/process/engine/keyed.go
+++ b/internal/process/engine/keyed.go
@@ -32,6 +32,22 @@
 	return e.atHome(ctx, c, key)
 }
 
+// recorded answers a repeat of a request whose key has a record at this node, or returns nil. It comes before everything
+// that refuses new work: "not run" would be false for a request that ran before.
+func (e *Engine) recorded(ctx context.Context, req *message.Request) *message.Response {
+	if req.Key == "" {
+		return nil
+	}
+	res, ok := e.cfg.Keys.Lookup(req)
+	if !ok {
+		return nil
+	}
+	if res.Verdict == once.Wait {
+		res = res.Running.Wait(ctx)
+	}
+	return res.Response
+}
+
 // bind finds or makes the binding of a key that the caller chose. A node that cannot read the binding cannot know
 // whether an earlier attempt ran at another home node, so the outcome is unknown.
 func (e *Engine) bind(ctx context.Context, c *call, key once.Key) *message.Response {
@@ -57,7 +73,11 @@
 	home.Mode = message.ModeHome
 	home.Retries = share.Size()
 	r := e.cfg.Peers.Send(ctx, key.Home, &home)
-	settle(share, r)
+	if r.Outcome == message.NotRun && !unreached(r, key.Home) {
+		share.Return(r.RetriesLeft) // the home node may have used retries for attempts that were not run
+	} else {
+		settle(share, r)
+	}
 	e.learn(c, r)
 	if r.Outcome == message.NotRun && r.Reason == message.ReasonConnection {
 		// The home node was not reached, so this attempt did not run, but an earlier one with the same key may have.
@@ -66,14 +86,27 @@
 	return r
 }
 
+// unreached reports whether a response was made on this side, because the request never reached the node at the address.
+func unreached(r *message.Response, address string) bool {
+	return r.Err != nil && r.Err.Peer == address &&
+		(r.Err.Step == message.StepDial || r.Err.Step == message.StepSend || r.Err.Step == message.StepAwait)
+}
+
 // serveHome acts as the home node of a key for another node. The other node has already looked up a key that its caller
 // chose, so the key's binding is read again here rather than trusted.
 func (e *Engine) serveHome(ctx context.Context, req *message.Request) *message.Response {
+	ledger := retry.NewLedger(req.Retries)
+	r := e.home(ctx, req, ledger)
+	r.RetriesLeft = ledger.Close()
+	invariant.CheckErr(invariant.RetryConservation, ledger.Check())
+	return r
+}
+
+func (e *Engine) home(ctx context.Context, req *message.Request, ledger *retry.Ledger) *message.Response {
 	pol, svc, route, refusal := e.match(req)
 	if refusal != nil {
 		return refusal
 	}
-	ledger := retry.NewLedger(req.Retries)
 	c := &call{req: req, svc: svc, route: route, ledger: ledger, ratio: pol.Retry.Ratio}
 	key, err := once.Parse(req.Key)
 	if err != nil {
@@ -93,10 +126,7 @@
 		return message.Doubt(message.ReasonKeyExpired,
 			message.Errorf(message.StepKey, e.cfg.Address, "the key's home node is %s", key.Home))
 	}
-	r := e.claim(ctx, c, key)
-	r.RetriesLeft = ledger.Close()
-	invariant.CheckErr(invariant.RetryConservation, ledger.Check())
-	return r
+	return e.claim(ctx, c, key)
 }
 
 // claim runs the call at most once for its key.
@@ -115,7 +145,8 @@
 // repeat of the request gets it.
 func (e *Engine) runClaim(ctx context.Context, c *call, claim *once.Claim) *message.Response {
 	defer claim.Unknown(nil)
-	if r := e.closed(); r != nil {
+	// A request that runs at the own target makes its calls to the end, see prepareOwn.
+	if r := e.closed(); r != nil && c.parent == nil {
 		claim.Refuse(r)
 		return r
 	}
--- a/internal/process/engine/roots.go
+++ b/internal/process/engine/roots.go
@@ -21,15 +21,23 @@
 // root is what a node remembers of a root request between the attempts of its caller.
 type root struct {
 	ledger *retry.Ledger
-	doubt  atomic.Bool // an attempt has run or may have run
+	doubt  atomic.Bool  // an attempt has run or may have run
+	open   atomic.Int32 // attempts that have not been answered
 }
 
-// truthful corrects the response of the present attempt by what earlier ones have done: a request that may have run in an
-// earlier attempt is never reported as not run.
-func (r *root) truthful(resp *message.Response) *message.Response {
+func newRoot(bound int) *root { return &root{ledger: retry.NewLedger(bound)} }
+
+// begin counts an attempt, which end must end.
+func (r *root) begin() { r.open.Add(1) }
+
+// end corrects the response of an attempt by what others have done: a request that may have run, or that another attempt
+// may still run, is never reported as not run. An attempt leaves its doubt before it stops counting as open, so that the
+// last one open sees the doubts of all others.
+func (r *root) end(resp *message.Response) *message.Response {
 	if resp.Outcome != message.NotRun {
 		r.doubt.Store(true)
-	} else if r.doubt.Load() {
+	}
+	if others := r.open.Add(-1); resp.Outcome == message.NotRun && (others > 0 || r.doubt.Load()) {
 		resp.Outcome = message.Unknown
 	}
 	return resp
@@ -61,6 +69,17 @@
 	return r.shards[id[1]%rootShards].get(id, bound)
 }
 
+// known returns the root request, or nil if it is not known.
+func (r *roots) known(id message.ID) *root {
+	s := &r.shards[id[1]%rootShards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known, ok := s.present[id]; ok {
+		return known
+	}
+	return s.previous[id]
+}
+
 func (s *rootShard) get(id message.ID, bound int) *root {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -71,11 +90,15 @@
 	if ok {
 		return r
 	}
-	if r, ok = s.previous[id]; !ok {
-		r = &root{ledger: retry.NewLedger(bound)}
-	}
+	r, ok = s.previous[id]
 	if len(s.present) >= maxRootsPerShard {
-		return &root{ledger: retry.NewLedger(0)}
+		if !ok {
+			r = newRoot(0)
+		}
+		return r
+	}
+	if !ok {
+		r = newRoot(bound)
 	}
 	s.present[id] = r
 	return r
--- a/internal/process/once/store.go
+++ b/internal/process/once/store.go
@@ -193,6 +193,23 @@
 	return res
 }
 
+// Lookup answers a repeat of a request whose key has a record here. It takes no claim and needs no binding, because only
+// keys whose home node is this process have records. It reports false for other keys and for another request.
+func (s *Store) Lookup(req *message.Request) (Result, bool) {
+	sh := s.shard(req.Key)
+	sh.mu.Lock()
+	r, ok := sh.records[req.Key]
+	sh.mu.Unlock()
+	if !ok {
+		return Result{}, false
+	}
+	fp := FingerprintOf(req)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	res := r.repeat(fp)
+	return res, res.Verdict != Conflict
+}
+
 func (s *Store) begin(key Key, fp Fingerprint) Result {
 	sh := s.shard(key.Text)
 	sh.mu.Lock()
