--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -11,6 +11,7 @@
 	SettingsRead   = Event{104, slog.LevelInfo, "settings read", ""}
 	InvariantFail  = Event{105, slog.LevelError, "invariant violated", "Report the line with the lines around it: this is a fault of the program."}
 	ServerFailed   = Event{106, slog.LevelError, "server failed", "Check that the address in the settings is free and belongs to this VM."}
+	AuditUnwritten = Event{108, slog.LevelError, "audit entry of a change could not be encoded", "Report the line with the lines around it: this is a fault of the program."}
 	LeaveUnsent    = Event{107, slog.LevelWarn, "leave was not sent to all peers", "Nothing: the other nodes find out by their probes."}
 )
 
@@ -33,7 +34,7 @@
 func All() []Event {
 	return []Event{
 		ProcessStarted, ProcessStopped, DrainStarted, DrainCut, SettingsRead, InvariantFail, ServerFailed,
-		LeaveUnsent,
+		LeaveUnsent, AuditUnwritten,
 		LinkOpened, LinkClosed, LinkSilent, LinkRefused, FrameInvalid,
 		TargetAnnounced, TargetLapsed,
 		TargetEjected, LimitLowered, LimitRaised,
--- a/internal/process/node/config.go
+++ b/internal/process/node/config.go
@@ -41,7 +41,7 @@
 		Members:   &memberView{members: n.members, heard: map[string]time.Time{}},
 		Check:     CheckBundle,
 		Apply:     n.applyBundle,
-		Settled:   n.recordChange,
+		Record:    n.recordChange,
 		Logger:    n.log,
 	})
 }
--- a/internal/process/node/trail.go
+++ b/internal/process/node/trail.go
@@ -1,11 +1,15 @@
 package node
 
 import (
+	"log/slog"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/audit"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/membership"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/rollout"
 )
 
@@ -21,12 +25,15 @@
 	}
 }
 
-// recordChange records the result of a configuration change that this node coordinated.
-func (n *Node) recordChange(r rollout.Result) {
-	n.record(audit.Entry{
-		Kind: audit.KindChange, Actor: r.Author, Subject: r.ID, Base: r.Base, Version: r.Version,
-		Differs: r.Changed, Outcome: string(r.State), Reason: string(r.Reason), Comment: r.Comment,
-	})
+// recordChange returns the row of the audit entry that is written together with the result of a change.
+func (n *Node) recordChange(r rollout.Result) []platform.Write {
+	row, err := audit.Row(audit.ChangeEntry(n.settings.Node.PeerAddress, time.Now(), r))
+	if err != nil {
+		// The result must not depend on its entry in the trail.
+		event.Log(n.log, event.AuditUnwritten, slog.String("change", r.ID), slog.String("error", err.Error()))
+		return nil
+	}
+	return []platform.Write{row}
 }
 
 // recordDrain records a graceful stop of this node.
