Let a leaving node finish keyed calls of its own target

A planned stop of a node interrupted orders that ran at its target: a call of the target on a route that must not repeat was refused with "leaving", and the order ended with 502.

Cause: prepareOwn lets calls of requests that run at the own target through while the node leaves, but such a call is its own home node, and runClaim refused every claim of a node that is leaving or unconfirmed. A claim whose call belongs to a request at the own target is now part of that request. Claims of callers and of other nodes are still refused.

Ruled out: the target's drain (TestTargetTerminated passed in the same run), the bound key (other calls of the same kind succeeded through the same table).

--- a/internal/process/engine/keyed.go
+++ b/internal/process/engine/keyed.go
@@ -112,10 +112,11 @@
 }
 
 // runClaim runs the call and settles its claim. It does not stop when the caller leaves: the response is recorded, and a
-// repeat of the request gets it.
+// repeat of the request gets it. As in prepareOwn, a call that belongs to a request at the own target is part of that request
+// and no new work.
 func (e *Engine) runClaim(ctx context.Context, c *call, claim *once.Claim) *message.Response {
 	defer claim.Unknown(nil)
-	if r := e.closed(); r != nil {
+	if r := e.closed(); r != nil && c.parent == nil {
 		claim.Refuse(r)
 		return r
 	}
--- a/test/process/site_test.go
+++ b/test/process/site_test.go
@@ -98,8 +98,8 @@
 type vm struct {
 	site                            *site
 	service, zone                   string
-	caller, peer, own, admin, serve string // addresses; serve is the target's
-	call                            string
+	caller, peer, own, admin, serve string   // addresses; serve is the target's
+	call, mean                      string   // call and service time of the target
 	settings                        string   // file
 	records                         []string // files of the target's processes, the running one last
 	node, target                    *process
@@ -128,10 +128,10 @@
 var zones = []string{"az1", "az2"}
 
 // orderedSupplies makes the targets of ordering call a route that must not repeat. The key of the call is bound in the
-// platform's table.
+// platform's table. The call comes late in the order, so that orders are before it when a node or target begins to stop.
 func orderedSupplies(v *vm) {
 	if v.service == "ordering" {
-		v.call = "POST:supply/orders"
+		v.call, v.mean = "POST:supply/orders", "200ms"
 	}
 }
 
@@ -151,7 +151,7 @@
 	for _, c := range services {
 		for _, zone := range zones {
 			v := &vm{
-				site: s, service: c.name, zone: zone, call: c.call,
+				site: s, service: c.name, zone: zone, call: c.call, mean: "10ms",
 				caller: next[0], peer: next[1], own: next[2], admin: next[3], serve: next[4],
 			}
 			next = next[5:]
@@ -204,7 +204,7 @@
 	v.records = append(v.records, record)
 	args := []string{
 		"target", "--listen", v.serve, "--service", v.service, "--node", v.own, "--slots", "40",
-		"--mean", "10ms", "--spread", "5ms", "--record", record,
+		"--mean", v.mean, "--spread", "5ms", "--record", record,
 	}
 	if v.call != "" {
 		args = append(args, "--call", v.call)
