Draw fault mixes that bring out broken rules in the random test

Trials on a scratch copy broke one rule of the product at a time (go test -run 'TestSystems|TestRecovers|TestRandom' ./internal/measure). Odd seeds now have every kind of fault, even ones few faults, 40 % of the requests are orders, and timeouts vary.

Not found: an engine that forgets the doubt between attempts of a caller. The model's callers remember it themselves, as the client library does.

--- a/internal/measure/random_test.go
+++ b/internal/measure/random_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-var seeds = flag.Int("seeds", 4, "number of seeds of the randomised test")
+var seeds = flag.Int("seeds", 13, "number of seeds of the randomised test")
 
 // fault is a fault of the randomised test.
 type fault struct {
@@ -17,14 +17,14 @@
 	end   func(w *World)
 }
 
-// drawFault draws a fault. Names of targets are drawn by index, because the world does not exist yet.
-func drawFault(rng *rand.Rand, site Site) fault {
+// drawFault draws a fault of the kind. Names of targets are drawn by index, because the world does not exist yet.
+func drawFault(rng *rand.Rand, site Site, kind int) fault {
 	n := 0
 	for i := range site.Services {
 		n += site.Services[i].Targets
 	}
-	target, zone, factor := rng.IntN(n), rng.IntN(site.Zones), 2+8*rng.Float64()
-	switch rng.IntN(5) {
+	target, zone, factor := rng.IntN(n), rng.IntN(site.Zones), 2+18*rng.Float64()
+	switch kind {
 	case 0:
 		return fault{fmt.Sprintf("cut zone %d", zone), func(w *World) { w.CutZone(zone) }, func(w *World) { w.Heal() }}
 	case 1:
@@ -50,7 +50,10 @@
 	load := 0.5 + 1.5*rng.Float64()
 	s := Scenario{
 		Name: "random", Length: 12 * time.Second, TriggerStart: 5500 * time.Millisecond, TriggerEnd: 9 * time.Second,
-		Clients: Clients{Tries: 1 + rng.IntN(4), Hard: rng.IntN(2) == 0, Leave: 0.3 * rng.Float64()},
+		Clients: Clients{
+			Tries: 2 + rng.IntN(3), Hard: rng.IntN(2) == 0, Leave: 0.2 * rng.Float64(),
+			Timeout: 300*time.Millisecond + time.Duration(rng.Int64N(int64(2*time.Second))),
+		},
 		Options: Options{Seed: seed, CallerKeys: callerKeys, Mislead: map[string]bool{"front-0": rng.IntN(2) == 0, "deep-1": rng.IntN(2) == 0}},
 	}
 	s.Load = between(s.TriggerStart, s.TriggerEnd, load)
@@ -60,9 +63,17 @@
 		from, to time.Duration
 	}
 	var faults []timed
-	for range 1 + rng.IntN(4) {
+	// Odd seeds have every kind of fault at least once, even seeds few faults. Trials with deliberately broken rules about
+	// retries and unknown outcomes were found by the one or the other.
+	kinds := rng.Perm(5)
+	if seed%2 == 0 {
+		kinds = kinds[:1+rng.IntN(3)]
+	} else {
+		kinds = append(kinds, rng.IntN(5), rng.IntN(5))
+	}
+	for _, kind := range kinds {
 		from := time.Duration(rng.Int64N(int64(8 * time.Second)))
-		f := timed{drawFault(rng, site), from, from + time.Duration(rng.Int64N(int64(5*time.Second)))}
+		f := timed{drawFault(rng, site, kind), from, from + time.Second + time.Duration(rng.Int64N(int64(4*time.Second)))}
 		faults = append(faults, f)
 		text += fmt.Sprintf("; %s from %s to %s", f.name, f.from, f.to)
 	}
@@ -80,9 +91,11 @@
 	for seed := uint64(1); seed <= uint64(*seeds); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			s, text := drawScenario(seed, smallSite())
+			site := smallSite()
+			site.Routes[0].Share, site.Routes[1].Share = 0.6, 0.4 // more orders, the requests that must not run twice
+			s, text := drawScenario(seed, site)
 			t.Logf("seed %d: %s", seed, text)
-			f := run(t, smallSite(), Real, s)
+			f := run(t, site, Real, s)
 			t.Log(f.summary())
 			requirePromises(t, f)
 		})
