Leave full targets of the own zone for any target with a tenth free

Trace of all controllers during the trigger: the small targets of supply (20 slots) and royalty (5 slots) were full with a queue and refused work, while the large ones had 32 to 49 of 80 and 12 to 17 of 20 slots in use. A local target that was full was kept as long as the remote one had more than 75 % of its slots in use. The margin prevents targets of equal load from trading requests across zones; 10 % is enough for that.

The other part of the loss is in admission and not changed here: the largest menu target ran with a limit of 40 or 60 of its 80 slots at two of four moments, which are the coarse and the fine step of a trial of a lower limit. The share of calls that leave the zone was not measured.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -44,8 +44,9 @@
 	// spillLoad is the utilisation of a local target from which targets of other availability zones are considered.
 	spillLoad = 0.8
 	// spillMargin is the part of the local utilisation below which another zone's target is the better choice. Without a
-	// margin, targets of equal load would trade requests across zones.
-	spillMargin = 0.75
+	// margin, targets of equal load would trade requests across zones. The rest stays idle at targets of other zones while
+	// the local ones are full: at 0.75, a large target next to small ones kept a quarter of its slots free.
+	spillMargin = 0.9
 	// spillLatency and spillLatencyFloor say when a local target is too slow: its latency exceeds the other's by this
 	// factor and this time.
 	spillLatency      = 2
