Kill nodes and targets while orders run at them

Orders took 10 ms at their target, so that often none was running there when a node or target was killed: on a copy that repeats unknown requests, TestTargetKilled passed. The targets of ordering now work 200 ms before they make a call that must not repeat.

The same check on a scratch copy whose targetFailure reports every error of the target as not run (a change of one condition): go test -race -count=1 -run '^TestTargetKilled$' ./test/process/ -v executed more than once: POST /orders/300 ... --- FAIL: TestTargetKilled (that copy still had 10 ms; one order was hit).

--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -29,7 +29,7 @@
 // Guards against requests that are lost, run twice or reported falsely when a node dies under load: its requests in flight
 // may end as unknown, all others are answered by other nodes.
 func TestNodeKilled(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, orderedSupplies)
 	l := s.startLoad()
 	l.awaitOrders(warmUp)
 	v := s.vm("ordering", "az1")
@@ -46,7 +46,7 @@
 // Guards against orders that are repeated at another target after the first target may have run them, and against requests
 // that fail although another target of the service is alive.
 func TestTargetKilled(t *testing.T) {
-	s := newSite(t)
+	s := newSite(t, orderedSupplies)
 	l := s.startLoad()
 	l.awaitOrders(warmUp)
 	v := s.vm("ordering", "az1")
