Assert the remaining invariants where they can break

single-execution before a further attempt, not-run-truthful after the target was called, drain-complete at the end of a graceful stop, and shed-order where work is displaced from the queue.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -228,7 +228,10 @@
 		if lowest < 0 || c.queue.items[lowest].work.Priority >= w.Priority {
 			return nil, message.ReasonOverload
 		}
-		c.refuseWaiter(c.queue.remove(lowest), message.ReasonOverload)
+		displaced := c.queue.remove(lowest)
+		invariant.Check(invariant.ShedOrder, displaced.work.Priority < w.Priority,
+			"work of priority %d was displaced by work of %d", displaced.work.Priority, w.Priority)
+		c.refuseWaiter(displaced, message.ReasonOverload)
 		at = c.queue.position(wt)
 	}
 	c.queue.insert(at, wt)
--- a/internal/process/engine/call.go
+++ b/internal/process/engine/call.go
@@ -52,6 +52,8 @@
 	doubt := false
 	var last *message.Response
 	for {
+		invariant.Check(invariant.SingleExecution, c.route.Idempotent || !doubt,
+			"request %s of route %q may have run and is tried again", c.req.ID, c.route.Name)
 		r, address := e.attempt(ctx, c, exclude)
 		if address == "" && last != nil {
 			return final(last, doubt) // says more than that no target is left
--- a/internal/process/engine/deliver.go
+++ b/internal/process/engine/deliver.go
@@ -46,6 +46,9 @@
 	start := time.Now()
 	r := e.cfg.Target.Do(ctx, req)
 	permit.Release(time.Since(start), r)
+	unsent := r.Reason == message.ReasonInvalid || r.Err != nil && r.Err.Step == message.StepDial
+	invariant.Check(invariant.NotRunTruthful, r.Outcome != message.NotRun || unsent,
+		"request %s is reported as not run after it was sent to the target", req.ID)
 	e.running.end(run)
 	r.RetriesLeft = run.ledger.Close()
 	invariant.CheckErr(invariant.RetryConservation, run.ledger.Check())
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -316,6 +316,8 @@
 	if cut == 0 {
 		sleep(ctx, lingerTime)
 		servers.shutdown(ctx)
+		active := n.engine.Active() + n.pool.Active()
+		invariant.Check(invariant.DrainComplete, ctx.Err() != nil || active == 0, "%d requests after the graceful stop", active)
 	}
 	if cut > 0 {
 		event.Log(n.log, event.DrainCut, slog.Int("cut", cut))
