Keep trials of a lower limit from taking slots that orders need

The latency of four times the known one made all its targets start a trial of a lower limit at once, while orders alone needed 95 % of the slots. A trial now starts only if work of LongWaitRank and above needs at most 90 % of the lower limit.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -461,13 +461,21 @@
 	c.trial.quiet(now, m, &c.latency)
 	if c.rampFrom < 0 {
 		before := c.trial.learned
-		c.trial.observe(now, m, &c.latency)
+		c.trial.observe(now, m, &c.latency, c.reserved())
 		logLimit(before, c.trial.learned)
 	}
 	m.restart(now)
 	c.nextTick.Store(int64(now + tickInterval))
 }
 
+// reserved returns the number of slots that work of LongWaitRank and above needs at the present latency.
+func (c *Controller) reserved() float64 {
+	if c.limits.LongWaitRank == 0 {
+		return 0
+	}
+	return c.shedder.demandFrom(c.limits.LongWaitRank) * float64(c.latency.mean) / float64(tickInterval)
+}
+
 // logLimit logs a change of the measured limit, in a goroutine of its own because the mutex is held.
 func logLimit(before, after int) {
 	e := event.LimitLowered
--- a/internal/process/admission/shedder.go
+++ b/internal/process/admission/shedder.go
@@ -113,6 +113,15 @@
 	}
 }
 
+// demandFrom returns the demand of a rank and those above, in requests per interval.
+func (sh *shedder) demandFrom(rank uint8) float64 {
+	sum := 0.0
+	for _, d := range sh.demand[rank:] {
+		sum += d
+	}
+	return sum
+}
+
 // top returns the highest threshold that the demand justifies: the lowest priority of the lowest rank that the target can
 // serve completely together with the ranks above it.
 func (sh *shedder) top() message.Priority {
--- a/internal/process/admission/trial.go
+++ b/internal/process/admission/trial.go
@@ -39,6 +39,10 @@
 	trialFirst   = 2 * time.Second
 	trialBackoff = 4
 	trialMax     = 2 * time.Minute
+	// trialReserve is the part of the lower limit of a trial that the demand of LongWaitRank and above may take. A trial that
+	// leaves less refuses orders: at four times the latency, trials of all targets of a service at once cost a third of the
+	// orders for three seconds.
+	trialReserve = 0.9
 	// upBackoff and upMax are the same for trials of the highest limit. These cost latency and no throughput, and a target
 	// that has recovered must not be held at a lower limit for long.
 	upBackoff = 2
@@ -126,7 +130,7 @@
 }
 
 // observe takes in one interval of measurement.
-func (t *trial) observe(now time.Duration, m *meter, latency *estimate) {
+func (t *trial) observe(now time.Duration, m *meter, latency *estimate, reserved float64) {
 	saturated := saturated(now, m)
 	if t.active && t.first == 1 && t.learned < t.ceiling && now >= t.up.next {
 		// A trial of a still lower limit can stay undecided for many turns. A target that has its slots back must not wait
@@ -136,7 +140,7 @@
 	}
 	if !t.active {
 		if saturated {
-			t.begin(now, latency)
+			t.begin(now, latency, reserved)
 		}
 		return
 	}
@@ -170,8 +174,9 @@
 	}
 }
 
-// begin starts a trial if one is due. The present limit is measured first.
-func (t *trial) begin(now time.Duration, latency *estimate) {
+// begin starts a trial if one is due. The present limit is measured first. Reserved is the number of slots that work of
+// LongWaitRank and above needs; no trial of a lower limit takes them away.
+func (t *trial) begin(now time.Duration, latency *estimate, reserved float64) {
 	slower := t.known == 0 || float64(latency.mean) > trialEvidence*float64(t.known)
 	switch {
 	case t.learned < t.ceiling && now >= t.up.next:
@@ -181,6 +186,10 @@
 		if t.fine || t.learned < coarseMinLimit {
 			step = fineStep
 		}
+		if reserved > trialReserve*step*float64(t.learned) {
+			t.down.next = now + trialFirst
+			return
+		}
 		t.limits, t.first = [2]int{int(float64(t.learned) * step), t.learned}, 1
 	default:
 		return
