Measure the time that nodes add to a call

BenchmarkChain runs a chain of three services on loopback, with and without nodes, at half of the first target's capacity.

--- /dev/null
+++ b/internal/process/node/chain_bench_test.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/settings"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
+
+const (
+	chainHops  = 3
+	chainSlots = 8
+	chainWork  = 4 * time.Millisecond // that a target does itself for each request
+	// spentHeader tells the caller of a target how long its handler took, in nanoseconds.
+	spentHeader = "X-Spent"
+)
+
+// chain is a row of services whose targets call the next one.
+type chain struct {
+	client *http.Client
+	next   [chainHops]string // URL under which the caller of each hop reaches it
+
+	mu    sync.Mutex
+	added []time.Duration // of each call: time until the whole response minus the time of the target's handler
+}
+
+// call calls the service of a hop and records the time that was added.
+func (c *chain) call(hop int, trace string) error {
+	r, err := http.NewRequest(http.MethodGet, c.next[hop], nil)
+	if err != nil {
+		return err
+	}
+	if trace != "" {
+		r.Header.Set("Traceparent", trace)
+	}
+	start := time.Now()
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	took := time.Since(start)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("hop %d: %d %s %v", hop, resp.StatusCode, body, err)
+	}
+	spent, err := strconv.ParseInt(resp.Header.Get(spentHeader), 10, 64)
+	c.mu.Lock()
+	c.added = append(c.added, took-time.Duration(spent))
+	c.mu.Unlock()
+	return err
+}
+
+// target serves one hop.
+func (c *chain) target(b *testing.B, hop int) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		start := time.Now()
+		time.Sleep(chainWork)
+		if hop+1 < chainHops {
+			if err := c.call(hop+1, r.Header.Get("Traceparent")); err != nil {
+				http.Error(w, err.Error(), http.StatusBadGateway)
+				return
+			}
+		}
+		w.Header().Set(spentHeader, strconv.FormatInt(int64(time.Since(start)), 10))
+		_, _ = io.WriteString(w, strings.Repeat("x", 1000))
+	})}
+	go func() { _ = srv.Serve(l) }()
+	b.Cleanup(func() { _ = srv.Close() })
+	return l.Addr().String()
+}
+
+// node runs a node beside the target of a hop and returns its interfaces.
+func (c *chain) node(b *testing.B, hop int, target string, seeds []string) Interfaces {
+	face := settings.Node{CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", TargetInterfaceAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0"}
+	faces, err := Listen(&settings.Settings{Node: face})
+	require.NoError(b, err)
+	service := "s" + strconv.Itoa(hop)
+	n, err := New(Options{Log: slog.New(slog.DiscardHandler), Settings: &settings.Settings{
+		Node:   settings.Node{Site: "trial", AvailabilityZone: "a", PeerAddress: faces.Peer.Addr().String()},
+		Target: settings.Target{Service: service, Address: target, LeaseMin: time.Second, LeaseMax: 5 * time.Minute},
+		Seeds:  seeds,
+		Link:   settings.Link{HeartbeatInterval: 250 * time.Millisecond, HeartbeatTimeout: 5 * time.Second, IdleTimeout: time.Minute},
+		Drain:  settings.Drain{Limit: time.Second},
+	}})
+	require.NoError(b, err)
+	p := policy.New()
+	for hop := range chainHops {
+		name := "s" + strconv.Itoa(hop)
+		p.Services[name] = &policy.Service{Name: name, Slots: chainSlots, Connections: 100, Routes: []policy.Route{
+			{Name: "read", Prefix: "/", Rank: 1, Idempotent: true, Timeout: 5 * time.Second},
+		}}
+	}
+	n.Apply(p.At(firstVersion))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx, faces, ctx) }()
+	b.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	resp, err := http.Post("http://"+faces.Target.Addr().String()+announcePath, "application/json",
+		strings.NewReader(fmt.Sprintf(`{"service":%q,"slots":%d,"state":"ready","lease":300000}`, service, chainSlots)))
+	require.NoError(b, err)
+	require.NoError(b, resp.Body.Close())
+	return faces
+}
+
+// load sends n requests at a steady rate and returns the errors.
+func (c *chain) load(n int, rate float64) (failed []error) {
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i := range n {
+		time.Sleep(time.Until(start.Add(time.Duration(float64(i) / rate * float64(time.Second)))))
+		wg.Go(func() {
+			if err := c.call(0, ""); err != nil {
+				c.mu.Lock()
+				failed = append(failed, err)
+				c.mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return failed
+}
+
+// Shows the time that the system adds to a call and the allocations of a request of three calls, at half of the load that
+// the first target can take. The variant "direct" calls the targets without nodes: what it shows is HTTP alone.
+// docs/performance.md has the figures.
+func BenchmarkChain(b *testing.B) {
+	for _, variant := range []string{"direct", "nodes"} {
+		b.Run(variant, func(b *testing.B) {
+			c := &chain{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}}
+			defer c.client.CloseIdleConnections()
+			var seeds []string
+			own := make([]string, chainHops)
+			for hop := range chainHops {
+				target := c.target(b, hop)
+				c.next[hop] = "http://" + target + "/x"
+				if variant == "direct" {
+					continue
+				}
+				faces := c.node(b, hop, target, seeds)
+				seeds = append(seeds, faces.Peer.Addr().String())
+				own[hop] = faces.Target.Addr().String()
+				if hop == 0 {
+					c.next[0] = "http://" + faces.Caller.Addr().String() + "/s0/x"
+				} else {
+					c.next[hop] = fmt.Sprintf("http://%s/s%d/x", own[hop-1], hop)
+				}
+			}
+			for deadline := time.Now().Add(time.Minute); c.call(0, "") != nil; { // until membership has spread
+				require.True(b, time.Now().Before(deadline))
+				time.Sleep(50 * time.Millisecond)
+			}
+			const rate = chainSlots / (chainHops * float64(chainWork) / float64(time.Second)) / 2
+			c.load(int(6*rate), rate) // past the ramp of targets that have just become ready
+			c.added = c.added[:0]
+			b.ReportAllocs()
+			b.ResetTimer()
+			failed := c.load(b.N, rate)
+			b.StopTimer()
+			if len(failed) > 0 {
+				b.Logf("%d of %d requests failed, the first: %v", len(failed), b.N, failed[0])
+			}
+			slices.Sort(c.added)
+			for _, q := range []int{50, 99} {
+				b.ReportMetric(float64(c.added[(len(c.added)-1)*q/100].Microseconds()), fmt.Sprintf("added-µs/call-p%d", q))
+			}
+			b.ReportMetric(float64(len(failed)), "failed")
+		})
+	}
+}
