--- a/internal/process/admission/trial.go
+++ b/internal/process/admission/trial.go
@@ -39,10 +39,9 @@
 	trialFirst   = 2 * time.Second
 	trialBackoff = 4
 	trialMax     = 2 * time.Minute
-	// trialReserve is the part of the lower limit of a trial that the demand of LongWaitRank and above may take. Demand and
-	// latency are averages that lag behind a sudden change, so the part is well below one. A trial that
-	// leaves less refuses orders: at four times the latency, trials of all targets of a service at once cost a third of the
-	// orders for three seconds.
+	// trialReserve is the part of the lower limit of a trial that the demand of LongWaitRank and above may take. A trial that
+	// leaves less refuses orders: at four times the latency, trials of all targets of a service at once cost about one order
+	// in ten for some seconds. The averages of demand and latency lag behind a sudden change, so the part is well below one.
 	trialReserve = 0.5
 	// upBackoff and upMax are the same for trials of the highest limit. These cost latency and no throughput, and a target
 	// that has recovered must not be held at a lower limit for long.
