--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -255,6 +255,29 @@
 	})
 }
 
+// Guards against a node of another release that answers in a protocol which this one misreads: the request must fail as not
+// run, with step and peer, and the node must go on.
+func TestOtherProtocolVersionIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		version := uint16(wire.ProtocolVersion + 1)
+		dial := func(context.Context, string) (Conn, error) {
+			a, b := newPipe()
+			hello, err := wire.Encode(&wire.Hello{Version: version, Address: "b"})
+			require.NoError(t, err)
+			go func() { _ = b.Write(t.Context(), hello) }()
+			return a, nil
+		}
+		p := NewPool(Config{Self: Peer{Address: "a"}}, dial, &testHandler{fn: echo}, slog.New(slog.DiscardHandler))
+		defer p.Close()
+		r := p.Send(t.Context(), "b", newRequest(nil, time.Second))
+		require.Equal(t, message.NotRun, r.Outcome)
+		require.Equal(t, message.StepDial, r.Err.Step)
+		require.Equal(t, "b", r.Err.Peer)
+		require.Contains(t, r.Err.Detail, "protocol version 2, want 1")
+		require.Equal(t, message.NotRun, p.Send(t.Context(), "b", newRequest(nil, time.Second)).Outcome)
+	})
+}
+
 // Guards against a dial that hangs for longer than its caller waits, and against one caller that pays for another.
 func TestHangingDialEndsWithItsCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -129,6 +129,9 @@
 request POST "$haetsal/stock-ordering/orders" "Idempotency-Key: $(key "$haetsal")"
 request GET "$gnomon/catalogue/dials/7"
 request POST "$gnomon/commission/commissions" "Idempotency-Key: $(key "$gnomon")"
+echo "== load on site haetsal: 100 requests a second for 2 s, one in five an order"
+"$bin/wigeon-load" --entry "${haetsal#http://}" --rate 100 --duration 2s \
+	--mix "menu-board:GET:/boards/1:0.8,stock-ordering:POST:/orders:0.2"
 for admin in "$haetsal_admin" "$gnomon_admin"; do
 	echo "== status of node ${admin#http://}"
 	"$bin/wigeonctl" status --node "${admin#http://}"
