Give each submit of a test a log file of its own

Cause: the test reads the change's ID from the output of wigeonctl, and both submits appended to one file, so the result of the first change was asked for again. Ruled out: two results for one change; wigeonctl printed "accepted as version 3" for the second, which all nodes ran.

--- a/test/process/site_test.go
+++ b/test/process/site_test.go
@@ -118,6 +118,7 @@
 	platform     *process
 	vms          []*vm
 	http         *http.Client
+	submits      int // started so far
 }
 
 // services are in the order of their start, with the call that a target makes for each request.
--- a/test/process/submit_test.go
+++ b/test/process/submit_test.go
@@ -41,7 +41,8 @@
 	args := append([]string{
 		"submit", "--node", at.admin, "--against", strconv.FormatUint(against, 10), "--author", author, "--comment", comment,
 	}, s.policyFiles(added)...)
-	name := "submit-" + strings.ReplaceAll(comment, " ", "-") + "-" + author
+	s.submits++
+	name := fmt.Sprintf("submit-%d-%s", s.submits, author) // a log file of its own, because the ID is read from it
 	p := launch(s.t, s.dir, name, ctlBinary, args...)
 	var id string
 	s.await("ID of the change", func() bool {
