Keep the attributes of metrics between requests

Cause: every request built two attribute sets and their options, 3.3 % of all allocations of BenchmarkChain. They are kept by interface, outcome and reason now; the names of these bound their number.

go test -run '^$' -bench Chain -benchtime 3000x ./internal/process/node (run as compiled test binary, direct and nodes one after the other) before: nodes p50 566 us p99 3988 us 885 allocs 93.7 KB after: nodes p50 565 us p99 3508 us 855 allocs 92.0 KB (direct p50 132 us, p99 1058 us; load average 11 to 14)

The new test on a scratch copy whose series leave the reason out: go test -count=1 ./internal/process/metrics --- FAIL: TestRequestsAreCountedByTheirOwnAttributes

Conclusion: 30 allocations fewer per request; no effect on the time is shown.

--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -37,6 +38,7 @@
 	handler  http.Handler
 	requests metric.Int64Counter
 	latency  metric.Float64Histogram
+	known    sync.Map // series to *options
 }
 
 // latencyBounds are the upper bounds of the histogram's buckets, in seconds.
@@ -105,16 +107,36 @@
 	return nil
 }
 
+// series identifies the counter of requests with one set of attributes.
+type series struct{ face, outcome, reason string }
+
+// options are the attributes of a series as the instruments take them.
+type options struct {
+	count   []metric.AddOption
+	latency []metric.RecordOption
+}
+
+// optionsOf returns the options of a series. Making them takes a dozen allocations, so that they are kept; the names of
+// outcomes and reasons bound their number.
+func (m *Metrics) optionsOf(s series) *options {
+	if known, ok := m.known.Load(s); ok {
+		return known.(*options)
+	}
+	face := attribute.String("interface", s.face)
+	set := attribute.NewSet(face, attribute.String("outcome", s.outcome), attribute.String("reason", s.reason))
+	made, _ := m.known.LoadOrStore(s, &options{
+		count:   []metric.AddOption{metric.WithAttributeSet(set)},
+		latency: []metric.RecordOption{metric.WithAttributeSet(attribute.NewSet(face))},
+	})
+	return made.(*options)
+}
+
 // Request counts a request that came in on the interface.
 func (m *Metrics) Request(face string, r *message.Response, took time.Duration) {
 	ctx := context.Background()
-	set := metric.WithAttributeSet(attribute.NewSet(
-		attribute.String("interface", face),
-		attribute.String("outcome", r.Outcome.String()),
-		attribute.String("reason", r.Reason.String()),
-	))
-	m.requests.Add(ctx, 1, set)
-	m.latency.Record(ctx, took.Seconds(), metric.WithAttributeSet(attribute.NewSet(attribute.String("interface", face))))
+	o := m.optionsOf(series{face, r.Outcome.String(), r.Reason.String()})
+	m.requests.Add(ctx, 1, o.count...)
+	m.latency.Record(ctx, took.Seconds(), o.latency...)
 }
 
 // Handler serves the metrics in the Prometheus text format.
--- /dev/null
+++ b/internal/process/metrics/metrics_test.go
@@ -0,0 +1,32 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// Guards against requests that are counted under the attributes of others, which are kept between requests.
+func TestRequestsAreCountedByTheirOwnAttributes(t *testing.T) {
+	m, err := New(func() Gauges { return Gauges{} })
+	require.NoError(t, err)
+	for range 2 {
+		m.Request("caller", &message.Response{Outcome: message.Answered}, time.Millisecond)
+		m.Request("caller", message.Refuse(message.ReasonOverload, nil), time.Millisecond)
+		m.Request("peer", message.Refuse(message.ReasonLeaving, nil), time.Millisecond)
+	}
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for _, series := range []string{
+		`wigeoncleat_requests_total\{interface="caller",[^}]*outcome="answered",[^}]*reason="none"\} 2`,
+		`wigeoncleat_requests_total\{interface="caller",[^}]*outcome="not-run",[^}]*reason="overload"\} 2`,
+		`wigeoncleat_requests_total\{interface="peer",[^}]*outcome="not-run",[^}]*reason="leaving"\} 2`,
+		`duration_seconds_count\{interface="caller",[^}]*\} 4`,
+	} {
+		require.Regexp(t, series, w.Body.String())
+	}
+}
