Read bodies into one buffer

Cause: io.ReadAll starts with 512 bytes and grows, several allocations and twice the memory for a body whose length is known. The buffer starts with the stated length, at most 64 KiB before any byte has arrived.

--- a/internal/process/node/caller.go
+++ b/internal/process/node/caller.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -108,7 +109,7 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, int64(limits.RequestBody)))
+	body, err := readAll(http.MaxBytesReader(nil, r.Body, int64(limits.RequestBody)), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -121,6 +122,17 @@
 	return nil
 }
 
+// maxFirstRead bounds the memory that a stated length takes before the body arrives, in bytes.
+const maxFirstRead = 64 << 10
+
+// readAll is io.ReadAll for a body whose length is stated, or -1 if it is not.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	var b bytes.Buffer
+	b.Grow(int(min(max(length, 0), maxFirstRead)) + bytes.MinRead) // ReadFrom grows the buffer below MinRead
+	_, err := b.ReadFrom(r)
+	return b.Bytes(), err
+}
+
 // writeResponse writes the final response of a request.
 func writeResponse(w http.ResponseWriter, r *http.Request, id message.ID, resp *message.Response) {
 	h := w.Header()
--- a/internal/process/node/target.go
+++ b/internal/process/node/target.go
@@ -118,7 +118,7 @@
 	if resp.ContentLength > limit {
 		return nil, fmt.Errorf("body of %d bytes exceeds %d", resp.ContentLength, limit)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	body, err := readAll(io.LimitReader(resp.Body, limit+1), resp.ContentLength)
 	if err != nil {
 		return nil, err
 	}
