--- a/internal/process/admission/trial.go
+++ b/internal/process/admission/trial.go
@@ -49,7 +49,7 @@
 	// upBackoff and upMax are the same for trials of the highest limit. These cost latency and no throughput, and a target
 	// that has recovered must not be held at a lower limit for long.
 	upBackoff = 2
-	upMax     = 4 * time.Second
+	upMax     = 2 * time.Second
 	// trialUnknown is the time before the first trial of a target whose latency without saturation is not known.
 	trialUnknown = 10 * time.Second
 	// trialEvidence is the ratio of the latency to the known one from which a lower limit is tried. Requests that wait
