Split the four longest files by concern

rollout: proposing, collecting acknowledgements and deciding a change, the head and the fetching of bodies; membership: updates; admission: limits and waiting.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -12,52 +12,15 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
-	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
-	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
 )
 
-// Limits bounds the work in front of a target.
-type Limits struct {
-	Slots        int           // requests that the target runs at once
-	Connections  int           // connections that the target accepts
-	QueueLength  int           // requests that may wait
-	QueueMaxWait time.Duration // longest wait in the queue
-	RampTime     time.Duration // time from a cold start to the full limit; zero: no ramp
-	// LongWaitRank is the rank from which work may wait longer: in a queue of longQueue times the length and for up to
-	// half of the time that is left to it. Zero: none.
-	LongWaitRank uint8
-}
-
-// longQueue is the length of the queue for work of LongWaitRank, as a multiple of the normal one. At 95 % load by orders
-// alone their waits often exceed the normal queue, and an order that is refused after work of the hops above is lost.
-const longQueue = 3
-
-// LimitsOf returns the limits that a policy sets for the targets of a service. Work of the classes whose requests must not
-// be repeated may wait longer.
-func LimitsOf(p *policy.Policy, s *policy.Service, ramp time.Duration) Limits {
-	q := p.Queue
-	return Limits{
-		LongWaitRank: p.OnceRank(),
-		Slots:        s.Slots,
-		Connections:  s.Connections,
-		QueueLength:  int(math.Ceil(q.Length * float64(s.Slots))),
-		QueueMaxWait: q.MaxWait,
-		RampTime:     ramp,
-	}
-}
-
-// ceiling returns the number of requests that may ever be in flight. It is at least one: a target without a slot would
-// never be measured.
-func (l Limits) ceiling() int { return max(1, min(l.Slots, l.Connections)) }
-
 // Work describes a request that asks for a slot.
 type Work struct {
 	Priority message.Priority
@@ -209,126 +172,6 @@
 	return c.inFlight == 0 || wait+c.latency.low <= left
 }
 
-// enqueue adds work to the queue, where necessary in place of the work of lowest priority.
-func (c *Controller) enqueue(ctx context.Context, now time.Duration, w Work) (*waiter, message.Reason) {
-	wt := &waiter{ctx: ctx, work: w, ready: make(chan struct{})}
-	at := c.queue.position(wt)
-	wait := time.Duration(at+1) * c.latency.mean / time.Duration(c.limit)
-	if wait > c.maxWait(now, w) {
-		c.meter.turnedAway++
-		return nil, message.ReasonOverload
-	}
-	if !c.meets(now, wait, w) {
-		c.meter.turnedAway++
-		return nil, message.ReasonDeadline
-	}
-	if c.queue.len() >= c.maxLength(w) {
-		c.meter.turnedAway++
-		lowest := c.queue.lowest()
-		if lowest < 0 || c.queue.items[lowest].work.Priority >= w.Priority {
-			return nil, message.ReasonOverload
-		}
-		displaced := c.queue.remove(lowest)
-		invariant.Check(invariant.ShedOrder, displaced.work.Priority < w.Priority,
-			"work of priority %d was displaced by work of %d", displaced.work.Priority, w.Priority)
-		c.refuseWaiter(displaced, message.ReasonOverload)
-		at = c.queue.position(wt)
-	}
-	c.queue.insert(at, wt)
-	return wt, message.ReasonNone
-}
-
-// longWait reports whether the work may wait longer than other work.
-func (c *Controller) longWait(w Work) bool {
-	return c.limits.LongWaitRank > 0 && w.Priority.Rank() >= c.limits.LongWaitRank
-}
-
-// maxWait returns the longest wait of the work in the queue.
-func (c *Controller) maxWait(now time.Duration, w Work) time.Duration {
-	if !c.longWait(w) || w.Deadline.IsZero() {
-		return c.limits.QueueMaxWait
-	}
-	left := w.Deadline.Sub(c.origin) - now - c.latency.mean
-	return max(c.limits.QueueMaxWait, left/2)
-}
-
-// maxLength returns the length of the queue from which the work is refused or displaces other work.
-func (c *Controller) maxLength(w Work) int {
-	if c.longWait(w) {
-		return longQueue * c.limits.QueueLength
-	}
-	return c.limits.QueueLength
-}
-
-// await blocks until the waiter is granted a permit or refused, its context ends or the longest wait has passed.
-func (c *Controller) await(ctx context.Context, wt *waiter, wait time.Duration) (*Permit, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-wt.ready:
-	case <-ctx.Done():
-		c.abandon(wt, contextReason(ctx))
-	case <-timer.C:
-		c.abandon(wt, message.ReasonOverload)
-	}
-	if wt.refusal != nil {
-		return nil, wt.refusal
-	}
-	return wt.permit, nil
-}
-
-// abandon takes a waiter out of the queue. A permit that was granted at the same moment is returned if the caller has
-// left, because nobody would run the work.
-func (c *Controller) abandon(wt *waiter, reason message.Reason) {
-	c.mu.Lock()
-	now := c.advance()
-	if at := c.queue.index(wt); at >= 0 {
-		if reason == message.ReasonOverload {
-			c.meter.turnedAway++
-		}
-		c.refuseWaiter(c.queue.remove(at), reason)
-	} else if wt.permit != nil && reason != message.ReasonOverload {
-		wt.permit.released.Store(true)
-		wt.permit, wt.refusal = nil, c.refusal(reason)
-		c.inFlight--
-		c.dispatch(now)
-	}
-	c.publish()
-	c.mu.Unlock()
-}
-
-func (c *Controller) refuseWaiter(wt *waiter, reason message.Reason) {
-	wt.refusal = c.refusal(reason)
-	close(wt.ready)
-}
-
-// grant takes a slot.
-func (c *Controller) grant() *Permit {
-	c.inFlight++
-	invariant.Check(invariant.InFlightBounded, c.inFlight <= c.limits.ceiling(),
-		"%d requests in flight, %d allowed", c.inFlight, c.limits.ceiling())
-	invariant.Check(invariant.LeavingRefuses, !c.leaving, "work admitted after leaving")
-	return &Permit{c: c}
-}
-
-// dispatch gives free slots to the queue.
-func (c *Controller) dispatch(now time.Duration) {
-	for c.inFlight < c.limit && c.queue.len() > 0 {
-		wt := c.queue.remove(0)
-		if reason := contextReason(wt.ctx); reason != message.ReasonNone {
-			c.refuseWaiter(wt, reason)
-			continue
-		}
-		if !c.meets(now, 0, wt.work) {
-			c.meter.turnedAway++
-			c.refuseWaiter(wt, message.ReasonDeadline)
-			continue
-		}
-		wt.permit = c.grant()
-		close(wt.ready)
-	}
-}
-
 // Release ends the request of the permit. Further calls have no effect.
 func (p *Permit) Release(r Result) {
 	if p.released.Swap(true) {
--- /dev/null
+++ b/internal/process/admission/limits.go
@@ -0,0 +1,42 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
+
+// Limits bounds the work in front of a target.
+type Limits struct {
+	Slots        int           // requests that the target runs at once
+	Connections  int           // connections that the target accepts
+	QueueLength  int           // requests that may wait
+	QueueMaxWait time.Duration // longest wait in the queue
+	RampTime     time.Duration // time from a cold start to the full limit; zero: no ramp
+	// LongWaitRank is the rank from which work may wait longer: in a queue of longQueue times the length and for up to
+	// half of the time that is left to it. Zero: none.
+	LongWaitRank uint8
+}
+
+// longQueue is the length of the queue for work of LongWaitRank, as a multiple of the normal one. At 95 % load by orders
+// alone their waits often exceed the normal queue, and an order that is refused after work of the hops above is lost.
+const longQueue = 3
+
+// LimitsOf returns the limits that a policy sets for the targets of a service. Work of the classes whose requests must not
+// be repeated may wait longer.
+func LimitsOf(p *policy.Policy, s *policy.Service, ramp time.Duration) Limits {
+	q := p.Queue
+	return Limits{
+		LongWaitRank: p.OnceRank(),
+		Slots:        s.Slots,
+		Connections:  s.Connections,
+		QueueLength:  int(math.Ceil(q.Length * float64(s.Slots))),
+		QueueMaxWait: q.MaxWait,
+		RampTime:     ramp,
+	}
+}
+
+// ceiling returns the number of requests that may ever be in flight. It is at least one: a target without a slot would
+// never be measured.
+func (l Limits) ceiling() int { return max(1, min(l.Slots, l.Connections)) }
--- /dev/null
+++ b/internal/process/membership/update.go
@@ -0,0 +1,250 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+)
+
+// compare orders an update and a record: by incarnation; then by the first incarnation of the process, because two
+// processes at one address can reach the same incarnation while one of them has just resumed from a pause; then by state.
+func compare(u *Update, e *Member) int {
+	return cmp.Or(cmp.Compare(u.Incarnation, e.Incarnation), cmp.Compare(u.born(), e.Born),
+		cmp.Compare(u.State.rank(), e.State.rank()))
+}
+
+// apply takes over an update if it is newer than what is known, and reports whether it is older. Updates of a comparison
+// of views may repeat a decision that was made on the other side of a partition. A death among them is therefore taken
+// as a suspicion only, which the member can refute.
+func (m *Machine) apply(u *Update, from string, compared bool) (older bool) {
+	if u.Address == m.self.Address {
+		m.applySelf(u, from)
+		return false
+	}
+	e := m.members[u.Address]
+	if e == nil {
+		m.applyUnknown(u, from)
+		return false
+	}
+	if c := compare(u, &e.Member); c <= 0 {
+		return c < 0
+	}
+	known := !e.partial && u.born() == e.Born && u.meta() == e.Meta
+	if u.Info == nil && !known && u.State.Live() {
+		m.send(from, &Message{Kind: KindWant, Wants: []string{u.Address}})
+		return false
+	}
+	state := u.State
+	suspected := compared && state == Dead && e.State.Live()
+	if suspected {
+		if e.State == Suspect && e.Incarnation == u.Incarnation {
+			return false
+		}
+		state = Suspect
+	}
+	m.change(e, u, state, from)
+	if suspected {
+		e.notice = m.now
+		return false
+	}
+	m.push(u.Address, u.Info != nil)
+	return false
+}
+
+// applyUnknown adds a member. The death of a member that was not known is remembered as well, since a record of its
+// life may follow.
+func (m *Machine) applyUnknown(u *Update, from string) {
+	if u.Info == nil {
+		if u.State.Live() {
+			m.send(from, &Message{Kind: KindWant, Wants: []string{u.Address}})
+		}
+		return
+	}
+	e := &entry{hash: hashAddress(u.Address)}
+	e.Address = u.Address
+	m.members[u.Address] = e
+	m.sorted = slices.Insert(m.sorted, m.find(u.Address), e)
+	m.change(e, u, u.State, from)
+	m.push(u.Address, true)
+}
+
+// change moves the record to the incarnation of the update and to the state.
+func (m *Machine) change(e *entry, u *Update, state State, from string) {
+	before := e.Member
+	m.detach(e)
+	if e.Born != u.born() {
+		e.Instance = 0 // unknown unless the update has it
+	}
+	e.partial = u.Info == nil && (e.partial || e.Born != u.born() || e.Meta != u.meta())
+	e.Incarnation, e.State, e.Born, e.Meta = u.Incarnation, state, u.born(), u.meta()
+	if state.rank() == 0 {
+		e.Stated = state
+	}
+	if i := u.Info; i != nil {
+		if before.State.Live() && (i.Zone != e.Zone || i.Region != e.Region) {
+			m.graph.remove(zoneKey{e.Region, e.Zone}, point{e.hash, e.Address})
+			m.nearOld = true
+		}
+		e.Caller, e.Instance, e.Zone, e.Region = i.Caller, i.Instance, m.intern(i.Zone), m.intern(i.Region)
+		e.Service, e.Slots = m.intern(i.Service), i.Slots
+		if i.Stated != 0 {
+			e.Stated = i.Stated
+		}
+	}
+	e.since, e.from = m.now.Add(-time.Duration(u.Age)*time.Second), from
+	e.deadline, e.notice = time.Time{}, time.Time{}
+	m.attach(e)
+	m.emit(changeKind(&before, &e.Member), e.Member)
+}
+
+func changeKind(before, after *Member) EventKind {
+	switch {
+	case after.State == Suspect:
+		return MemberSuspected
+	case after.State == Dead:
+		return MemberDied
+	case after.State == Left:
+		return MemberLeft
+	case before.Born != 0 && before.Born != after.Born:
+		return MemberReplaced
+	case !before.State.Live():
+		return MemberJoined
+	default:
+		return MemberChanged
+	}
+}
+
+// detach takes the record out of the indexes before it is changed.
+func (m *Machine) detach(e *entry) {
+	m.buckets[bucketOf(e.hash)] ^= e.digest
+	delete(m.suspects, e.Address)
+	delete(m.gone, e.Address)
+}
+
+// attach puts the record into the indexes after it was changed.
+func (m *Machine) attach(e *entry) {
+	e.digest = 0
+	k, p := zoneKey{e.Region, e.Zone}, point{e.hash, e.Address}
+	if e.State.Live() {
+		e.digest = recordHash(e.hash, &e.Member)
+		size := m.graph.size
+		m.graph.add(k, p)
+		m.nearOld = m.nearOld || m.graph.size != size
+	} else {
+		m.gone[e.Address] = e
+		m.graph.remove(k, p)
+		m.nearOld = true
+	}
+	m.buckets[bucketOf(e.hash)] ^= e.digest
+	if e.State == Suspect {
+		m.suspects[e.Address] = e
+		wait := m.cfg.SuspicionTimeout
+		if !slices.Contains(m.Neighbours(), e.Address) {
+			wait *= 3
+		}
+		e.deadline = m.now.Add(wait)
+	}
+}
+
+// push marks an update to be sent to the neighbours. A node that joins does not push what it learns, since it learns the
+// whole view.
+func (m *Machine) push(address string, full bool) {
+	if m.status == StatusJoining && address != m.self.Address {
+		return
+	}
+	if was, ok := m.pending[address]; !ok {
+		m.order = append(m.order, address)
+	} else if was {
+		full = true
+	}
+	m.pending[address] = full
+}
+
+// flush sends the pending updates to the neighbours, but not back to the peer that an update came from. The first update
+// after a quiet time is sent at once; those that follow within BatchDelay are sent together.
+func (m *Machine) flush() {
+	if len(m.order) == 0 || m.now.Sub(m.flushed) < m.cfg.BatchDelay || m.status == StatusJoining {
+		return
+	}
+	m.flushed = m.now
+	updates := make([]Update, 0, len(m.order))
+	from := make([]string, 0, len(m.order))
+	for _, a := range m.order {
+		if u, f, ok := m.update(a, m.pending[a]); ok {
+			updates, from = append(updates, u), append(from, f)
+		}
+	}
+	m.order = m.order[:0]
+	clear(m.pending)
+	for _, to := range m.Neighbours() {
+		some := updates
+		if slices.Contains(from, to) {
+			some = make([]Update, 0, len(updates))
+			for i, u := range updates {
+				if from[i] != to {
+					some = append(some, u)
+				}
+			}
+		}
+		m.sendUpdates(to, KindGossip, some)
+	}
+}
+
+func (m *Machine) update(address string, full bool) (u Update, from string, ok bool) {
+	if address == m.self.Address {
+		if full {
+			return m.self.full(), "", true
+		}
+		return m.self.brief(), "", true
+	}
+	e := m.members[address]
+	if e == nil {
+		return u, "", false
+	}
+	if full {
+		return m.complete(e), e.from, true
+	}
+	return e.brief(), e.from, true
+}
+
+// complete returns the complete record of another member. Records of dead and left members carry their age: without it
+// every node that joins would keep them for the whole retention anew and pass them on to the next.
+func (m *Machine) complete(e *entry) Update {
+	u := e.full()
+	if e.partial {
+		u.Info = nil
+	}
+	if !e.State.Live() {
+		u.Age = uint32(m.now.Sub(e.since) / time.Second)
+	}
+	return u
+}
+
+// sendUpdates sends updates in messages of bounded size.
+func (m *Machine) sendUpdates(to string, kind Kind, updates []Update) {
+	for part := range slices.Chunk(updates, updatesPerMessage) {
+		m.send(to, &Message{Kind: kind, Updates: part})
+	}
+}
+
+// sweep drops the records of members that have been dead or left for long enough.
+func (m *Machine) sweep() {
+	for a, e := range m.gone {
+		if m.now.Sub(e.since) >= m.cfg.DeadRetention {
+			delete(m.gone, a)
+			delete(m.members, a)
+			i := m.find(a)
+			m.sorted = slices.Delete(m.sorted, i, i+1)
+			m.emit(MemberForgotten, e.Member)
+		}
+	}
+}
+
+func (m *Machine) bucketHashes() []byte {
+	b := make([]byte, 0, buckets*bucketBytes)
+	for _, h := range m.buckets {
+		b = binary.BigEndian.AppendUint32(b, uint32(h))
+	}
+	return b
+}
--- /dev/null
+++ b/internal/version/rollout/collect.go
@@ -0,0 +1,235 @@
+package rollout
+
+import (
+	"maps"
+	"math"
+	"slices"
+)
+
+// collect asks the members and decides as soon as their answers allow it.
+func (c *change) collect() {
+	m := c.m
+	if p := m.row.Pending; m.row.Seq > c.row.Seq && (p == nil || p.Head.ID != c.spec.ID || p.Ballot != c.row.Pending.Ballot) {
+		c.superseded()
+		return
+	}
+	if c.roster == nil && !c.loadRoster() {
+		return
+	}
+	if c.stage != stageRefuse && !c.rolled && m.now-c.lastQ >= askRetry {
+		c.askAll()
+	}
+	if !c.locking && m.now >= c.nextHold && (!c.takeover || c.mayRefuse()) {
+		c.hold()
+	}
+	switch {
+	case c.stage == stageCollect:
+		c.judge()
+	case c.stage == stageAccept && c.locking && !c.rolled:
+		c.rollForward()
+	}
+}
+
+// superseded stops coordinating: another coordinator has a higher ballot, or the change is settled.
+func (c *change) superseded() {
+	m := c.m
+	if m.row.Pending != nil && m.row.Pending.Head.ID == c.spec.ID {
+		m.emit(Event{Kind: EventSuperseded, Head: c.row.Pending.Head})
+	}
+	c.stage, c.began, c.status, c.tried = stageFollow, m.now, true, true
+	c.locking = false // a roll-forward of this ballot must not begin any more
+	c.next = m.now
+}
+
+// loadRoster fetches the roster of the first ballot.
+func (c *change) loadRoster() bool {
+	body, ok := c.m.bodies[c.rosterID]
+	if !ok {
+		c.m.want(c.rosterID, c.row.Pending.Coordinator)
+		return false
+	}
+	r, err := decodeRoster(body)
+	if err != nil {
+		return false
+	}
+	c.roster, c.asked = r, c.m.now
+	c.extend()
+	return true
+}
+
+// extend adds members that a first coordinator with few known members did not list. Without them a takeover could neither
+// accept nor refuse. They do not count in a roll-forward, so that the locks of every ballot come from one roster, and fill
+// the recorded sizes at most, so that a set that blocks still meets every sufficient set of locks.
+func (c *change) extend() {
+	count := c.roster.sizes()
+	c.extra = nil
+	for _, v := range c.m.roster {
+		listed := slices.ContainsFunc(c.roster, func(x rosterMember) bool { return x.Address == v.Address })
+		if !listed && count[v.Zone] < c.row.Pending.Sizes[v.Zone] {
+			count[v.Zone]++
+			c.extra = append(c.extra, v)
+		}
+	}
+}
+
+// full returns the members that are asked.
+func (c *change) full() roster {
+	if len(c.extra) == 0 {
+		return c.roster
+	}
+	return slices.Concat(c.roster, c.extra)
+}
+
+func (c *change) phase() phase {
+	if c.locking {
+		return phaseLock
+	}
+	return phaseAck
+}
+
+// askAll asks the members without an answer, through relays of the same availability zone. Other relays are used in
+// every round, so that a relay that died costs one round.
+func (c *change) askAll() {
+	m := c.m
+	c.lastQ = m.now
+	if c.rounds++; c.rounds > quickRounds {
+		c.lastQ += slowRetry - askRetry
+	}
+	maps.DeleteFunc(c.asks, func(_ uint64, q relayAsk) bool { return m.now-q.at > relayTaskLife })
+	zones := map[string][]string{}
+	for _, v := range c.full() {
+		a := c.acks[v.Address]
+		if a == nil || (c.locking && !a.locked) || (!c.locking && !a.ok && a.nack == "") {
+			if !c.locking {
+				c.ack(v.Address).asked = m.now
+			}
+			zones[v.Zone] = append(zones[v.Zone], v.Address)
+		}
+	}
+	c.sendParts(zones, c.phase())
+}
+
+// sendParts sends one ask to a relay for every part of the members.
+func (c *change) sendParts(zones map[string][]string, p phase) {
+	m := c.m
+	size := max(int(math.Sqrt(float64(len(c.roster)+len(c.extra)))), 4)
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		list := zones[zone]
+		for i := 0; i < len(list); i += size {
+			part := list[i:min(i+size, len(list))]
+			m.token++
+			a := ask{
+				ID: c.spec.ID, Ballot: c.row.Pending.Ballot, Phase: p, Token: m.token, Members: part, At: floorMS(m.now),
+			}
+			c.asks[a.Token] = relayAsk{part, a.Phase, m.now}
+			c.sendRelay(part, a)
+		}
+	}
+}
+
+// hold tells the members whose acknowledgement has arrived, so that a change that stays open, or loses its coordinator,
+// does not keep them from taking work.
+func (c *change) hold() {
+	m := c.m
+	c.nextHold = m.now + holdStep
+	zones := map[string][]string{}
+	for _, v := range c.full() {
+		if a := c.acks[v.Address]; a != nil && a.ok && (a.held == 0 || m.now-a.held >= holdEvery) {
+			a.held = m.now
+			zones[v.Zone] = append(zones[v.Zone], v.Address)
+		}
+	}
+	c.sendParts(zones, phaseHold)
+}
+
+// sendRelay sends the ask to one of the members that are alive. After the first round a part that is not alive at all is
+// asked by the coordinator itself.
+func (c *change) sendRelay(part []string, a ask) {
+	m := c.m
+	var alive []string
+	for _, address := range part {
+		if v, ok := m.members[address]; address == m.cfg.Address || ok && m.live(v) {
+			alive = append(alive, address)
+		}
+	}
+	if len(alive) == 0 || slices.Contains(part, m.cfg.Address) {
+		m.takeAsk(m.cfg.Address, a)
+		return
+	}
+	m.sendAsk(alive[(int(hash64(a.ID)%1024)+c.rounds)%len(alive)], a)
+}
+
+// takeAnswer takes an aggregated answer, or the answer of one member whose relay task at this node has ended.
+func (c *change) takeAnswer(from string, got answer) {
+	q, ok := c.asks[got.Token]
+	if !ok || !c.adopted() || got.Ballot != c.row.Pending.Ballot || got.Phase != q.phase {
+		return
+	}
+	if got.Self {
+		if !slices.Contains(q.members, from) {
+			return
+		}
+		q.members = []string{from}
+	}
+	for i, address := range q.members {
+		if !bits(got.OK).has(i) {
+			continue
+		}
+		a := c.ack(address)
+		a.ok, a.nack = true, ""
+		c.note(a, got, i)
+	}
+	for _, n := range got.Nacks {
+		if i := slices.Index(q.members, n.Address); i >= 0 {
+			a := c.ack(n.Address)
+			a.ok, a.nack = false, n.Reason
+			c.note(a, got, i)
+		}
+	}
+	c.collect()
+}
+
+func (c *change) ack(address string) *ackState {
+	a := c.acks[address]
+	if a == nil {
+		a = &ackState{}
+		c.acks[address] = a
+	}
+	return a
+}
+
+func (c *change) note(a *ackState, got answer, i int) {
+	a.at = c.m.now
+	a.clean = bits(got.Clean).has(i)
+	a.locked = a.locked || bits(got.Locked).has(i)
+}
+
+func (c *change) missing(address string) bool {
+	a := c.acks[address]
+	return (a == nil || !a.ok) && !c.gone(address)
+}
+
+// gone reports whether a member fell out of the roster since the proposal: this process would have heard it within the
+// window, and is not itself the one that is cut off.
+func (c *change) gone(address string) bool {
+	m := c.m
+	_, seen := m.members[address]
+	return !seen && address != m.cfg.Address && m.now-m.started >= rosterWindow && 2*m.liveAll > c.row.Pending.Sizes.total()
+}
+
+// silent reports whether a member has not been heard, and has not answered, for longer than the bound.
+func (c *change) silent(address string) bool {
+	m := c.m
+	if address == m.cfg.Address {
+		return false
+	}
+	v, ok := m.members[address]
+	if !ok || v.Left {
+		return true
+	}
+	last := v.LastHeard
+	if a := c.acks[address]; a != nil {
+		last = max(last, a.at)
+	}
+	return m.now-last > m.cfg.Bound
+}
