Avoid targets whose node says that it is leaving or unconfirmed

Cause: the result of a call was passed to target selection without the reason, so the rule that avoids such targets for a second never applied, and requests went there until membership had spread the news.

--- a/internal/process/engine/balancers.go
+++ b/internal/process/engine/balancers.go
@@ -82,7 +82,9 @@
 		Failed: r.Reason == message.ReasonConnection ||
 			r.Outcome == message.Unknown && r.Reason == message.ReasonDeadline ||
 			r.Outcome == message.Answered && r.Status == http.StatusInternalServerError,
-		Refused:   r.Outcome == message.NotRun && r.Reason == message.ReasonOverload,
+		Refused: r.Outcome == message.NotRun && r.Reason == message.ReasonOverload,
+		Leaving: r.Outcome == message.NotRun &&
+			(r.Reason == message.ReasonLeaving || r.Reason == message.ReasonUnconfirmed),
 		Cancelled: r.Reason == message.ReasonCancelled,
 		Load:      r.Load,
 	}
