--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -263,8 +263,8 @@
 // ErrCut reports a graceful stop that did not let all requests end.
 var ErrCut = errors.New("requests were cut off")
 
-// Run serves until ctx ends or an operator asks for a graceful stop, and then drains. A second end, by the context that
-// hurry returns, stops the drain.
+// Run serves until ctx ends or an operator asks for a graceful stop, and then lets requests in flight end. It cuts them off
+// when hurry ends. It returns after every goroutine that it started has ended.
 func (n *Node) Run(ctx context.Context, interfaces Interfaces, hurry context.Context) error {
 	servers := n.newServers(interfaces)
 	failed := servers.start()
--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -96,8 +96,10 @@
 		done
 	done
 	sleep 2 # gossip
+	mkdir "$run/$site-policy"
+	cp examples/base.ini "examples/$site.ini" "$run/$site-policy"
 	"$bin/wigeonctl" submit --node "$admin" --against 0 --author make-run --comment "first version" \
-		examples/base.ini "examples/$site.ini" 2>"$run/$site-submit.log"
+		"$run/$site-policy/base.ini" "$run/$site-policy/$site.ini" 2>"$run/$site-submit.log"
 	for adm in "${admins[@]}"; do
 		wait_ready "http://$adm/ready"
 	done
