Hold the retry budget over several entry nodes

Cause: an entry node that already knew a request used what its own ledger had left and ignored the lower count that the caller carried over from other entry nodes. The ledger is limited to the caller's count now.

--- a/internal/process/engine/engine.go
+++ b/internal/process/engine/engine.go
@@ -127,6 +127,7 @@
 	req.Hop = 0
 	req.Priority = message.NewPriority(route.Rank, req.ID)
 	root := e.roots.get(req.ID, min(req.Retries, pol.Retry.Budget))
+	root.ledger.Limit(req.Retries) // attempts at other nodes since may have used some
 	root.begin()
 	r := root.end(e.route(ctx, &call{req: req, svc: svc, route: route, ledger: root.ledger, ratio: pol.Retry.Ratio}))
 	r.RetriesLeft = root.ledger.Left()
--- a/internal/process/engine/engine_test.go
+++ b/internal/process/engine/engine_test.go
@@ -63,6 +63,35 @@
 	require.Equal(t, policy.DefaultRetryBudget, most, "no seed used the whole budget")
 }
 
+// Guards against a new share of the budget for a caller that comes back to an entry node after other entry nodes have used
+// retries of the same request.
+func TestBudgetHoldsOverEntryNodes(t *testing.T) {
+	most := 0
+	for seed := range uint64(100) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t, "a1", "a2", "a3", "b1", "c1")
+			rng := rand.New(rand.NewPCG(seed, 2))
+			m.fate = func(string, *message.Request) fate { return fate(rng.IntN(3)) }
+			m.do = func(context.Context, *meshNode, *message.Request) *message.Response { return ok("done") }
+			req := read("a")
+			calls := 0
+			for try := range 6 {
+				again := *req
+				before := m.attempts.Load()
+				r := m.node([]string{"b1", "c1"}[try%2]).Serve(t.Context(), &again)
+				if m.attempts.Load() > before {
+					calls++
+				}
+				req.Retries = r.RetriesLeft
+			}
+			retries := int(m.attempts.Load()) - calls
+			require.LessOrEqual(t, retries, policy.DefaultRetryBudget, "seed %d", seed)
+			most = max(most, retries)
+		})
+	}
+	require.Equal(t, policy.DefaultRetryBudget, most, "no seed used the whole budget")
+}
+
 // Guards against a second execution of a request whose response was lost, and against a call that gives up although the
 // first target refused the connection.
 func TestOnlyProvablyUnsentRequestsMoveToAnotherTarget(t *testing.T) {
--- a/internal/request/retry/ledger.go
+++ b/internal/request/retry/ledger.go
@@ -88,6 +88,16 @@
 	l.left += unused
 }
 
+// Limit counts what is left above n as spent. It takes in what a caller says of retries that other nodes have used.
+func (l *Ledger) Limit(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if over := l.left - max(n, 0); over > 0 {
+		l.left -= over
+		l.spent += over
+	}
+}
+
 // Left returns the retries that are neither used nor handed out.
 func (l *Ledger) Left() int {
 	l.mu.Lock()
