Take the platform down at the proposal itself in TestRunner

The test failed in 1 of 5 full runs on a quiet machine: its goroutine looked for the proposal every millisecond and missed it when the change was accepted sooner, so that there was no outage and the submit succeeded. The table now goes down in the call that writes the proposal; the checks are the same. go test -race -count=15 passes.

--- a/internal/version/rollout/runner_test.go
+++ b/internal/version/rollout/runner_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,7 +52,26 @@
 	return r.Receive(p.from, payload)
 }
 
-func startMesh(t *testing.T, pf *memory.Platform, size int) (*mesh, context.CancelFunc, *sync.WaitGroup) {
+// outageTable takes the platform down for everybody as soon as the proposal of a version is written.
+type outageTable struct {
+	*memory.Platform
+	version atomic.Uint64 // of the proposal; 0: never
+}
+
+func (o *outageTable) Commit(ctx context.Context, writes []platform.Write) ([]platform.Version, error) {
+	versions, err := o.Platform.Commit(ctx, writes)
+	for _, w := range writes {
+		if w.Key != headKey || err != nil {
+			continue
+		}
+		if h, _ := decodeRow(w.Value); h.Pending != nil && h.Pending.Head.Version == o.version.Load() {
+			o.SetFaults(memory.Faults{Down: true})
+		}
+	}
+	return versions, err
+}
+
+func startMesh(t *testing.T, pf *outageTable, size int) (*mesh, context.CancelFunc, *sync.WaitGroup) {
 	t.Helper()
 	n := &mesh{runners: map[string]*Runner{}, zones: map[string]string{}, applied: map[string][]uint64{}}
 	for i := range size {
@@ -92,7 +112,7 @@
 // lost answer, a race, a status command, an outage in the middle of a change, and an interrupted submit.
 func TestRunner(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	pf := memory.New()
+	pf := &outageTable{Platform: memory.New()}
 	n, cancel, wg := startMesh(t, pf, 6)
 	defer wg.Wait()
 	defer cancel()
@@ -121,17 +141,7 @@
 	// The platform goes down for everybody once the change is proposed: the nodes roll forward.
 	short, stop := context.WithTimeout(ctx, 2*time.Second)
 	defer stop()
-	go func() {
-		for short.Err() == nil {
-			if row, err := pf.Get(short, headKey); err == nil {
-				if h, _ := decodeRow(row.Value); h.Pending != nil {
-					pf.SetFaults(memory.Faults{Down: true})
-					return
-				}
-			}
-			time.Sleep(time.Millisecond)
-		}
-	}()
+	pf.version.Store(2)
 	_, err = n.runners["n3"].Submit(short, s.change("c", "cid", 1))
 	require.ErrorIs(t, err, ErrNotSettled)
 	require.Eventually(t, func() bool { return n.all(2) }, 3*time.Second, 20*time.Millisecond)
