--- a/cmd/wigeonctl/status.go
+++ b/cmd/wigeonctl/status.go
@@ -64,7 +64,7 @@
 	fmt.Fprintf(w, "leaving %t, active requests %d, links %d dialed and %d accepted\n", s.Leaving, s.Active, s.LinksDialed, s.LinksAccepted)
 	for _, service := range slices.Sorted(maps.Keys(s.Members)) {
 		for _, state := range slices.Sorted(maps.Keys(s.Members[service])) {
-			fmt.Fprintf(w, "members of %s: %d %s\n", service, s.Members[service][state], state)
+			fmt.Fprintf(w, "other members of %s: %d %s\n", service, s.Members[service][state], state)
 		}
 	}
 	for name, count := range s.Violations {
--- a/internal/process/node/servers.go
+++ b/internal/process/node/servers.go
@@ -99,7 +99,7 @@
 	Threshold        message.Priority          `json:"threshold"`
 	LinksDialed      int                       `json:"links_dialed"`
 	LinksAccepted    int                       `json:"links_accepted"`
-	Members          map[string]map[string]int `json:"members"` // by service and state
+	Members          map[string]map[string]int `json:"members"` // other nodes, by service and state
 	Violations       map[invariant.Name]int64  `json:"violations"`
 }
 
