Let a target declare that it did nothing for a request

A target that runs a keyed request and gets "not run" from a service below answers 502 or 503. That answer was recorded as final for the key, so every repeat of the order got the failure although nothing had been ordered.

A target now adds Wigeon-Outcome: not-run to an answer with a status of 500 or more. Its node honours the declaration only if each call that may belong to the request has ended as "not run". The request is then refused with the new reason "declined", the key is free, and the hop above can declare the same. Calls whose span names no request count for all requests of the trace that run at the target. A declined request gives back the retries that the calls left, not all.

Ruled out (docs/design.md, "Alternatives weighed"): status codes alone, outcomes of the calls alone, a declaration alone.

The fake target declares, and marks the execution as declined in its record. The process tests leave declined executions out of "was run" and "ran twice": the target states that they had no effects, and the node has compared that.

--- a/internal/process/engine/call.go
+++ b/internal/process/engine/call.go
@@ -126,12 +126,12 @@
 }
 
 // settle takes back what a call left of its retries. A response that this node made up itself for a lost one carries
-// nothing back; a request that was not run has used nothing.
+// nothing back; a request that was not run has used nothing, unless its target made calls before it declined.
 func settle(share *retry.Share, r *message.Response) {
 	switch {
-	case r.Outcome == message.NotRun:
+	case r.Outcome == message.NotRun && r.Reason != message.ReasonDeclined:
 		share.Return(share.Size())
-	case r.Outcome == message.Answered:
+	case r.Outcome == message.Answered, r.Outcome == message.NotRun:
 		share.Return(r.RetriesLeft)
 	default:
 		share.Lose()
--- /dev/null
+++ b/internal/process/engine/declared_test.go
@@ -0,0 +1,153 @@
+package engine
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
+
+// declaring returns a target's answer that declares that the target did nothing.
+func declaring(status int) *message.Response {
+	return &message.Response{Outcome: message.Answered, Status: status, Header: http.Header{message.HeaderOutcome: {"not-run"}}}
+}
+
+// Guards against an order that fails for ever because a service below refused it once, against a caller that is not told
+// that it may repeat, and against refused calls below that cost retries which were not used.
+func TestOrderRefusedBelowCanBeRepeated(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		for _, at := range []string{"a1", "a2"} {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t, "a1", "a2", "b1", "c1", "c2")
+				m.do = func(ctx context.Context, n *meshNode, req *message.Request) *message.Response {
+					below := map[string]string{"a": "b", "b": "c"}[req.Service]
+					if below == "" {
+						return ok("done")
+					}
+					r := n.ServeOwn(ctx, own(req, below, method))
+					if r.Outcome == message.NotRun {
+						return declaring(http.StatusBadGateway)
+					}
+					return ok("done")
+				}
+				req := order("a", m.node("a1").keys.Issue(1)[0])
+				req.Method = method
+				send := func() *message.Response { again := *req; return m.node(at).Serve(t.Context(), &again) }
+				m.node("c1").full.Store(true)
+				m.node("c2").full.Store(true)
+				r := send()
+				require.Equal(t, []any{message.NotRun, message.ReasonDeclined}, []any{r.Outcome, r.Reason})
+				require.Equal(t, message.StepRun, r.Err.Step)
+				require.Contains(t, r.Err.Detail, "queue full", "the cause below")
+				require.Equal(t, 1, m.runs("a"), "a declined request was tried again within the call")
+				require.Equal(t, policy.DefaultRetryBudget-1, r.RetriesLeft, "the retry of hop c is the only one")
+				m.node("c1").full.Store(false)
+				r = send()
+				require.Equal(t, []any{message.Answered, "done"}, []any{r.Outcome, string(r.Body)})
+				require.Equal(t, 1, m.runs("c"))
+			})
+		}
+	}
+}
+
+// Guards against a declaration that the node can see to be false: it would let a key run twice.
+func TestDeclarationIsCheckedAgainstCalls(t *testing.T) {
+	type calls func(ctx context.Context, n *meshNode, req *message.Request)
+	for name, c := range map[string]struct {
+		calls   calls
+		status  int
+		honored bool
+	}{
+		"no call": {calls: func(context.Context, *meshNode, *message.Request) {}, honored: true},
+		"call not run": {honored: true, calls: func(ctx context.Context, n *meshNode, req *message.Request) {
+			n.ServeOwn(ctx, own(req, "c", "POST"))
+		}},
+		"call answered": {calls: func(ctx context.Context, n *meshNode, req *message.Request) {
+			n.ServeOwn(ctx, own(req, "b", "POST"))
+			n.ServeOwn(ctx, own(req, "c", "POST"))
+		}},
+		"call unknown": {calls: func(ctx context.Context, n *meshNode, req *message.Request) {
+			n.mesh.fate = func(string, *message.Request) fate { return lost }
+			n.ServeOwn(ctx, own(req, "b", "POST"))
+		}},
+		"call still open": {calls: func(ctx context.Context, n *meshNode, req *message.Request) {
+			go n.ServeOwn(ctx, own(req, "b", "POST"))
+			time.Sleep(time.Microsecond)
+		}},
+		"call with a span of the target": {calls: func(ctx context.Context, n *meshNode, req *message.Request) {
+			call := own(req, "b", "POST")
+			call.Span = message.NewSpanID()
+			n.ServeOwn(ctx, call)
+		}},
+		"call that may be another request's": {calls: func(ctx context.Context, n *meshNode, req *message.Request) {
+			other := *req
+			other.Span = message.NewSpanID()
+			run := n.running.begin(&other)
+			defer n.running.end(run)
+			call := own(req, "b", "POST")
+			call.Span = message.NewSpanID()
+			n.ServeOwn(ctx, call)
+		}},
+		"success": {calls: func(context.Context, *meshNode, *message.Request) {}, status: http.StatusOK},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t, "a1", "b1", "c1")
+			m.node("c1").full.Store(true)
+			m.do = func(ctx context.Context, n *meshNode, req *message.Request) *message.Response {
+				if req.Service != "a" {
+					return ok("done")
+				}
+				c.calls(ctx, n, req)
+				return declaring(cmp.Or(c.status, http.StatusServiceUnavailable))
+			}
+			key := m.node("b1").keys.Issue(1)[0]
+			r := m.node("b1").Serve(t.Context(), order("a", key))
+			want := message.Answered
+			if c.honored {
+				want = message.NotRun
+			}
+			require.Equal(t, want, r.Outcome, name)
+			require.Empty(t, r.Header.Get(message.HeaderOutcome), name)
+			m.node("b1").Serve(t.Context(), order("a", key))
+			runs := 1
+			if c.honored {
+				runs = 2
+			}
+			require.Equal(t, runs, m.runs("a"), name)
+			time.Sleep(5 * time.Second)
+		})
+	}
+}
+
+// Guards against a target's time to come back that gets lost, and one of a service below that is longer.
+func TestDeclinedRequestSaysWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, "a1", "b1")
+		m.do = func(ctx context.Context, n *meshNode, req *message.Request) *message.Response {
+			n.shed.Store(true) // refuses with a Retry-After of 1 s
+			n.ServeOwn(ctx, own(req, "b", "GET"))
+			n.shed.Store(false)
+			r := declaring(http.StatusServiceUnavailable)
+			r.Header.Set(message.HeaderRetryAfter, string(req.Body))
+			return r
+		}
+		for header, want := range map[string][2]time.Duration{
+			"": {time.Second, time.Second}, "x": {time.Second, time.Second}, "-5": {time.Second, time.Second},
+			"30": {30 * time.Second, 45 * time.Second},
+		} {
+			req := read("a")
+			req.Body = []byte(header)
+			r := m.node("b1").Serve(t.Context(), req)
+			require.Equal(t, message.ReasonDeclined, r.Reason, header)
+			require.GreaterOrEqual(t, r.RetryAfter, want[0], header)
+			require.LessOrEqual(t, r.RetryAfter, want[1], header)
+		}
+	})
+}
--- a/internal/process/engine/deliver.go
+++ b/internal/process/engine/deliver.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
@@ -45,13 +49,57 @@
 	run := e.running.begin(req)
 	start := time.Now()
 	r := e.cfg.Target.Do(ctx, req)
-	permit.Release(time.Since(start), r)
 	unsent := r.Reason == message.ReasonInvalid || r.Err != nil && r.Err.Step == message.StepDial
 	invariant.Check(invariant.NotRunTruthful, r.Outcome != message.NotRun || unsent,
 		"request %s is reported as not run after it was sent to the target", req.ID)
+	r = e.declared(r, run)
+	permit.Release(time.Since(start), r)
 	e.running.end(run)
 	r.RetriesLeft = run.ledger.Close()
 	invariant.CheckErr(invariant.RetryConservation, run.ledger.Check())
 	r.Thresholds = run.thresholds()
 	return r
 }
+
+// declared turns an answer into "not run" if the target declares so and nothing that this node has seen speaks against it.
+// A declaration with a status below 500 counts for nothing: such an answer reports a success or a fault of the request.
+func (e *Engine) declared(r *message.Response, run *running) *message.Response {
+	if r.Outcome != message.Answered {
+		return r
+	}
+	declared := r.Header.Get(message.HeaderOutcome) == message.NotRun.String()
+	r.Header.Del(message.HeaderOutcome)
+	if !declared || r.Status < http.StatusInternalServerError {
+		return r
+	}
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	if run.open > 0 || run.effects {
+		return r
+	}
+	detail := fmt.Sprintf("target declares with status %d that it did nothing", r.Status)
+	if run.refusal != nil {
+		detail += ", because a call was not run: " + run.refusal.Error()
+	}
+	refusal := e.refuse(message.ReasonDeclined, message.StepRun, "%s", detail)
+	refusal.RetryAfter = max(run.retryAfter, targetRetryAfter(r.Header))
+	return refusal
+}
+
+const (
+	// maxTargetRetryAfter bounds what a target can tell callers.
+	maxTargetRetryAfter = time.Hour
+	// retryAfterSpread is the part of a target's Retry-After by which the times of callers differ at most: a target tells
+	// all callers the same, and they must not come back together.
+	retryAfterSpread = 0.5
+)
+
+// targetRetryAfter reads the whole seconds of a target's Retry-After header, or returns zero.
+func targetRetryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseUint(h.Get(message.HeaderRetryAfter), 10, 31)
+	if err != nil {
+		return 0
+	}
+	after := min(time.Duration(seconds)*time.Second, maxTargetRetryAfter)
+	return after + time.Duration(retryAfterSpread*rand.Float64()*float64(after))
+}
--- a/internal/process/engine/engine.go
+++ b/internal/process/engine/engine.go
@@ -165,7 +165,7 @@
 func (e *Engine) ServeOwn(ctx context.Context, req *message.Request) *message.Response {
 	e.active.Add(1)
 	defer e.active.Add(-1)
-	parent := e.running.find(req.ID, req.Span)
+	parent, possible := e.running.find(req.ID, req.Span)
 	pol, svc, route, refusal := e.prepareOwn(req, parent)
 	if refusal != nil {
 		return refusal
@@ -180,7 +180,14 @@
 		c.ledger = parent.ledger
 	}
 	req.Span = message.NewSpanID()
-	return e.route(ctx, c)
+	for _, run := range possible {
+		run.beginCall()
+	}
+	r := e.route(ctx, c)
+	for _, run := range possible {
+		run.endCall(r)
+	}
+	return r
 }
 
 // prepare checks a caller's request against the policy.
--- a/internal/process/engine/running.go
+++ b/internal/process/engine/running.go
@@ -17,8 +17,32 @@
 	deadline time.Time
 	ledger   *retry.Ledger
 
-	mu    sync.Mutex
-	below map[string]message.Priority // thresholds of the services that the target called
+	mu         sync.Mutex
+	below      map[string]message.Priority // thresholds of the services that the target called
+	open       int                         // calls of the target that have not ended
+	effects    bool                        // a call of the target was answered, or may have run
+	refusal    *message.Error              // of the last call that was not run
+	retryAfter time.Duration               // longest of the calls that were not run
+}
+
+// beginCall counts a call that the target makes, which endCall must end.
+func (r *running) beginCall() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open++
+}
+
+// endCall records the outcome of a call.
+func (r *running) endCall(resp *message.Response) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open--
+	if resp.Outcome != message.NotRun {
+		r.effects = true
+		return
+	}
+	r.refusal = resp.Err
+	r.retryAfter = max(r.retryAfter, resp.RetryAfter)
 }
 
 // learn records thresholds of services below.
@@ -85,7 +109,7 @@
 	runs := s.runs[r.id]
 	for i := range runs {
 		if runs[i] == r {
-			runs = append(runs[:i:i], runs[i+1:]...)
+			runs = append(runs[:i:i], runs[i+1:]...) // a copy, because find hands out parts of the slice
 			break
 		}
 	}
@@ -96,20 +120,21 @@
 	s.runs[r.id] = runs
 }
 
-// find returns the running request with the trace ID, preferably the one with the span. A target that starts spans of its
-// own sends another span; when several requests of one trace run, the latest one is taken.
-func (t *runningTable) find(id message.ID, span message.SpanID) *running {
+// find returns the running request that made a call with the trace ID, and all that may have made it. A target that passes
+// its span on names the request. One that starts spans of its own sends another span; when several requests of one trace
+// run, the call may be of any of them, and counts as one of the latest.
+func (t *runningTable) find(id message.ID, span message.SpanID) (parent *running, possible []*running) {
 	s := &t.shards[id[0]%runningShards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	runs := s.runs[id]
-	for _, r := range runs {
+	for i, r := range runs {
 		if r.span == span {
-			return r
+			return r, runs[i : i+1 : i+1]
 		}
 	}
 	if len(runs) == 0 {
-		return nil
+		return nil, nil
 	}
-	return runs[len(runs)-1]
+	return runs[len(runs)-1], runs[:len(runs):len(runs)]
 }
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -115,6 +115,7 @@
 	ReasonTooLarge           // a body or header exceeds its limit
 	ReasonInternal           // a fault of the node itself
 	ReasonKeyRequired        // the route needs an idempotency key
+	ReasonDeclined           // the target declares that it did nothing
 )
 
 var reasonNames = [...]string{
@@ -134,6 +135,7 @@
 	ReasonTooLarge:    "too-large",
 	ReasonInternal:    "internal",
 	ReasonKeyRequired: "key-required",
+	ReasonDeclined:    "declined",
 }
 
 // String returns the name used in logs, metrics and error bodies.
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -47,7 +47,8 @@
 	ColdFactor float64       // factor on the service time when cold; default 5
 
 	// Calls are the calls made for each request, one after the other: "service/path" for GET, or
-	// "METHOD:service/path". A call that fails or is not answered with a 2xx status fails the request with 502.
+	// "METHOD:service/path". A call that fails or is not answered with a 2xx status fails the request with 502. If the
+	// first call was not run, the request had no effects, and its answer says so.
 	Calls []string
 
 	ReportLag  time.Duration // age of what the health and load endpoints report; default 0
@@ -58,7 +59,7 @@
 	DrainGrace    time.Duration // time between the draining announcement and the end of the listener; default 1 s
 
 	// RecordFile gets each execution as a line of JSON when it begins, so that the record outlives a target that is
-	// killed. Default: none.
+	// killed, and a second line with the same start if the target declares that the execution had no effects. Default: none.
 	RecordFile string
 }
 
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -1,13 +1,18 @@
 package target
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,6 +114,46 @@
 	require.Equal(t, []bool{true, false}, []bool{tg.Executions()[0].Completed, tg.Executions()[1].Completed})
 }
 
+// Guards against a target that declares a request as not run although a call of it may have had effects, or that does not
+// declare it although nothing was done; the first lets an order run twice, the second loses it.
+func TestTargetDeclaresRequestsWithoutEffects(t *testing.T) {
+	for _, c := range []struct {
+		outcomes []string // of the calls
+		declared string
+	}{
+		{[]string{"not-run"}, "not-run"},
+		{[]string{"unknown"}, ""},
+		{[]string{"answered", "not-run"}, ""},
+	} {
+		var calls atomic.Int64
+		node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !strings.HasPrefix(r.URL.Path, "/stock/") {
+				return // an announcement
+			}
+			outcome := c.outcomes[calls.Add(1)-1]
+			w.Header().Set(message.HeaderOutcome, outcome)
+			if outcome != "answered" {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}))
+		defer node.Close()
+		record := filepath.Join(t.TempDir(), "executions")
+		tg, err := Start(Options{Node: node.Listener.Addr().String(), RecordFile: record,
+			Calls: []string{"POST:stock/take", "POST:stock/book"}[:len(c.outcomes)]})
+		require.NoError(t, err)
+		defer tg.Close()
+		resp, err := http.Get("http://" + tg.Addr() + "/x")
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, []any{http.StatusBadGateway, c.declared}, []any{resp.StatusCode, resp.Header.Get(message.HeaderOutcome)}, "%+v", c)
+		declined := c.declared != ""
+		require.Equal(t, declined, tg.Executions()[0].Declined, "%+v", c)
+		lines, err := os.ReadFile(record)
+		require.NoError(t, err)
+		require.Equal(t, declined, bytes.Contains(lines, []byte(`"declined":true`)), "%+v", c)
+	}
+}
+
 // Guards against a drain that cuts off a running request or does not tell the node.
 func TestDrainAnnouncesAndWaits(t *testing.T) {
 	node := &fakeNode{status: http.StatusOK}
--- a/test/process/callers_test.go
+++ b/test/process/callers_test.go
@@ -167,7 +167,8 @@
 	l.s.await(fmt.Sprintf("%d orders", want), func() bool { return l.orders() >= want })
 }
 
-// ledger holds what the targets of a site ran, by service, method and path, and by request ID.
+// ledger holds what the targets of a site ran, by service, method and path, and by request ID. Executions that the target
+// declined had no effects: their requests may be reported as not run, and may run again.
 type ledger struct {
 	byPath, byRequest map[string][]target.Execution
 }
@@ -186,6 +187,9 @@
 			require.Equal(s.t, len(recorded), len(reported), "%s: the record file and the target differ", v.name())
 		}
 		for _, e := range all {
+			if e.Declined {
+				continue
+			}
 			at := v.service + " " + e.Method + " " + e.Path
 			l.byPath[at] = append(l.byPath[at], e)
 			l.byRequest[e.RequestID] = append(l.byRequest[e.RequestID], e)
--- a/test/process/site_test.go
+++ b/test/process/site_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -363,7 +364,8 @@
 	return all
 }
 
-// recorded returns what one process of the VM's target ran.
+// recorded returns what one process of the VM's target ran. The second line of a declined execution takes the place of its
+// first one.
 func (v *vm) recorded(name string) []target.Execution {
 	t := v.site.t
 	t.Helper()
@@ -374,7 +376,15 @@
 	for lines.Scan() {
 		var e target.Execution
 		require.NoError(t, json.Unmarshal(lines.Bytes(), &e), "%s: %q", name, lines.Text())
-		all = append(all, e)
+		if !e.Declined {
+			all = append(all, e)
+			continue
+		}
+		i := slices.IndexFunc(all, func(begun target.Execution) bool {
+			return begun.RequestID == e.RequestID && begun.Start.Equal(e.Start) && begun.Path == e.Path
+		})
+		require.GreaterOrEqual(t, i, 0, "%s: %q was declined and never begun", name, lines.Text())
+		all[i] = e
 	}
 	require.NoError(t, lines.Err())
 	return all
