Give back a retry that finds no target

A retry was taken from the ledger and from the service's bucket before a target was picked. If all targets had been tried or were ejected, nothing was sent, and yet the retry counted as spent: a caller lost one with each of its own attempts. The retry is now given back to both. A ledger that has a retry while the bucket has none gets it back too.

Picking before taking was ruled out: a pick counts as a request in flight at the target and would have to be undone.

Before: go test -race ./internal/process/engine -run TestRetryWithoutTarget expected: []interface {}{0x2, 2} actual: []interface {}{0x2, 1} (outcome, retries left) After: ok. The property test of the ledger draws retries that are given back; spent + held + left == bound holds.

--- a/internal/process/engine/call.go
+++ b/internal/process/engine/call.go
@@ -56,10 +56,12 @@
 			"request %s of route %q may have run and is tried again", c.req.ID, c.route.Name)
 		r, address := e.attempt(ctx, c, exclude)
 		if address == "" && last != nil {
+			c.ledger.GiveBack()
+			bucket.GiveBack()
 			return final(last, doubt) // says more than that no target is left
 		}
 		doubt = doubt || r.Outcome == message.Unknown
-		if r.Outcome == message.Answered || !retryable(ctx, c, r) || c.ledger.Left() == 0 || !bucket.Take() || !c.ledger.Take() {
+		if r.Outcome == message.Answered || !retryable(ctx, c, r) || !takeRetry(c.ledger, bucket) {
 			return final(r, doubt)
 		}
 		exclude = append(exclude, address)
@@ -67,6 +69,18 @@
 	}
 }
 
+// takeRetry takes a retry of the request and of its service, or neither.
+func takeRetry(l *retry.Ledger, b *retry.Bucket) bool {
+	if !l.Take() {
+		return false
+	}
+	if !b.Take() {
+		l.GiveBack()
+		return false
+	}
+	return true
+}
+
 // retryable reports whether another attempt can help and is safe.
 func retryable(ctx context.Context, c *call, r *message.Response) bool {
 	if ctx.Err() != nil {
--- a/internal/process/engine/engine_test.go
+++ b/internal/process/engine/engine_test.go
@@ -346,3 +346,20 @@
 		require.Equal(t, "admit b1: queue full", r.Err.Error())
 	})
 }
+
+// Guards against a retry that counts as used although no target was left to send it to.
+func TestRetryWithoutTargetIsGivenBack(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t, "a1", "b1", "b2")
+			m.fate = func(string, *message.Request) fate { return refused }
+			req := order("b", m.node("a1").keys.Issue(1)[0])
+			req.Method = method
+			for left := policy.DefaultRetryBudget - 1; left >= 0; left-- { // two targets: one retry in each attempt of the caller
+				again := *req
+				r := m.node("a1").Serve(t.Context(), &again)
+				require.Equal(t, []any{message.NotRun, left}, []any{r.Outcome, r.RetriesLeft}, method)
+			}
+		})
+	}
+}
--- a/internal/request/retry/bucket.go
+++ b/internal/request/retry/bucket.go
@@ -27,11 +27,15 @@
 func (b *Bucket) SetRatio(ratio float64) { b.ratio.Store(int64(ratio * milli)) }
 
 // Earn records a first attempt.
-func (b *Bucket) Earn() {
-	earned := b.ratio.Load()
+func (b *Bucket) Earn() { b.add(b.ratio.Load()) }
+
+// GiveBack undoes a Take whose attempt was not made.
+func (b *Bucket) GiveBack() { b.add(milli) }
+
+func (b *Bucket) add(tokens int64) {
 	for {
 		have := b.tokens.Load()
-		next := min(have+earned, maxBucketRetries*milli)
+		next := min(have+tokens, maxBucketRetries*milli)
 		if next == have || b.tokens.CompareAndSwap(have, next) {
 			return
 		}
--- a/internal/request/retry/ledger.go
+++ b/internal/request/retry/ledger.go
@@ -37,6 +37,14 @@
 	return true
 }
 
+// GiveBack undoes a Take whose attempt was not made, because no target was left to send it to.
+func (l *Ledger) GiveBack() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.left++
+	l.spent--
+}
+
 // Share is the part of a budget that was handed down with one call. It must be settled once, by Return or Lose.
 type Share struct {
 	ledger *Ledger
--- a/internal/request/retry/retry_test.go
+++ b/internal/request/retry/retry_test.go
@@ -17,7 +17,11 @@
 		hop = func(l *Ledger, depth int) {
 			for range rapid.IntRange(0, 3).Draw(t, "calls") {
 				if l.Take() {
-					used++
+					if rapid.Bool().Draw(t, "unsent") {
+						l.GiveBack()
+					} else {
+						used++
+					}
 				}
 				handDown := l.HandDown
 				if rapid.Bool().Draw(t, "forwarded") {
@@ -81,3 +85,18 @@
 	require.LessOrEqual(t, retries, 1000/10+maxBucketRetries)
 	require.GreaterOrEqual(t, retries, 1000/10)
 }
+
+// Guards against retries that were not made and still use up the ratio of a service, and against a bucket that holds more
+// than its burst after they are given back.
+func TestBucketTakesBackUnsentRetries(t *testing.T) {
+	b := NewBucket(0.1)
+	b.GiveBack()
+	for range 10 * maxBucketRetries {
+		require.True(t, b.Take())
+		b.GiveBack()
+	}
+	for range maxBucketRetries {
+		require.True(t, b.Take())
+	}
+	require.False(t, b.Take())
+}
