Keep the retry budget of an order at its key's home node

A caller that repeated an order at several entry nodes without Wigeon-Retry-Budget got a retry budget at each of them, and with a new request ID for each attempt also at a single one. No state is shared.

Before: go test -race ./internal/process/engine -run TestBudgetOfAn "8" is not less than or equal to "3", seed 0 (200 seeds, three entry nodes, with and without the same request ID, keys issued by a node and chosen by the caller) After: ok, and some seed uses the whole budget of 3.

Reads have no such node.

go test -race ./internal/process/engine ./internal/process/node ./internal/measure ./client: ok.

--- a/internal/process/engine/engine_test.go
+++ b/internal/process/engine/engine_test.go
@@ -92,6 +92,41 @@
 	require.Equal(t, policy.DefaultRetryBudget, most, "no seed used the whole budget")
 }
 
+// Guards against a new budget at each entry node, and for each request ID, for an order whose caller does not say what is
+// left of its budget.
+func TestBudgetOfAnOrderHoldsWithoutHeader(t *testing.T) {
+	most := 0
+	for seed := range uint64(200) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t, "a1", "a2", "a3", "b1", "b2", "c1")
+			rng := rand.New(rand.NewPCG(seed, 3))
+			m.fate = func(to string, _ *message.Request) fate {
+				if to[:1] == "a" && rng.IntN(10) > 0 {
+					return refused
+				}
+				return fate(rng.IntN(3))
+			}
+			req := order("a", []string{m.node("c1").keys.Issue(1)[0], "order-17"}[seed%2])
+			calls := 0
+			for try := range 9 {
+				again := *req
+				if seed/2%2 == 0 {
+					again.ID = message.NewID()
+				}
+				before := m.attempts.Load()
+				m.node([]string{"b1", "c1", "b2"}[try%3]).Serve(t.Context(), &again)
+				if m.attempts.Load() > before {
+					calls++
+				}
+			}
+			retries := int(m.attempts.Load()) - calls
+			require.LessOrEqual(t, retries, policy.DefaultRetryBudget, "seed %d", seed)
+			most = max(most, retries)
+		})
+	}
+	require.Equal(t, policy.DefaultRetryBudget, most, "no seed used the whole budget")
+}
+
 // Guards against a second execution of a request whose response was lost, and against a call that gives up although the
 // first target refused the connection.
 func TestOnlyProvablyUnsentRequestsMoveToAnotherTarget(t *testing.T) {
--- a/internal/process/engine/keyed.go
+++ b/internal/process/engine/keyed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
@@ -147,10 +148,32 @@
 	if res.Verdict == once.Wait {
 		res = res.Running.Wait(ctx)
 	}
-	if res.Verdict == once.Run {
-		return e.runClaim(ctx, c, res.Claim)
+	if res.Verdict != once.Run {
+		return e.named(res.Response)
 	}
-	return e.named(res.Response)
+	if c.req.Hop > 0 {
+		return e.runClaim(ctx, c, res.Claim) // the budget of the request above covers it
+	}
+	return e.runOrder(ctx, c, key, res.Claim)
+}
+
+// runOrder runs the claim of a caller's request within the retry budget of its key. All attempts of such a request pass
+// through the home node of its key, so the budget holds whichever entry nodes and request IDs the caller uses.
+func (e *Engine) runOrder(ctx context.Context, c *call, key once.Key, claim *once.Claim) *message.Response {
+	share := c.ledger.HandDownAll()
+	ledger := e.roots.get(keyID(key), share.Size()).ledger
+	ledger.Limit(share.Size())
+	c.ledger = ledger
+	r := e.runClaim(ctx, c, claim)
+	share.Return(ledger.Left())
+	invariant.CheckErr(invariant.RetryConservation, ledger.Check())
+	return r
+}
+
+// keyID returns the ID under which the budget of a key is remembered.
+func keyID(key once.Key) message.ID {
+	sum := sha256.Sum256([]byte(key.Text))
+	return message.ID(sum[:len(message.ID{})])
 }
 
 // runClaim runs the call and settles its claim. It does not stop when the caller leaves: the response is recorded, and a
