Resolve keys and match routes in one place in the engine

Parsing a key and finding its binding stood in keyed.go twice, for the entry node and for the home node, and only the first set a Retry-After when the platform did not answer. match returned four values that each of its three callers put into a call; it now returns the call. In the client, order had the name of what callers place, and resetAvoided always returned true.

--- a/client/client.go
+++ b/client/client.go
@@ -198,9 +198,9 @@
 	return req.Idempotent
 }
 
-// order returns all nodes in the order in which to try them: zone by zone, rotated within the zone, and those that
+// candidates returns all nodes in the order in which to try them: zone by zone, rotated within the zone, and those that
 // recently could not be reached last.
-func (c *Client) order() []*node {
+func (c *Client) candidates() []*node {
 	var up, down []*node
 	offset := c.next.Add(1)
 	now := time.Now()
@@ -270,7 +270,7 @@
 		x.key, x.issuer = "", nil
 	}
 	last := result{outcome: message.NotRun, reason: message.ReasonConnection.String(), step: message.StepDial, detail: "no node can be reached"}
-	for _, n := range x.c.order() {
+	for _, n := range x.c.candidates() {
 		if x.avoid[n] {
 			continue
 		}
@@ -331,14 +331,13 @@
 		return false
 	}
 	if x.refusedKey(r) {
-		return x.untried() || x.resetAvoided()
+		x.ensureUntried()
+		return true
 	}
 	if r.answered && r.retryAfter == 0 && !x.c.opts.IgnoreRetryAfter && !(retryElsewhere[r.reason] && x.untried()) {
 		return false // the node says that a repeat is of no use
 	}
-	if !x.untried() {
-		x.resetAvoided()
-	}
+	x.ensureUntried()
 	return x.wait(ctx, x.delay(r))
 }
 
@@ -353,10 +352,11 @@
 	return false
 }
 
-// resetAvoided makes all nodes available again.
-func (x *exchange) resetAvoided() bool {
-	clear(x.avoid)
-	return true
+// ensureUntried makes all nodes available again if every one was tried.
+func (x *exchange) ensureUntried() {
+	if !x.untried() {
+		clear(x.avoid)
+	}
 }
 
 // delay returns the time until the next attempt, or a negative time if it is too long.
--- a/internal/process/engine/call.go
+++ b/internal/process/engine/call.go
@@ -13,11 +13,11 @@
 // call is one call of a service by this node, with all its attempts.
 type call struct {
 	req    *message.Request
+	policy *policy.Policy
 	svc    *policy.Service
 	route  *policy.Route
-	parent *running // the request at the own target that makes the call; nil for a caller's request
-	ledger *retry.Ledger
-	ratio  float64
+	parent *running      // the request at the own target that makes the call; nil for a caller's request
+	ledger *retry.Ledger // set before route
 }
 
 // A hop passes on a slightly earlier deadline, so that the response of the hop below arrives before its own deadline.
@@ -46,7 +46,7 @@
 
 // attempts tries targets until one answers, the retries are used up, or going on could run the request twice.
 func (e *Engine) attempts(ctx context.Context, c *call) *message.Response {
-	bucket := e.buckets.get(c.svc.Name, c.ratio)
+	bucket := e.buckets.get(c.svc.Name, c.policy.Retry.Ratio)
 	bucket.Earn()
 	var exclude []string
 	doubt := false
--- a/internal/process/engine/engine.go
+++ b/internal/process/engine/engine.go
@@ -120,16 +120,17 @@
 func (e *Engine) Serve(ctx context.Context, req *message.Request) *message.Response {
 	e.active.Add(1)
 	defer e.active.Add(-1)
-	pol, svc, route, refusal := e.prepare(req)
+	c, refusal := e.prepare(req)
 	if refusal != nil {
 		return e.refused(ctx, req, refusal)
 	}
 	req.Hop = 0
-	req.Priority = message.NewPriority(route.Rank, req.ID)
-	root := e.roots.get(req.ID, min(req.Retries, pol.Retry.Budget))
+	req.Priority = message.NewPriority(c.route.Rank, req.ID)
+	root := e.roots.get(req.ID, min(req.Retries, c.policy.Retry.Budget))
 	root.ledger.Limit(req.Retries) // attempts at other nodes since may have used some
+	c.ledger = root.ledger
 	root.begin()
-	r := root.end(e.route(ctx, &call{req: req, svc: svc, route: route, ledger: root.ledger, ratio: pol.Retry.Ratio}))
+	r := root.end(e.route(ctx, c))
 	r.RetriesLeft = root.ledger.Left()
 	invariant.CheckErr(invariant.RetryConservation, root.ledger.Check())
 	return r
@@ -166,13 +167,12 @@
 	e.active.Add(1)
 	defer e.active.Add(-1)
 	parent, possible := e.running.find(req.ID, req.Span)
-	pol, svc, route, refusal := e.prepareOwn(req, parent)
+	c, refusal := e.prepareOwn(req, parent)
 	if refusal != nil {
 		return refusal
 	}
-	c := &call{req: req, svc: svc, route: route, parent: parent, ratio: pol.Retry.Ratio}
 	if parent == nil {
-		req.Priority = message.NewPriority(route.Rank, req.ID)
+		req.Priority = message.NewPriority(c.route.Rank, req.ID)
 		c.ledger = retry.NewLedger(0)
 	} else {
 		req.Priority = parent.priority
@@ -191,43 +191,48 @@
 }
 
 // prepare checks a caller's request against the policy.
-func (e *Engine) prepare(req *message.Request) (*policy.Policy, *policy.Service, *policy.Route, *message.Response) {
+func (e *Engine) prepare(req *message.Request) (*call, *message.Response) {
 	if r := e.closed(); r != nil {
-		return nil, nil, nil, r
+		return nil, r
 	}
 	return e.match(req)
 }
 
 // prepareOwn is prepare for a call of the own target. A node that is leaving still serves the calls of requests that run
 // at its target, because a graceful stop lets them end.
-func (e *Engine) prepareOwn(req *message.Request, parent *running) (*policy.Policy, *policy.Service, *policy.Route, *message.Response) {
+func (e *Engine) prepareOwn(req *message.Request, parent *running) (*call, *message.Response) {
 	if parent == nil {
 		return e.prepare(req)
 	}
 	if req.Deadline.IsZero() || parent.deadline.Before(req.Deadline) {
 		req.Deadline = parent.deadline
 	}
-	return e.match(req)
+	c, refusal := e.match(req)
+	if refusal != nil {
+		return nil, refusal
+	}
+	c.parent = parent
+	return c, nil
 }
 
-// match finds the route of a request and sets what the route decides.
-func (e *Engine) match(req *message.Request) (*policy.Policy, *policy.Service, *policy.Route, *message.Response) {
+// match finds the route of a request, sets what the route decides, and returns a call without a ledger.
+func (e *Engine) match(req *message.Request) (*call, *message.Response) {
 	pol := e.cfg.Policy.Load()
 	if pol == nil {
-		return nil, nil, nil, e.refuse(message.ReasonUnconfirmed, message.StepConfigure, "no configuration yet")
+		return nil, e.refuse(message.ReasonUnconfirmed, message.StepConfigure, "no configuration yet")
 	}
 	svc, ok := pol.Services[req.Service]
 	if !ok {
-		return nil, nil, nil, e.refuse(message.ReasonNoService, message.StepConfigure, "unknown service %q", req.Service)
+		return nil, e.refuse(message.ReasonNoService, message.StepConfigure, "unknown service %q", req.Service)
 	}
 	route, ok := svc.Match(req.Method, req.Path)
 	if !ok {
-		return nil, nil, nil, e.refuse(message.ReasonNoService, message.StepConfigure,
+		return nil, e.refuse(message.ReasonNoService, message.StepConfigure,
 			"service %q has no route for %s %s", req.Service, req.Method, req.Path)
 	}
 	req.Idempotent = route.Idempotent
 	if latest := time.Now().Add(route.Timeout); req.Deadline.IsZero() || latest.Before(req.Deadline) {
 		req.Deadline = latest
 	}
-	return pol, svc, route, nil
+	return &call{req: req, policy: pol, svc: svc, route: route}, nil
 }
--- a/internal/process/engine/keyed.go
+++ b/internal/process/engine/keyed.go
@@ -23,14 +23,14 @@
 		// A target that sends no key makes one call, which this node alone repeats.
 		c.req.Key = e.cfg.Keys.Issue(1)[0]
 	}
-	key, err := once.Parse(c.req.Key)
-	if err != nil {
-		return e.refuse(message.ReasonInvalid, message.StepKey, "%v", err)
+	key, refusal := e.bound(ctx, c.req.Key)
+	if refusal != nil {
+		return refusal
 	}
-	if !key.Bound() {
-		return e.bind(ctx, c, key)
+	if key.Home == e.cfg.Address {
+		return e.claim(ctx, c, key)
 	}
-	return e.atHome(ctx, c, key)
+	return e.sendHome(ctx, c, key)
 }
 
 // recorded answers a repeat of a request whose key has a record at this node, or returns nil. It comes before everything
@@ -60,26 +60,30 @@
 	return r
 }
 
-// bind finds or makes the binding of a key that the caller chose. A node that cannot read the binding cannot know
+// bound parses a key and finds or makes its binding if the caller chose it. A node that cannot read the binding cannot know
 // whether an earlier attempt ran at another home node, so the outcome is unknown.
-func (e *Engine) bind(ctx context.Context, c *call, key once.Key) *message.Response {
+func (e *Engine) bound(ctx context.Context, text string) (once.Key, *message.Response) {
+	key, err := once.Parse(text)
+	if err != nil {
+		return key, e.refuse(message.ReasonInvalid, message.StepKey, "%v", err)
+	}
+	if key.Bound() {
+		return key, nil
+	}
 	if e.cfg.Binder == nil {
-		return e.refuse(message.ReasonPlatform, message.StepKey, "keys that callers chose need a platform")
+		return key, e.refuse(message.ReasonPlatform, message.StepKey, "keys that callers chose need a platform")
 	}
 	binding, err := e.cfg.Binder.Bind(ctx, key)
 	if err != nil {
 		r := message.Doubt(message.ReasonPlatform, message.Errorf(message.StepKey, e.cfg.Address, "%v", err))
 		r.RetryAfter = platformRetryAfter
-		return r
+		return key, r
 	}
-	return e.atHome(ctx, c, binding.Key)
+	return binding.Key, nil
 }
 
-// atHome runs the call if this node is the key's home and passes it on otherwise.
-func (e *Engine) atHome(ctx context.Context, c *call, key once.Key) *message.Response {
-	if key.Home == e.cfg.Address {
-		return e.claim(ctx, c, key)
-	}
+// sendHome passes the call on to the home node of its key.
+func (e *Engine) sendHome(ctx context.Context, c *call, key once.Key) *message.Response {
 	// This node makes no attempts of its own, so the home node gets all retries.
 	share := c.ledger.HandDownAll()
 	home := *c.req
@@ -116,24 +120,14 @@
 }
 
 func (e *Engine) home(ctx context.Context, req *message.Request, ledger *retry.Ledger) *message.Response {
-	pol, svc, route, refusal := e.match(req)
+	c, refusal := e.match(req)
 	if refusal != nil {
 		return refusal
 	}
-	c := &call{req: req, svc: svc, route: route, ledger: ledger, ratio: pol.Retry.Ratio}
-	key, err := once.Parse(req.Key)
-	if err != nil {
-		return e.refuse(message.ReasonInvalid, message.StepKey, "%v", err)
-	}
-	if !key.Bound() {
-		if e.cfg.Binder == nil {
-			return e.refuse(message.ReasonPlatform, message.StepKey, "keys that callers chose need a platform")
-		}
-		binding, err := e.cfg.Binder.Bind(ctx, key)
-		if err != nil {
-			return message.Doubt(message.ReasonPlatform, message.Errorf(message.StepKey, e.cfg.Address, "%v", err))
-		}
-		key = binding.Key
+	c.ledger = ledger
+	key, refusal := e.bound(ctx, req.Key)
+	if refusal != nil {
+		return refusal
 	}
 	if key.Home != e.cfg.Address {
 		return message.Doubt(message.ReasonKeyExpired,
