--- a/client/keys.go
+++ b/client/keys.go
@@ -96,16 +96,10 @@
 	if err != nil {
 		return n.failed(false, message.StepKey, reasonOf(ctx, err), err), false
 	}
-	var issued issuedKeys
 	if resp.StatusCode != http.StatusOK {
-		r := n.failed(false, message.StepKey, message.ReasonInternal, fmt.Errorf("the node issued no keys: status %d", resp.StatusCode))
-		r.retryAfter = parseRetryAfter(resp.Header.Get(message.HeaderRetryAfter))
-		r.answered = r.retryAfter > 0
-		if reason := resp.Header.Get(message.HeaderReason); reason != "" {
-			r.reason = reason
-		}
-		return r, false
+		return n.refusedKeys(resp), false
 	}
+	var issued issuedKeys
 	if err := json.Unmarshal(body, &issued); err != nil || len(issued.Keys) == 0 {
 		return n.failed(false, message.StepKey, message.ReasonInternal, errors.Join(errNoKeys, err)), false
 	}
@@ -114,3 +108,14 @@
 	n.keys.set(issued.Keys, asked.Add(valid-min(n.opts.Timeout, valid/2)))
 	return result{}, true
 }
+
+// refusedKeys reads the response of a node that issues no keys.
+func (n *node) refusedKeys(resp *http.Response) result {
+	r := n.failed(false, message.StepKey, message.ReasonInternal, fmt.Errorf("the node issued no keys: status %d", resp.StatusCode))
+	r.retryAfter = parseRetryAfter(resp.Header.Get(message.HeaderRetryAfter))
+	r.answered = r.retryAfter > 0
+	if reason := resp.Header.Get(message.HeaderReason); reason != "" {
+		r.reason = reason
+	}
+	return r
+}
