Let the simulation's target declare that it did nothing

The target of the simulation answered 502 when its call was not run, and its caller's repeats got the recorded 502. It now declares, if its first call was not run. Its ledger leaves declined executions out of those that make a duplicate or a false "not run", because they had no effects; the final "not run" of a request is now held against the executions at all services instead of its first one only.

--- a/internal/measure/figures.go
+++ b/internal/measure/figures.go
@@ -111,7 +111,7 @@
 // a later attempt of the same request did.
 func (f *Figures) check(w *World, r *result) {
 	l := w.ledger
-	if r.outcome == message.NotRun && l.ran(r.id, r.route.Service) || l.began(r.refused) {
+	if r.outcome == message.NotRun && l.ran(r.id) || l.began(r.refused) {
 		f.FalseNotRun++
 	}
 	if r.mixed {
--- a/internal/measure/target.go
+++ b/internal/measure/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,32 +58,38 @@
 	start := time.Now()
 	end := t.world.ledger.begin(req, t.service.Name)
 	defer func() { <-t.slots }()
-	status, ok := t.run(ctx, req)
-	end(time.Since(start), ok && status == http.StatusOK)
-	if !ok {
+	resp := t.run(ctx, req)
+	end(time.Since(start), resp)
+	if resp == nil {
 		return message.Doubt(message.ReasonDeadline, message.Errorf(message.StepRun, t.service.Name, "%v", ctx.Err()))
 	}
-	return &message.Response{Outcome: message.Answered, Status: status, Body: req.ID[:]}
+	return resp
 }
 
-// run does the work and the calls. It reports false if the caller left.
-func (t *fakeTarget) run(ctx context.Context, req *message.Request) (int, bool) {
+// run does the work and the calls. It returns nil if the caller left. A request whose first call was not run has had no
+// effects, and the answer declares so.
+func (t *fakeTarget) run(ctx context.Context, req *message.Request) *message.Response {
+	resp := &message.Response{Outcome: message.Answered, Status: http.StatusOK, Body: req.ID[:]}
 	if !sleep(ctx, t.serviceTime()) {
-		return 0, false
+		return nil
 	}
-	for _, below := range t.service.Calls {
+	for i, below := range t.service.Calls {
 		r := t.node.ServeOwn(ctx, &message.Request{
 			ID: req.ID, Span: req.Span, Service: below, Method: http.MethodGet, Path: "/",
 			Deadline: req.Deadline, Retries: 1 << 30,
 		})
 		if ctx.Err() != nil {
-			return 0, false
+			return nil
 		}
 		if r.Outcome != message.Answered || r.Status != http.StatusOK {
-			return http.StatusBadGateway, true
+			resp.Status = http.StatusBadGateway
+			if i == 0 && r.Outcome == message.NotRun {
+				resp.Header = http.Header{message.HeaderOutcome: {r.Outcome.String()}}
+			}
+			return resp
 		}
 	}
-	return http.StatusOK, true
+	return resp
 }
 
 // serviceTime draws from 50 % to 150 % of the mean.
@@ -105,39 +112,49 @@
 
 // execution is one run of a request at a target.
 type execution struct {
-	service string
-	took    time.Duration
-	ok      bool
+	service  string
+	took     time.Duration
+	ok       bool
+	declined bool // it had no effects, and the target declared so
 }
 
 // ledger records what the targets ran, by root request.
 type ledger struct {
 	mu       sync.Mutex
 	runs     map[message.ID][]*execution
-	attempts map[message.ID]int // requests handed to a target's node
-	keys     map[string]int     // executions by idempotency key
-	spans    map[message.SpanID]bool
+	attempts map[message.ID]int     // requests handed to a target's node
+	keys     map[string]int         // executions by idempotency key
+	spans    map[message.SpanID]int // executions by the caller's attempt
 }
 
 func newLedger() *ledger {
 	return &ledger{runs: map[message.ID][]*execution{}, attempts: map[message.ID]int{}, keys: map[string]int{},
-		spans: map[message.SpanID]bool{}}
+		spans: map[message.SpanID]int{}}
 }
 
-// begin records the start of an execution and returns the function that ends it.
-func (l *ledger) begin(req *message.Request, service string) func(took time.Duration, ok bool) {
+// begin records the start of an execution and returns the function that ends it. One that the target declined does not count
+// as an execution of its key and its attempt.
+func (l *ledger) begin(req *message.Request, service string) func(took time.Duration, resp *message.Response) {
 	x := &execution{service: service}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[req.ID] = append(l.runs[req.ID], x)
-	l.spans[req.Span] = true
+	l.spans[req.Span]++
 	if req.Key != "" {
 		l.keys[req.Key]++
 	}
-	return func(took time.Duration, ok bool) {
+	return func(took time.Duration, resp *message.Response) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		x.took, x.ok = took, ok
+		x.took, x.ok = took, resp != nil && resp.Status == http.StatusOK
+		x.declined = resp != nil && resp.Header.Get(message.HeaderOutcome) != ""
+		if !x.declined {
+			return
+		}
+		l.spans[req.Span]--
+		if req.Key != "" {
+			l.keys[req.Key]--
+		}
 	}
 }
 
@@ -147,16 +164,11 @@
 	l.attempts[id]++
 }
 
-// ran reports whether a target of the service began to run the root request.
-func (l *ledger) ran(id message.ID, service string) bool {
+// ran reports whether a target of any service began to run the root request and did not decline it.
+func (l *ledger) ran(id message.ID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, x := range l.runs[id] {
-		if x.service == service {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(l.runs[id], func(x *execution) bool { return !x.declined })
 }
 
 // began reports whether a target began to run one of the attempts, which their callers identify by spans.
@@ -164,7 +176,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, span := range attempts {
-		if l.spans[span] {
+		if l.spans[span] > 0 {
 			return true
 		}
 	}
