--- a/internal/process/engine/call.go
+++ b/internal/process/engine/call.go
@@ -13,11 +13,11 @@
 // call is one call of a service by this node, with all its attempts.
 type call struct {
 	req    *message.Request
+	policy *policy.Policy
 	svc    *policy.Service
 	route  *policy.Route
-	parent *running // the request at the own target that makes the call; nil for a caller's request
-	ledger *retry.Ledger
-	ratio  float64
+	parent *running      // the request at the own target that makes the call; nil for a caller's request
+	ledger *retry.Ledger // set before route
 }
 
 // A hop passes on a slightly earlier deadline, so that the response of the hop below arrives before its own deadline.
@@ -46,7 +46,7 @@
 
 // attempts tries targets until one answers, the retries are used up, or going on could run the request twice.
 func (e *Engine) attempts(ctx context.Context, c *call) *message.Response {
-	bucket := e.buckets.get(c.svc.Name, c.ratio)
+	bucket := e.buckets.get(c.svc.Name, c.policy.Retry.Ratio)
 	bucket.Earn()
 	var exclude []string
 	doubt := false
@@ -56,10 +56,12 @@
 			"request %s of route %q may have run and is tried again", c.req.ID, c.route.Name)
 		r, address := e.attempt(ctx, c, exclude)
 		if address == "" && last != nil {
+			c.ledger.GiveBack()
+			bucket.GiveBack()
 			return final(last, doubt) // says more than that no target is left
 		}
 		doubt = doubt || r.Outcome == message.Unknown
-		if r.Outcome == message.Answered || !retryable(ctx, c, r) || c.ledger.Left() == 0 || !bucket.Take() || !c.ledger.Take() {
+		if r.Outcome == message.Answered || !retryable(ctx, c, r) || !takeRetry(c.ledger, bucket) {
 			return final(r, doubt)
 		}
 		exclude = append(exclude, address)
@@ -67,6 +69,18 @@
 	}
 }
 
+// takeRetry takes a retry of the request and of its service, or neither.
+func takeRetry(l *retry.Ledger, b *retry.Bucket) bool {
+	if !l.Take() {
+		return false
+	}
+	if !b.Take() {
+		l.GiveBack()
+		return false
+	}
+	return true
+}
+
 // retryable reports whether another attempt can help and is safe.
 func retryable(ctx context.Context, c *call, r *message.Response) bool {
 	if ctx.Err() != nil {
@@ -126,12 +140,12 @@
 }
 
 // settle takes back what a call left of its retries. A response that this node made up itself for a lost one carries
-// nothing back; a request that was not run has used nothing.
+// nothing back; a request that was not run has used nothing, unless its target made calls before it declined.
 func settle(share *retry.Share, r *message.Response) {
 	switch {
-	case r.Outcome == message.NotRun:
+	case r.Outcome == message.NotRun && r.Reason != message.ReasonDeclined:
 		share.Return(share.Size())
-	case r.Outcome == message.Answered:
+	case r.Outcome == message.Answered, r.Outcome == message.NotRun:
 		share.Return(r.RetriesLeft)
 	default:
 		share.Lose()
