Give a target's declaration a header of its own

A target declared with Wigeon-Outcome: not-run that it did nothing. Nodes send the same header with the responses to the target's own calls, so a target that passes on the headers of such a response with a status of 503 declared by mistake, also if it had effects of its own that its node cannot see.

The header is now Wigeon-Declined: true, which nodes never send and always remove. Wigeon-Outcome of a target is removed and counts for nothing.

--- a/internal/measure/target.go
+++ b/internal/measure/target.go
@@ -84,7 +84,7 @@
 		if r.Outcome != message.Answered || r.Status != http.StatusOK {
 			resp.Status = http.StatusBadGateway
 			if i == 0 && r.Outcome == message.NotRun {
-				resp.Header = http.Header{message.HeaderOutcome: {r.Outcome.String()}}
+				resp.Header = http.Header{message.HeaderDeclined: {message.Declined}}
 			}
 			return resp
 		}
@@ -147,7 +147,7 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		x.took, x.ok = took, resp != nil && resp.Status == http.StatusOK
-		x.declined = resp != nil && resp.Header.Get(message.HeaderOutcome) != ""
+		x.declined = resp != nil && resp.Header.Get(message.HeaderDeclined) != ""
 		if !x.declined {
 			return
 		}
--- a/internal/process/engine/deliver.go
+++ b/internal/process/engine/deliver.go
@@ -67,7 +67,8 @@
 	if r.Outcome != message.Answered {
 		return r
 	}
-	declared := r.Header.Get(message.HeaderOutcome) == message.NotRun.String()
+	declared := r.Header.Get(message.HeaderDeclined) == message.Declined
+	r.Header.Del(message.HeaderDeclined)
 	r.Header.Del(message.HeaderOutcome)
 	if !declared || r.Status < http.StatusInternalServerError {
 		return r
--- a/internal/request/message/header.go
+++ b/internal/request/message/header.go
@@ -13,8 +13,14 @@
 	HeaderTimeout      = "Wigeon-Timeout-Ms"   // milliseconds that the caller waits
 	HeaderRetries      = "Wigeon-Retry-Budget" // retries left of the request's budget
 	HeaderReason       = "Wigeon-Reason"
+	// HeaderDeclined is set by targets only. Nodes never send it, so that a target that passes on the headers of its own
+	// calls does not decline by mistake.
+	HeaderDeclined = "Wigeon-Declined"
 )
 
+// Declined is the value of HeaderDeclined.
+const Declined = "true"
+
 // hopHeaders apply to one connection only and are never passed on (RFC 9110, section 7.6.1).
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -79,7 +79,7 @@
 		w.Header().Set(message.HeaderRetryAfter, "1")
 	}
 	if declines(err) {
-		w.Header().Set(message.HeaderOutcome, message.NotRun.String())
+		w.Header().Set(message.HeaderDeclined, message.Declined)
 	}
 	writeJSON(w, status, a)
 }
