--- a/internal/process/shed/shed.go
+++ b/internal/process/shed/shed.go
@@ -2,7 +2,8 @@
 // hop works for a request that a later hop sheds.
 //
 // The thresholds come back with responses. They are estimates: they are smoothed over the targets of a service, they lapse
-// when no response renews them, and a small share of the requests below them passes as probes.
+// when no response renews them, and a small share of the requests below them passes as probes once no response has renewed
+// them for probeAfter.
 //
 // A Table is safe for concurrent use. Admit and Current read copy-on-write snapshots and atomics; a mutex is taken only
 // when a service or route is seen for the first time.
@@ -34,7 +35,10 @@
 	// probeShare is the share of requests below a threshold that pass, and probeInterval the shortest time between two
 	// probes of a service. The share keeps probes rare in front of many entry nodes, the interval keeps them
 	// rare under a high rate.
-	probeShare    = 1.0 / 32
+	probeShare = 1.0 / 32
+	// probeAfter is the age of a threshold from which probes pass. While the requests that are admitted renew it, a probe
+	// tells nothing new, and the work of the hops above is lost with almost every one.
+	probeAfter    = 100 * time.Millisecond
 	probeInterval = 50 * time.Millisecond
 	// needMemory is the time for which a route counts as needing a service that its responses no longer name.
 	needMemory = time.Minute
@@ -231,6 +235,9 @@
 
 // passProbe reports whether a request below the threshold passes as a probe.
 func (t *Table) passProbe(e *entry, now int64) bool {
+	if now-int64(e.state.Load()>>16) < probeAfter.Milliseconds() {
+		return false
+	}
 	last := e.probe.Load()
 	if now-last < probeInterval.Milliseconds() || t.random() >= probeShare {
 		return false
