Shed by rank only behind the entry node

A node in the middle sheds by its own estimate and loses the work of the hops above, while other targets have room in their queues.

A request for which earlier hops have worked is now shed in the middle only if the threshold has passed its whole rank; within a rank, the queue of the target decides. Shedding the lowest ranks first is unchanged.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -25,6 +25,17 @@
 type Work struct {
 	Priority message.Priority
 	Deadline time.Time // zero: none
+	// Worked says that earlier hops have worked for the request. The threshold then refuses it by its rank only: within
+	// a rank it is an estimate for entry nodes, and the queue decides about work that would be lost.
+	Worked bool
+}
+
+// shedPriority returns the priority that is compared with the threshold.
+func (w Work) shedPriority() message.Priority {
+	if w.Worked {
+		return w.Priority.TopOfRank()
+	}
+	return w.Priority
 }
 
 // Result describes how a request ended at the target.
@@ -147,7 +158,7 @@
 		return message.ReasonLeaving
 	case !c.meets(now, 0, w):
 		return message.ReasonDeadline
-	case w.Priority < c.shedder.threshold && !c.idle():
+	case w.shedPriority() < c.shedder.threshold && !c.idle():
 		return message.ReasonOverload
 	}
 	return message.ReasonNone
--- a/internal/process/engine/call.go
+++ b/internal/process/engine/call.go
@@ -33,7 +33,7 @@
 	if r := e.recorded(ctx, c.req); r != nil {
 		return r
 	}
-	if ok, blocking, after := e.cfg.Shedder.Admit(c.req.Service, c.route.Name, c.req.Priority); !ok {
+	if ok, blocking, after := e.cfg.Shedder.Admit(c.req.Service, c.route.Name, c.shedPriority()); !ok {
 		r := e.refuse(message.ReasonOverload, message.StepShed, "service %q sheds priority %d", blocking, c.req.Priority)
 		r.RetryAfter = after
 		return r
@@ -44,6 +44,16 @@
 	return e.keyed(ctx, c)
 }
 
+// shedPriority returns the priority that counts for shedding. Behind the entry node a threshold sheds whole ranks only:
+// within a rank it is an estimate for entry nodes, and a request that this node sheds after its target has worked is lost,
+// although the targets of the next hop often have room for it in their queues.
+func (c *call) shedPriority() message.Priority {
+	if c.req.Hop > 0 {
+		return c.req.Priority.TopOfRank()
+	}
+	return c.req.Priority
+}
+
 // attempts tries targets until one answers, the retries are used up, or going on could run the request twice.
 func (e *Engine) attempts(ctx context.Context, c *call) *message.Response {
 	bucket := e.buckets.get(c.svc.Name, c.ratio)
--- a/internal/process/engine/deliver.go
+++ b/internal/process/engine/deliver.go
@@ -35,7 +35,7 @@
 	if !e.cfg.Ready() {
 		return e.refuse(message.ReasonLeaving, message.StepAdmit, "target takes no work")
 	}
-	permit, refusal := e.cfg.Admission.Acquire(ctx, req.Priority, req.Deadline)
+	permit, refusal := e.cfg.Admission.Acquire(ctx, req)
 	if refusal != nil {
 		if refusal.Err == nil {
 			refusal.Err = message.Errorf(message.StepAdmit, "", "%s", refusal.Reason)
--- a/internal/process/engine/engine.go
+++ b/internal/process/engine/engine.go
@@ -32,7 +32,7 @@
 // Admission guards the target beside this node.
 type Admission interface {
 	// Acquire waits for a slot. It returns a permit, or a response that says why the request was not run.
-	Acquire(ctx context.Context, p message.Priority, deadline time.Time) (Permit, *message.Response)
+	Acquire(ctx context.Context, req *message.Request) (Permit, *message.Response)
 	// Threshold returns the lowest priority that is admitted at present.
 	Threshold() message.Priority
 	Load() message.Load
--- a/internal/process/engine/guard.go
+++ b/internal/process/engine/guard.go
@@ -16,8 +16,8 @@
 // Guard returns the Admission of a controller.
 func Guard(c *admission.Controller) Admission { return guard{c} }
 
-func (g guard) Acquire(ctx context.Context, p message.Priority, deadline time.Time) (Permit, *message.Response) {
-	permit, err := g.Controller.Acquire(ctx, admission.Work{Priority: p, Deadline: deadline})
+func (g guard) Acquire(ctx context.Context, req *message.Request) (Permit, *message.Response) {
+	permit, err := g.Controller.Acquire(ctx, admission.Work{Priority: req.Priority, Deadline: req.Deadline, Worked: req.Hop > 0})
 	if err == nil {
 		return guardPermit{permit}, nil
 	}
--- a/internal/process/engine/mesh_test.go
+++ b/internal/process/engine/mesh_test.go
@@ -150,7 +150,7 @@
 }
 
 // Acquire, Threshold and Load implement Admission.
-func (n *meshNode) Acquire(context.Context, message.Priority, time.Time) (Permit, *message.Response) {
+func (n *meshNode) Acquire(context.Context, *message.Request) (Permit, *message.Response) {
 	if n.full.Load() {
 		return nil, message.Refuse(message.ReasonOverload, message.Errorf(message.StepAdmit, "", "queue full"))
 	}
--- a/internal/request/message/priority.go
+++ b/internal/request/message/priority.go
@@ -23,3 +23,8 @@
 func (p Priority) Rank() uint8 {
 	return uint8(p >> hashBits)
 }
+
+// TopOfRank returns the highest priority of the same rank.
+func (p Priority) TopOfRank() Priority {
+	return p | (1<<hashBits - 1)
+}
