Lower the threshold by the demand that idle slots hold

Cause: a target behind entry nodes sees hardly any requests below its threshold, so the bound that takes their number from the arrivals never applied, and the threshold fell by up to 30 % of a rank each interval. The demand of one priority now follows from the admitted part of the rank, and one decrease fills a fifth of the idle slots.

--- a/internal/process/admission/shedder.go
+++ b/internal/process/admission/shedder.go
@@ -45,6 +45,12 @@
 	idleStep = 0.3
 	// minIdleStep keeps the threshold falling while few slots are idle.
 	minIdleStep = 2
+	// fillShare is the part of the idle slots that the requests of one decrease may fill if entry nodes shed those below the
+	// threshold. They arrive three to five intervals later, when the hops above have done their work, and each of these
+	// intervals lowers the threshold again.
+	fillShare = 0.2
+	// fillWidth is the least number of admitted priorities of a rank from which the demand of one priority is estimated.
+	fillWidth = 4
 	// rankShare is the demand of a rank and those above, as a share of the capacity, from which the threshold enters the
 	// rank. Work of a rank that fits is left to the queue, which absorbs bursts; a threshold would refuse it at all nodes.
 	rankShare = 1.1
@@ -57,6 +63,7 @@
 	pressure  float64            // refused requests per departure, smoothed
 	seen      [256]time.Duration // time of the last arrival per rank, plus one
 	demand    [256]float64       // arrivals per interval and rank, smoothed
+	admitted  [256]float64       // the part of demand at or above the threshold
 	capacity  float64            // departures per interval with all slots in use, smoothed
 	scratch   [sampleSize]message.Priority
 }
@@ -100,10 +107,15 @@
 	weight := min(max(sh.capacity/demandSamples, minDemandWeight), maxDemandWeight)
 	for rank := range sh.demand {
 		sh.demand[rank] *= 1 - weight
+		sh.admitted[rank] *= 1 - weight
 	}
 	n := min(m.arrivals, sampleSize)
 	for _, p := range m.sample[:n] {
-		sh.demand[p.Rank()] += weight * scale * float64(m.arrivals) / float64(n)
+		arrivals := weight * scale * float64(m.arrivals) / float64(n)
+		sh.demand[p.Rank()] += arrivals
+		if p >= sh.threshold {
+			sh.admitted[p.Rank()] += arrivals
+		}
 	}
 	if use >= raiseUtilisation {
 		if sh.capacity == 0 {
@@ -168,11 +180,24 @@
 		spare := float64(m.departures) * (1 - use) / use
 		if fit := max(1, int(gain*spare/weight)); fit < from {
 			next = max(next, s[from-fit])
+		} else if n, ok := sh.filling(spare); ok {
+			next = max(next, sh.below(now, n))
 		}
 	}
 	sh.threshold = next
 }
 
+// filling returns the number of priorities whose requests fill part of the spare capacity. Requests that entry nodes shed don't
+// show among the arrivals, so their number follows from the admitted part of the threshold's rank.
+func (sh *shedder) filling(spare float64) (int, bool) {
+	width := message.MaxRank + 1 - int(sh.threshold&message.MaxRank)
+	admitted := sh.admitted[sh.threshold.Rank()]
+	if admitted == 0 || width < fillWidth {
+		return 0, false
+	}
+	return max(1, int(fillShare*spare*float64(width)/admitted)), true
+}
+
 // below returns the priority a number of steps below the threshold. Ranks that are not in use are skipped, since
 // no request would be admitted by stepping through them.
 func (sh *shedder) below(now time.Duration, step int) message.Priority {
--- /dev/null
+++ b/internal/process/admission/shedder_test.go
@@ -0,0 +1,58 @@
+package admission
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// Guards against the loss of work of earlier hops to an estimate, and against work of a lower rank that passes it.
+func TestWorkedIsShedByRankOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newController(testLimits(4))
+		permits := fillSlots(t, c)
+		c.shedder.threshold = rankRead<<8 | 200
+		later := time.Now().Add(time.Second)
+		_, err := c.Acquire(t.Context(), Work{Priority: rankRead<<8 | 100, Deadline: later})
+		require.Error(t, err)
+		_, err = c.Acquire(t.Context(), Work{Priority: (rankRead-1)<<8 | 255, Deadline: later, Worked: true})
+		require.Error(t, err)
+		waiting := queueUp(context.Background(), c, Work{Priority: rankRead<<8 | 100, Deadline: later, Worked: true})
+		synctest.Wait()
+		require.Equal(t, 1, c.queue.len())
+		for _, p := range permits {
+			p.Release(Result{Latency: time.Millisecond})
+		}
+		synctest.Wait()
+		require.Equal(t, message.ReasonNone, waiting.reason())
+	})
+}
+
+// Guards against a threshold that falls so far, before the first requests that it lets through arrive, that they exceed the
+// idle slots: entry nodes shed what is below it, and the hops above take four intervals.
+func TestThresholdFallsByWhatIdleSlotsHold(t *testing.T) {
+	const lowest, perInterval, use = 0xd0, 12, 0.8
+	sh := shedder{threshold: rankRead<<8 | lowest}
+	perPriority := float64(perInterval) / (256 - lowest)
+	var m meter
+	for i := range perInterval {
+		m.arrive(message.Priority(rankRead<<8|lowest+4*i), sh.threshold)
+	}
+	m.departures = perInterval
+	sh.see(rankRead, 0)
+	for range 500 { // until the averages hold
+		sh.measure(&m, use, perInterval, tickInterval)
+	}
+	before := sh.threshold
+	for range 4 {
+		sh.lower(0, &m, use)
+	}
+	require.Less(t, sh.threshold, before)
+	spare := perInterval * (1 - use) / use
+	require.LessOrEqual(t, float64(before-sh.threshold)*perPriority, spare)
+}
--- a/internal/process/engine/engine_test.go
+++ b/internal/process/engine/engine_test.go
@@ -346,3 +346,12 @@
 		require.Equal(t, "admit b1: queue full", r.Err.Error())
 	})
 }
+
+// Guards against a node in the middle of a chain that sheds a part of a rank by its own estimate, and against a lower rank
+// that gets past a threshold because earlier hops have worked for it.
+func TestShedPriorityBehindEntry(t *testing.T) {
+	entry := call{req: &message.Request{Priority: 10<<8 | 7}}
+	require.Equal(t, message.Priority(10<<8|7), entry.shedPriority())
+	behind := call{req: &message.Request{Priority: 10<<8 | 7, Hop: 1}}
+	require.Equal(t, message.Priority(10<<8|255), behind.shedPriority())
+}
