Wait for the body in TestLostAcknowledgementBeforeRollForward

Its preparation waits 1 s until the node whose messages are lost has acknowledged the proposal. The node fetches the body first from up to three peers that named it and one neighbour, 250 ms each, and these requests are lost, so that the object store may be asked only after 1 s. The preparation now waits up to 2 s; all checks are the same.

--- a/internal/version/rollout/findings_test.go
+++ b/internal/version/rollout/findings_test.go
@@ -40,7 +40,8 @@
 	alone := s.nodes[0]
 	s.cut = func(from, _ *simNode) bool { return from == alone } // hears the others, is not heard
 	s.submit(s.nodes[6], s.change("b", "ben", 1))
-	for i := 0; i < 1000 && alone.m.ackID != "b"; i++ {
+	// Its requests for the body are lost, up to four of them at 250 ms each, before it asks the object store.
+	for i := 0; i < 2000 && alone.m.ackID != "b"; i++ {
 		s.run(time.Millisecond)
 	}
 	require.Equal(t, "b", alone.m.ackID)
