Pack the records in membership messages

The answer to a join was 212 KB at 2,300 members and the healing of an availability zone cost 218 KB per member at 1,000: records were CBOR maps with addresses, zones and services as text in each of them. They now travel in a packed form: the texts that records share once per message, IPv4 addresses in 6 bytes, incarnations as differences. Messages hold up to 200 records instead of 100, still below 16 KiB.

A node of an earlier release does not see the records of this one.

--- a/internal/process/membership/message.go
+++ b/internal/process/membership/message.go
@@ -32,8 +32,8 @@
 	maxUpdates = 4096
 	maxText    = 255
 	// updatesPerMessage keeps a message with complete records below 16 KiB, the size from which frames of requests on
-	// the same connection would wait noticeably.
-	updatesPerMessage = 100
+	// the same connection would wait noticeably, if a record has up to 80 bytes.
+	updatesPerMessage = 200
 	// briefsPerMessage is the same limit for updates without Info.
 	briefsPerMessage = 400
 )
@@ -47,34 +47,35 @@
 	Incarnation uint64   `cbor:"2,keyasint,omitempty"` // of the sender
 	Seq         uint32   `cbor:"3,keyasint,omitempty"`
 	Target      string   `cbor:"4,keyasint,omitempty"`
-	Updates     []Update `cbor:"5,keyasint,omitempty"`
+	Updates     []Update `cbor:"-"` // packed on the wire
 	Hash        uint64   `cbor:"6,keyasint,omitempty"`
 	Buckets     []byte   `cbor:"7,keyasint,omitempty"`
 	Wants       []string `cbor:"8,keyasint,omitempty"`
 	Mask        uint64   `cbor:"9,keyasint,omitempty"`
 	Last        bool     `cbor:"10,keyasint,omitempty"` // the last part of the view that answers a join
+	Packed      []byte   `cbor:"11,keyasint,omitempty"` // Updates on the wire only; key 5 held them in an earlier form
 }
 
 // Update is a statement about one member.
 type Update struct {
-	Address     string `cbor:"1,keyasint"`
-	Incarnation uint64 `cbor:"2,keyasint"`
-	State       State  `cbor:"3,keyasint"`
-	SinceBorn   uint64 `cbor:"4,keyasint,omitempty"` // Incarnation - Member.Born
-	SinceMeta   uint64 `cbor:"5,keyasint,omitempty"` // Incarnation - Member.Meta
-	Info        *Info  `cbor:"6,keyasint,omitempty"` // absent where the receiver should have it
-	Age         uint32 `cbor:"7,keyasint,omitempty"` // seconds since a member died or left
+	Address     string
+	Incarnation uint64
+	State       State
+	SinceBorn   uint64 // Incarnation - Member.Born
+	SinceMeta   uint64 // Incarnation - Member.Meta
+	Info        *Info  // absent where the receiver should have it
+	Age         uint32 // seconds since a member died or left
 }
 
 // Info is the part of a record that changes rarely.
 type Info struct {
-	Caller   string `cbor:"1,keyasint,omitempty"`
-	Instance uint64 `cbor:"2,keyasint"`
-	Zone     string `cbor:"3,keyasint,omitempty"`
-	Region   string `cbor:"4,keyasint,omitempty"`
-	Service  string `cbor:"5,keyasint,omitempty"`
-	Slots    int    `cbor:"6,keyasint,omitempty"`
-	Stated   State  `cbor:"7,keyasint,omitempty"` // only where it differs from the state
+	Caller   string
+	Instance uint64
+	Zone     string
+	Region   string
+	Service  string
+	Slots    int
+	Stated   State // only where it differs from the state
 }
 
 func (u *Update) born() uint64 { return u.Incarnation - u.SinceBorn }
@@ -113,7 +114,9 @@
 
 // Encode returns the wire form of the message.
 func (m *Message) Encode() ([]byte, error) {
-	b, err := cbor.Marshal(m)
+	wire := *m
+	wire.Packed = pack(m.Updates)
+	b, err := cbor.Marshal(&wire)
 	if err != nil {
 		return nil, fmt.Errorf("encode membership message: %w", err)
 	}
@@ -135,6 +138,11 @@
 	if len(m.Buckets) != 0 && len(m.Buckets) != buckets*bucketBytes {
 		return nil, fmt.Errorf("%w: %d bytes of bucket hashes", ErrInvalid, len(m.Buckets))
 	}
+	updates, err := unpack(m.Packed)
+	if err != nil {
+		return nil, err
+	}
+	m.Updates, m.Packed = updates, nil
 	for i := range m.Updates {
 		if err := m.Updates[i].check(); err != nil {
 			return nil, err
--- a/internal/process/membership/message_test.go
+++ b/internal/process/membership/message_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 func sampleMember() *Member {
@@ -46,6 +47,49 @@
 	require.LessOrEqual(t, len(b), 130)
 }
 
+// Guards against records that the packed form changes: addresses that are not IPv4 or not in the usual form, callers on
+// another host, numbers at their limits, and texts that records share.
+func TestPackedRecordsStayTheSame(t *testing.T) {
+	addresses := []string{"10.0.0.1:7400", "10.0.0.1:07400", "0.0.0.0:0", "[fd00::1]:7400", "[::ffff:10.0.0.1]:7400", "node-1:7400", "x"}
+	texts := []string{"", "a", "zone-4", strings.Repeat("z", maxText)}
+	rapid.Check(t, func(t *rapid.T) {
+		updates := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Update {
+			incarnation := rapid.Uint64Max(1<<64-2).Draw(t, "incarnation")
+			born := rapid.Uint64Max(incarnation).Draw(t, "born")
+			u := Update{
+				Address: rapid.SampledFrom(addresses).Draw(t, "address"), Incarnation: incarnation, SinceBorn: born,
+				SinceMeta: rapid.Uint64Max(born).Draw(t, "meta"), Age: rapid.Uint32().Draw(t, "age"),
+				State: State(rapid.IntRange(int(Joining), int(Left)).Draw(t, "state")),
+			}
+			if rapid.Bool().Draw(t, "info") {
+				text := func() string { return rapid.SampledFrom(texts).Draw(t, "text") }
+				u.Info = &Info{
+					Caller: rapid.SampledFrom(append(addresses, "")).Draw(t, "caller"), Instance: rapid.Uint64().Draw(t, "instance"),
+					Zone: text(), Region: text(), Service: text(), Slots: rapid.IntMin(0).Draw(t, "slots"),
+					Stated: State(rapid.IntRange(0, int(Left)).Draw(t, "stated")),
+				}
+			}
+			return u
+		}), 1, 20).Draw(t, "updates")
+		b, err := (&Message{Kind: KindSync, Updates: updates}).Encode()
+		require.NoError(t, err)
+		got, err := Decode(b)
+		require.NoError(t, err)
+		require.Equal(t, updates, got.Updates)
+	})
+}
+
+// Guards against an answer to a join that outgrows what a node may send: at the planned size the whole view must fit into
+// the 4 KB/s of half a minute, and each message into 16 KiB.
+func TestPackedSize(t *testing.T) {
+	size := 0
+	for _, b := range joinAnswer(2300) {
+		require.LessOrEqual(t, len(b), 16<<10)
+		size += len(b)
+	}
+	require.LessOrEqual(t, size, 30*4000)
+}
+
 // Guards against messages that make a node allocate without bound or hold a record that cannot be refuted.
 func TestDecodeRejects(t *testing.T) {
 	change := func(f func(*Update)) *Message {
--- a/internal/process/membership/senders.go
+++ b/internal/process/membership/senders.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// maxWaiting is the number of messages that may wait for one peer. The answer to a join at 2,300 members has 24.
+// maxWaiting is the number of messages that may wait for one peer. The answer to a join at 2,300 members has 12.
 const maxWaiting = 64
 
 // senders sends messages, each peer's in order, without letting a peer that hangs hold up the others. A peer has a
