Spread the answer to a join and drop known updates when views merge

One member sent the whole view to a node that joins, and a node that learned records after the last part passed them on to six neighbours that had them. The member that is asked now sends one share and has its neighbours send the others, from 200 members on. The new node pushes nothing of that, and compares views with two neighbours 1 s after it has joined, in case a share is missing.

When a partition heals, every member refutes its death, and neighbours sent each other the same refutations. From 32 waiting updates on a member waits 200 ms and leaves out what a neighbour has sent meanwhile.

Comparing views only by differences was not tried: the flood of refutations, one for each member, makes most of the bytes, and the rule that only the member itself can end its death needs them.

--- a/internal/process/membership/machine.go
+++ b/internal/process/membership/machine.go
@@ -80,8 +80,11 @@
 	nearOld  bool
 
 	buckets     [buckets]uint64
-	pending     map[string]bool // updates to push; true: with Info
-	order       []string        // keys of pending in the order of arrival
+	pending     map[string]*pendingUpdate // updates to push
+	order       []string                  // keys of pending in the order of arrival
+	compared    bool                      // has compared views
+	filling     bool                      // handles a part of the view that answers the own join, or fills a gap in it
+	fillUntil   time.Time
 	flushed     time.Time
 	probes      []probe
 	relays      []relay
@@ -111,7 +114,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, hashAddress(self.Address))), now: now, text: map[string]string{},
 		self: self, selfHash: hashAddress(self.Address), status: StatusJoining, started: now,
 		members: map[string]*entry{}, suspects: map[string]*entry{}, gone: map[string]*entry{},
-		announced: Starting, graph: newGraph(), pending: map[string]bool{}, lastHeard: now,
+		announced: Starting, graph: newGraph(), pending: map[string]*pendingUpdate{}, lastHeard: now,
 	}
 	m.graph.add(zoneKey{self.Region, self.Zone}, point{m.selfHash, self.Address})
 	m.nextProbe = now.Add(m.jitter(cfg.ProbeInterval))
--- a/internal/process/membership/message.go
+++ b/internal/process/membership/message.go
@@ -16,7 +16,7 @@
 	KindAck                     // Seq; Target if a relay passes it on
 	KindPingReq                 // Seq, Target: probe Target for the sender
 	KindGossip                  // Updates, to be forwarded once
-	KindJoin                    // Updates: the sender's own record; answered with the whole view
+	KindJoin                    // Updates: the sender's own record; answered with the view. Or Target, Mask: send Target these parts
 	KindSync                    // Updates from a comparison of views; not forwarded unless new
 	KindDigest                  // Hash of the sender's view
 	KindBuckets                 // Buckets: hashes of the parts of the sender's view
@@ -53,6 +53,7 @@
 	Wants       []string `cbor:"8,keyasint,omitempty"`
 	Mask        uint64   `cbor:"9,keyasint,omitempty"`
 	Last        bool     `cbor:"10,keyasint,omitempty"` // the last part of the view that answers a join
+	View        bool     `cbor:"12,keyasint,omitempty"` // a part of the view that answers a join
 	Packed      []byte   `cbor:"11,keyasint,omitempty"` // Updates on the wire only; key 5 held them in an earlier form
 }
 
--- a/internal/process/membership/self.go
+++ b/internal/process/membership/self.go
@@ -147,42 +147,88 @@
 	}
 }
 
-// handleJoin answers with the whole view. The sender's own record counts as gossip, so that it spreads.
+// joinShares is the number of members that answer a join together. At 2,300 members the view has 81 KB, which one member
+// would need 20 s of its traffic for.
+const joinShares = 8
+
+// handleJoin answers with the view. If it is large, neighbours send a share of its parts each; a share that gets lost is
+// made up for by the comparison of views that follows a join. The sender's own record counts as gossip, so that it spreads.
 func (m *Machine) handleJoin(from string, msg *Message) {
+	if msg.Target != "" {
+		m.sendView(msg.Target, msg.Mask, false)
+		return
+	}
 	for i := range msg.Updates {
 		if msg.Updates[i].Address == from {
 			m.apply(&msg.Updates[i], from, false)
 		}
 	}
-	updates := make([]Update, 0, len(m.members)+1)
-	updates = append(updates, m.self.full())
+	if len(m.seeds) == 0 {
+		m.joined()
+	}
+	// A node that joins itself or has left knows too little to let another one in.
+	member := m.status != StatusJoining && m.status != StatusLeft
+	rest := ^uint64(0)
+	if helpers := m.helpers(from); member && len(helpers) > 0 {
+		shares := make([]uint64, len(helpers)+1)
+		for i := range buckets {
+			shares[i%len(shares)] |= 1 << i
+		}
+		for i, h := range helpers {
+			m.send(h, &Message{Kind: KindJoin, Target: from, Mask: shares[i+1]})
+		}
+		rest = shares[0]
+	}
+	m.sendView(from, rest, member)
+	m.met = m.met || member
+}
+
+// helpers returns the neighbours that answer a join together with this node.
+func (m *Machine) helpers(joiner string) []string {
+	if len(m.members) <= updatesPerMessage {
+		return nil
+	}
+	var out []string
+	for _, a := range m.Neighbours() {
+		if e := m.members[a]; e != nil && e.State >= Starting && e.State <= Draining && a != joiner && len(out) < joinShares-1 {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// sendView sends complete records of the parts in the mask to a node that joins, dead and left members included.
+func (m *Machine) sendView(to string, mask uint64, last bool) {
+	updates := []Update{m.self.full()}
 	for _, e := range m.sorted {
-		if e.Address != from {
+		if e.Address != to && mask&(1<<bucketOf(e.hash)) != 0 {
 			updates = append(updates, m.complete(e))
 		}
 	}
 	for len(updates) > updatesPerMessage {
-		m.send(from, &Message{Kind: KindSync, Updates: updates[:updatesPerMessage]})
+		m.send(to, &Message{Kind: KindSync, Updates: updates[:updatesPerMessage], View: true})
 		updates = updates[updatesPerMessage:]
 	}
-	if len(m.seeds) == 0 {
-		m.joined()
-	}
-	// A node that joins itself or has left knows too little to let another one in.
-	member := m.status != StatusJoining && m.status != StatusLeft
-	m.send(from, &Message{Kind: KindSync, Updates: updates, Last: member})
-	m.met = m.met || member
+	m.send(to, &Message{Kind: KindSync, Updates: updates, View: true, Last: last})
 }
 
 // meet records that a peer's whole view arrived. From then on a process with a higher incarnation at the own address is
 // a replacement, not a predecessor.
 func (m *Machine) meet() { m.met, m.synced = true, true }
 
+// joinCheck is the time after a join at which views are compared, in case a part of the answer was lost. What the node
+// learns by that within joinFill is known to its neighbours and is not pushed to them.
+const (
+	joinCheck = time.Second
+	joinFill  = 3 * time.Second
+)
+
 func (m *Machine) joined() {
 	if m.status != StatusJoining {
 		return
 	}
 	m.setStatus(StatusActive)
+	m.nextSync, m.fillUntil = m.now.Add(joinCheck), m.now.Add(joinFill)
 	m.state(0, func(self *Member) {
 		self.State = m.announced
 		self.Meta = self.Incarnation
--- a/internal/process/membership/sync.go
+++ b/internal/process/membership/sync.go
@@ -32,13 +32,19 @@
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
-// startSync compares views with a random neighbour.
+// startSync compares views with a random neighbour, and the first time with two, since one of them may be the member whose
+// share of the answer to the join is missing.
 func (m *Machine) startSync() {
 	near := m.Neighbours()
 	if len(near) == 0 || m.status == StatusJoining {
 		return
 	}
-	m.send(near[m.rng.IntN(len(near))], &Message{Kind: KindDigest, Hash: m.viewHash()})
+	first := m.rng.IntN(len(near))
+	m.send(near[first], &Message{Kind: KindDigest, Hash: m.viewHash()})
+	if !m.compared && len(near) > 1 {
+		m.send(near[(first+1)%len(near)], &Message{Kind: KindDigest, Hash: m.viewHash()})
+	}
+	m.compared = true
 }
 
 // redial tries to reach a member that was declared dead, or a seed that is no member, so that a partition heals without
@@ -171,6 +177,7 @@
 // after one of these would never join if the answer to its join was lost.
 func (m *Machine) handleSync(from string, msg *Message) {
 	var corrections []Update
+	m.filling = msg.View || m.now.Before(m.fillUntil)
 	for i := range msg.Updates {
 		u := &msg.Updates[i]
 		if m.apply(u, from, true) {
@@ -179,6 +186,7 @@
 			}
 		}
 	}
+	m.filling = false
 	m.sendUpdates(from, KindSync, corrections)
 	if msg.Last {
 		m.meet()
--- a/internal/process/membership/update.go
+++ b/internal/process/membership/update.go
@@ -28,6 +28,9 @@
 		return false
 	}
 	if c := compare(u, &e.Member); c <= 0 {
+		if p := m.pending[u.Address]; c == 0 && p != nil {
+			p.known = append(p.known, from)
+		}
 		return c < 0
 	}
 	known := !e.partial && u.born() == e.Born && u.meta() == e.Meta
@@ -148,49 +151,66 @@
 }
 
 // push marks an update to be sent to the neighbours. A node that joins does not push what it learns, since it learns the
-// whole view.
+// whole view, parts of which may arrive after it has joined.
 func (m *Machine) push(address string, full bool) {
-	if m.status == StatusJoining && address != m.self.Address {
+	if (m.status == StatusJoining || m.filling) && address != m.self.Address {
 		return
 	}
-	if was, ok := m.pending[address]; !ok {
+	p := m.pending[address]
+	if p == nil {
 		m.order = append(m.order, address)
-	} else if was {
-		full = true
+		p = &pendingUpdate{}
+		m.pending[address] = p
 	}
-	m.pending[address] = full
+	p.full = p.full || full
+	p.known = nil // the update is new
+}
+
+// pendingUpdate is an update that waits to be pushed.
+type pendingUpdate struct {
+	full  bool     // with Info
+	known []string // neighbours that sent the same while it waited
 }
 
 // flush sends the pending updates to the neighbours, but not back to the peer that an update came from. The first update
-// after a quiet time is sent at once; those that follow within BatchDelay are sent together.
+// after a quiet time is sent at once; those that follow within BatchDelay are sent together. Many updates at once, as when
+// a partition heals, wait for longer, and go only to the neighbours that have not sent the same meanwhile.
 func (m *Machine) flush() {
-	if len(m.order) == 0 || m.now.Sub(m.flushed) < m.cfg.BatchDelay || m.status == StatusJoining {
+	wait := m.cfg.BatchDelay
+	if len(m.order) >= crowd {
+		wait = max(wait, crowdDelay)
+	}
+	if len(m.order) == 0 || m.now.Sub(m.flushed) < wait || m.status == StatusJoining {
 		return
 	}
 	m.flushed = m.now
 	updates := make([]Update, 0, len(m.order))
-	from := make([]string, 0, len(m.order))
+	known := make([][]string, 0, len(m.order))
 	for _, a := range m.order {
-		if u, f, ok := m.update(a, m.pending[a]); ok {
-			updates, from = append(updates, u), append(from, f)
+		p := m.pending[a]
+		if u, f, ok := m.update(a, p.full); ok {
+			updates, known = append(updates, u), append(known, append(p.known, f))
 		}
 	}
 	m.order = m.order[:0]
 	clear(m.pending)
 	for _, to := range m.Neighbours() {
-		some := updates
-		if slices.Contains(from, to) {
-			some = make([]Update, 0, len(updates))
-			for i, u := range updates {
-				if from[i] != to {
-					some = append(some, u)
-				}
+		some := make([]Update, 0, len(updates))
+		for i, u := range updates {
+			if !slices.Contains(known[i], to) {
+				some = append(some, u)
 			}
 		}
 		m.sendUpdates(to, KindGossip, some)
 	}
 }
 
+// Many updates wait at once when a partition heals, since every member refutes its death.
+const (
+	crowd      = 32 // updates
+	crowdDelay = 200 * time.Millisecond
+)
+
 func (m *Machine) update(address string, full bool) (u Update, from string, ok bool) {
 	if address == m.self.Address {
 		if full {
