Bound the links that a node keeps open

An entry node that sends to all 2,300 nodes kept up to 2,300 links, and accepted as many: 184 MB of 256 MB. The new setting max_links (default 1,000) closes the least recently used link when another one is opened. A link counts as idle if no request waits on it and it was not used for a second; the check and the mark that it is closed are one step, so that no request is cut. Links in use stay open beyond the bound. No go-away is sent: the peer sends nothing on such a link but responses.

Ruled out: an idle timeout that falls with the number of links closes links of peers that are used regularly; the order of use keeps these.

--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -52,6 +52,9 @@
 	HeartbeatTimeout time.Duration
 	// IdleTimeout is the time without requests after which a link is closed, to free memory on both sides. Default 5 min.
 	IdleTimeout time.Duration
+	// MaxLinks is the number of links that this node keeps open to peers. Above it the least recently used idle link is
+	// closed when another one is opened. A link takes about 41 KB at each end. Default 1,000.
+	MaxLinks int
 	// DialTimeout bounds the opening of a link. Default 500 ms.
 	DialTimeout time.Duration
 	// DialBackoff is the time after a failed dial in which further requests to the peer fail at once. Default 100 ms.
@@ -67,6 +70,9 @@
 	setDefault(&c.IdleTimeout, 5*time.Minute)
 	setDefault(&c.DialTimeout, 500*time.Millisecond)
 	setDefault(&c.DialBackoff, 100*time.Millisecond)
+	if c.MaxLinks == 0 {
+		c.MaxLinks = 1000
+	}
 	if c.MaxBody == 0 {
 		c.MaxBody = 16 << 20
 	}
--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,7 +25,8 @@
 	stop    context.CancelCauseFunc
 
 	generation atomic.Uint64
-	slots      sync.Map // peer address to *slot
+	slots      sync.Map   // peer address to *slot
+	trimming   sync.Mutex // held while trim looks for links to close
 
 	mu       sync.Mutex
 	accepted map[*inbound]struct{}
@@ -137,7 +139,8 @@
 	done := make(chan struct{})
 	s.dialing = done
 	p.serving.Go(func() {
-		defer close(done)
+		defer p.trim()
+		defer close(done) // before trim, so that the callers do not wait for it
 		l, err := p.open(address)
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -171,6 +174,64 @@
 	return newOutbound(p.ctx, conn, p.cfg, peer, generation, p.log), nil
 }
 
+// minIdle is the time without use before a link may be closed to make room. It leaves time to write control messages,
+// cancels and heartbeats that are still queued.
+const minIdle = time.Second
+
+var errSurplus = errors.New("least recently used of too many links")
+
+// trim closes the least recently used links above Config.MaxLinks. Links in use stay open, even if there are more.
+func (p *Pool) trim() {
+	p.trimming.Lock()
+	defer p.trimming.Unlock()
+	type candidate struct {
+		link *outbound
+		used time.Time
+	}
+	now := time.Now()
+	open := 0
+	var idle []candidate
+	p.slots.Range(func(_, v any) bool {
+		l := v.(*slot).link.Load()
+		if l == nil || !l.usable() {
+			return true
+		}
+		open++
+		if used, ok := l.idleSince(); ok && now.Sub(used) >= minIdle {
+			idle = append(idle, candidate{l, used})
+		}
+		return true
+	})
+	surplus := min(open-p.cfg.MaxLinks, len(idle))
+	if surplus <= 0 {
+		return
+	}
+	slices.SortFunc(idle, func(a, b candidate) int { return a.used.Compare(b.used) })
+	for _, c := range idle[:surplus] {
+		c.link.retire(c.used)
+	}
+}
+
+// idleSince returns the time of the last use of a link on which no request waits.
+func (o *outbound) idleSince() (time.Time, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lastUse, len(o.calls) == 0
+}
+
+// retire closes the link unless it was used after the given time. The check and the mark that it is closed are one step, so
+// that no request is cut: one that comes later is sent on a new link. The peer sends nothing on this link but responses, so
+// it needs no go-away.
+func (o *outbound) retire(used time.Time) {
+	o.mu.Lock()
+	surplus := !o.closed && len(o.calls) == 0 && !o.lastUse.After(used)
+	o.closed = o.closed || surplus
+	o.mu.Unlock()
+	if surplus {
+		o.stop(errSurplus)
+	}
+}
+
 // Accept serves a connection that a peer dialed until it ends.
 func (p *Pool) Accept(ctx context.Context, conn Conn) error {
 	peer, err := p.greet(ctx, conn)
--- /dev/null
+++ b/internal/connection/link/pool_test.go
@@ -0,0 +1,153 @@
+package link
+
+import (
+	"context"
+	"flag"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// fleet is a pool that dials many peers.
+type fleet struct {
+	dialer *Pool
+	peers  map[string]*Pool
+	dials  int
+	mu     sync.Mutex
+}
+
+func newFleet(cfg Config, targets int, h Handler) (*fleet, []string) {
+	log := slog.New(slog.DiscardHandler)
+	f := &fleet{peers: map[string]*Pool{}}
+	addresses := make([]string, targets)
+	for i := range addresses {
+		addresses[i] = "10.0." + string(rune('a'+i/100)) + "." + string(rune('a'+i%100))
+		f.peers[addresses[i]] = NewPool(Config{Self: Peer{Address: addresses[i]}}, nil, h, log)
+	}
+	f.dialer = NewPool(cfg, func(_ context.Context, address string) (Conn, error) {
+		a, b := newPipe()
+		f.mu.Lock()
+		f.dials++
+		f.mu.Unlock()
+		go func() { _ = f.peers[address].Accept(context.Background(), b) }()
+		return a, nil
+	}, h, log)
+	return f, addresses
+}
+
+func (f *fleet) close() {
+	f.dialer.Close()
+	for _, p := range f.peers {
+		p.Close()
+	}
+}
+
+// load is what an entry node saw: the most links that it had open, and the dials a second.
+type load struct {
+	most  int
+	dials float64
+}
+
+// run sends 20 requests a second, as an entry node of the planned size gets, to targets drawn at random, with bodies of up to
+// three bytes. The first warm part of the time is not counted.
+func (f *fleet) run(t *testing.T, addresses []string, warm, d time.Duration) (seen load) {
+	const every = 50 * time.Millisecond
+	rnd := rand.New(rand.NewPCG(1, 1))
+	var wg sync.WaitGroup
+	for at := time.Duration(0); at < warm+d; at += every {
+		if at == warm {
+			f.mu.Lock()
+			f.dials = 0
+			f.mu.Unlock()
+		}
+		to, body := addresses[rnd.IntN(len(addresses))], make([]byte, rnd.IntN(4))
+		wg.Go(func() {
+			r := f.dialer.Send(t.Context(), to, newRequest(body, time.Minute))
+			require.Equal(t, message.Answered, r.Outcome, "%v", r.Err)
+		})
+		time.Sleep(every)
+		if at%time.Second == 0 {
+			n, _ := f.dialer.Links()
+			seen.most = max(seen.most, n)
+		}
+	}
+	wg.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen.dials = float64(f.dials) / d.Seconds()
+	return seen
+}
+
+// slow answers after one second for each byte of the body.
+func slow(ctx context.Context, req *message.Request) *message.Response {
+	time.Sleep(time.Duration(len(req.Body)) * time.Second)
+	return echo(ctx, req)
+}
+
+// Guards against links that grow with the number of targets beyond the setting, and against a bound that cuts a request.
+func TestLinksStayWithinTheirNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const links = 100
+		f, addresses := newFleet(Config{Self: Peer{Address: "a"}, MaxLinks: links}, 300, &testHandler{fn: slow})
+		defer f.close()
+		seen := f.run(t, addresses, 0, 30*time.Second)
+		// A link in use, or used within minIdle, stays: 20 requests a second of up to 3 s.
+		require.LessOrEqual(t, seen.most, links)
+		require.Less(t, seen.dials, 20.0)
+	})
+}
+
+// Guards against a bound that closes links in use when all are.
+func TestLinksInUseStayOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, addresses := newFleet(Config{Self: Peer{Address: "a"}, MaxLinks: 2}, 20, &testHandler{
+			fn: func(ctx context.Context, req *message.Request) *message.Response {
+				time.Sleep(5 * time.Second)
+				return echo(ctx, req)
+			},
+		})
+		defer f.close()
+		var wg sync.WaitGroup
+		for _, a := range addresses {
+			wg.Go(func() {
+				r := f.dialer.Send(t.Context(), a, newRequest(nil, time.Minute))
+				require.Equal(t, message.Answered, r.Outcome, "%v", r.Err)
+			})
+			time.Sleep(200 * time.Millisecond)
+		}
+		n, _ := f.dialer.Links()
+		require.Equal(t, len(addresses), n)
+		wg.Wait()
+		time.Sleep(2 * minIdle)
+		r := f.dialer.Send(t.Context(), addresses[0], newRequest(nil, time.Minute))
+		require.Equal(t, message.Answered, r.Outcome)
+		f.dialer.trim()
+		synctest.Wait()
+		n, _ = f.dialer.Links()
+		require.Equal(t, 2, n)
+	})
+}
+
+var fleetLinks = flag.Int("max-links", 0, "simulate an entry node of 2,300 targets with this bound")
+
+// TestLinksOfEntryNode prints the links of an entry node at the planned size. It runs on demand only; its figures are in
+// docs/CAPACITY.md.
+func TestLinksOfEntryNode(t *testing.T) {
+	if *fleetLinks == 0 {
+		t.Log("run with -max-links N")
+		return
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f, addresses := newFleet(Config{Self: Peer{Address: "a"}, MaxLinks: *fleetLinks, IdleTimeout: 2 * time.Minute}, 2300, &testHandler{fn: echo})
+		defer f.close()
+		seen := f.run(t, addresses, 3*time.Minute, 2*time.Minute)
+		t.Logf("at most %d links: %d open, %.1f dials a second", *fleetLinks, seen.most, seen.dials)
+	})
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -103,6 +103,7 @@
 		HeartbeatInterval: s.Link.HeartbeatInterval,
 		HeartbeatTimeout:  s.Link.HeartbeatTimeout,
 		IdleTimeout:       s.Link.IdleTimeout,
+		MaxLinks:          s.Link.MaxLinks,
 	}, link.WebSocketDialer(http.DefaultClient), n, n.log)
 	n.engine = engine.New(engine.Config{
 		Address:   s.Node.PeerAddress,
--- a/internal/process/settings/schema.go
+++ b/internal/process/settings/schema.go
@@ -57,6 +57,7 @@
 		{Name: "heartbeat_interval", Type: schema.Duration, Default: "250ms", Min: "10ms", Max: "1m", Doc: "Time between heartbeats of a link. Longer: less control traffic; shorter: a silent link is found sooner."},
 		{Name: "heartbeat_timeout", Type: schema.Duration, Default: "1s", Min: "20ms", Max: "5m", Doc: "Silence after which a link is closed and its pending requests are resolved. Longer: a paused peer keeps its requests; shorter: callers get their final response sooner."},
 		{Name: "idle_timeout", Type: schema.Duration, Default: "2m", Min: "1s", Max: "24h", Doc: "Time without requests after which a link is closed. Longer: more open links; shorter: more calls wait for a new link."},
+		{Name: "max_links", Type: schema.Count, Default: "1000", Min: "16", Max: "100000", Doc: "Links to other nodes that stay open. Above it the least recently used idle link is closed when another one is opened. More: more memory, about 41 KB for a link at each of its two nodes; fewer: more calls wait for a new link."},
 	},
 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -60,6 +60,7 @@
 	HeartbeatInterval time.Duration
 	HeartbeatTimeout  time.Duration
 	IdleTimeout       time.Duration
+	MaxLinks          int
 }
 
 // Drain bounds a graceful stop.
@@ -116,6 +117,7 @@
 			HeartbeatInterval: link.Get("heartbeat_interval").Duration,
 			HeartbeatTimeout:  link.Get("heartbeat_timeout").Duration,
 			IdleTimeout:       link.Get("idle_timeout").Duration,
+			MaxLinks:          int(link.Get("max_links").Int),
 		},
 		Drain:  Drain{Limit: v.One("drain").Get("limit").Duration},
 		Policy: PolicyFiles{Base: v.One("policy").Get("base").Text, Overlay: v.One("policy").Get("overlay").Text},
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -53,7 +53,7 @@
 		Target:   Target{Service: "menu-board", Address: "127.0.0.1:9000", LeaseMin: time.Second, LeaseMax: 15 * time.Second},
 		Seeds:    []string{"10.0.0.2:8001", "[fd00::3]:8001"},
 		Platform: Platform{TableURL: "http://10.0.0.9:7000/table", ObjectsURL: "http://10.0.0.9:7000", Timeout: time.Second},
-		Link:     Link{HeartbeatInterval: 250 * time.Millisecond, HeartbeatTimeout: time.Second, IdleTimeout: 2 * time.Minute},
+		Link:     Link{HeartbeatInterval: 250 * time.Millisecond, HeartbeatTimeout: time.Second, IdleTimeout: 2 * time.Minute, MaxLinks: 1000},
 		Drain:    Drain{Limit: 30 * time.Second},
 		LogLevel: slog.LevelInfo,
 	}, s)
