Measure the whole view again in the join benchmarks

joinAnswer took the messages that one member sends to a node that joins, which is only a share since the answer is spread, so that TestPackedSize was weaker and BenchmarkUpdate panicked at 2,300 members.

--- a/internal/process/membership/capacity_test.go
+++ b/internal/process/membership/capacity_test.go
@@ -144,7 +144,7 @@
 	}
 	first.Receive(s.now, simAddress(1), &Message{Kind: KindSync, Updates: records})
 	first.Take()
-	first.Receive(s.now, simAddress(4999), &Message{Kind: KindJoin})
+	first.sendView(simAddress(4999), ^uint64(0), true) // the shares of all members that answer a join together
 	out, _ := first.Take()
 	var answer [][]byte
 	for _, e := range out {
