Describe the end of a join as it is now

Comments said that the last message of an answer to a join means that the whole view has arrived; shares of other members may come later.

--- a/internal/process/membership/self.go
+++ b/internal/process/membership/self.go
@@ -136,7 +136,7 @@
 	m.nextJoin = m.now.Add(m.cfg.JoinInterval)
 	asked := seedsPerAttempt
 	if m.now.Sub(m.started) < m.cfg.JoinInterval {
-		asked = 1 // an answer holds the whole view, so that two are asked only if the first does not answer
+		asked = 1 // an answer is large, so that two are asked only if the first does not answer
 	}
 	for range min(asked, len(m.seeds)) {
 		to := m.seeds[m.rng.IntN(len(m.seeds))]
@@ -212,7 +212,7 @@
 	m.send(to, &Message{Kind: KindSync, Updates: updates, View: true, Last: last})
 }
 
-// meet records that a peer's whole view arrived. From then on a process with a higher incarnation at the own address is
+// meet records that a peer answered the join. From then on a process with a higher incarnation at the own address is
 // a replacement, not a predecessor.
 func (m *Machine) meet() { m.met, m.synced = true, true }
 
--- a/internal/process/membership/sync.go
+++ b/internal/process/membership/sync.go
@@ -172,9 +172,9 @@
 	m.sendUpdates(from, KindSync, updates)
 }
 
-// handleSync takes over newer records and sends back those that are newer here. Only the last message of the answer to a
-// join says that the whole view has arrived. Others also come from peers that compare views, and a node that stopped to ask
-// after one of these would never join if the answer to its join was lost.
+// handleSync takes over newer records and sends back those that are newer here. Only the last message of the member that
+// was asked ends a join; the shares of its helpers may arrive later. Others also come from peers that compare views, and a
+// node that stopped to ask after one of these would never join if the answer to its join was lost.
 func (m *Machine) handleSync(from string, msg *Message) {
 	var corrections []Update
 	m.filling = msg.View || m.now.Before(m.fillUntil)
