Keep short rounds of votes in small sites, and raise the protocol version

Rounds of 1.0 s take 0.4 s of the bound of 2.5 s on the age of evidence in an outage of the platform, which large sites need for the traffic limit and small ones do not. Up to 100 live members rounds start every 0.7 s again.

Membership records and votes have a new form on the wire, which nodes of the version before ignored without a word. The protocol version is now 2, so that such nodes refuse each other's links and both log why.

--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -13,7 +13,7 @@
 )
 
 // ProtocolVersion is the version of the peer protocol. Nodes with different versions refuse each other's links.
-const ProtocolVersion = 1
+const ProtocolVersion = 2
 
 // Sizes of the peer protocol.
 const (
--- a/internal/version/rollout/evidence.go
+++ b/internal/version/rollout/evidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 )
 
 func newPeer(epoch uint64, now Time) *peer {
@@ -120,7 +119,7 @@
 
 // takeZone keeps the better summary of an availability zone: the newer one, and of two of about the same age the larger.
 func (m *Machine) takeZone(z zoneVote) {
-	const same = int64(roundEvery/time.Millisecond) / 2
+	same := m.pace().round.Milliseconds() / 2
 	old, ok := m.zones[z.Zone]
 	if !ok || z.At > old.At+same || (z.At > old.At-same && (z.N > old.N || (z.N == old.N && z.At > old.At))) {
 		m.zones[z.Zone] = z
--- a/internal/version/rollout/vote.go
+++ b/internal/version/rollout/vote.go
@@ -16,13 +16,33 @@
 // and gaps cost fewer messages; they must leave enough of the bound that a lost message does not stop a node.
 const (
 	voteBits   = 2048
-	roundEvery = time.Second
 	roundStep  = 100 * time.Millisecond // spread of the starts, so that few members start the same round
 	keepRounds = 4
-	voteGap    = 400 * time.Millisecond // between messages with votes of a known round to one peer
-	zoneGap    = 700 * time.Millisecond // between summaries to one peer, and the smallest gain in age worth sending
+	// smallSite is the number of live members up to which votes are cheap enough for the short rounds.
+	smallSite = 100
 )
 
+// pace holds the times between messages with votes.
+type pace struct {
+	round time.Duration // between the starts of two rounds
+	votes time.Duration // between messages with votes of a known round to one peer
+	zones time.Duration // between summaries to one peer, and the smallest gain in age worth sending
+}
+
+var (
+	shortRounds = pace{round: 700 * time.Millisecond, votes: 300 * time.Millisecond, zones: 500 * time.Millisecond}
+	longRounds  = pace{round: time.Second, votes: 400 * time.Millisecond, zones: 700 * time.Millisecond}
+)
+
+// pace returns the pace for the present number of members. Members that disagree about it only count votes at different
+// times.
+func (m *Machine) pace() pace {
+	if m.liveAll <= smallSite {
+		return shortRounds
+	}
+	return longRounds
+}
+
 type voteSet [voteBits / 64]uint64
 
 func voteBit(address string) uint16 { return uint16(hash64(address) % voteBits) }
@@ -120,9 +140,9 @@
 	near := v != nil && v.Zone == m.cfg.Zone
 	worth := near && m.packRounds(msg, p)
 	// Summaries go with votes. Without votes they are worth a message only to a peer that gets none, or none for long.
-	wait := zoneGap
+	wait := m.pace().zones
 	if near {
-		wait += roundEvery
+		wait += m.pace().round
 	}
 	if worth || m.now-p.lastZones >= wait {
 		worth = m.packZones(msg, p) || worth
@@ -132,7 +152,7 @@
 
 // packRounds adds the votes that a peer of the availability zone lacks.
 func (m *Machine) packRounds(msg *message, p *peer) (worth bool) {
-	gap := m.now-p.lastVotes >= voteGap
+	gap := m.now-p.lastVotes >= m.pace().votes
 	for _, round := range slices.Sorted(maps.Keys(m.tallies)) {
 		t, has := m.tallies[round], p.rounds[round]
 		if m.now-t.start > m.cfg.Bound || (has != nil && !gap) {
@@ -155,9 +175,10 @@
 }
 
 func (m *Machine) packZones(msg *message, p *peer) bool {
+	gain := m.pace().zones.Milliseconds()
 	for _, name := range slices.Sorted(maps.Keys(m.zones)) {
 		z := m.zones[name]
-		if m.now-fromMS(z.At) > m.cfg.Bound || z.At-p.zones[name] < int64(zoneGap/time.Millisecond) {
+		if m.now-fromMS(z.At) > m.cfg.Bound || z.At-p.zones[name] < gain {
 			continue
 		}
 		msg.Zones = append(msg.Zones, z)
@@ -225,7 +246,7 @@
 	size := m.size.atLeast(m.row.Sizes)
 	own := voteBit(m.cfg.Address)
 	if m.attests() {
-		if t := m.tallies[m.round]; t == nil || m.now-t.start >= roundEvery+time.Duration(own)*roundStep/voteBits {
+		if t := m.tallies[m.round]; t == nil || m.now-t.start >= m.pace().round+time.Duration(own)*roundStep/voteBits {
 			m.open(m.round+1, m.now)
 		}
 		for _, t := range m.tallies {
