--- a/cmd/wigeon-standin/target.go
+++ b/cmd/wigeon-standin/target.go
@@ -41,7 +41,7 @@
 		&cli.DurationFlag{Name: "announce-every", Value: time.Second, Usage: "time between announcements"},
 		&cli.DurationFlag{Name: "lease", Value: 3 * time.Second, Usage: "validity of an announcement"},
 		&cli.DurationFlag{Name: "drain-grace", Value: time.Second, Usage: "time between the draining announcement and the end of the listener"},
-		&cli.StringFlag{Name: "record", Usage: "`FILE` that gets each execution as a line of JSON when it begins"},
+		&cli.StringFlag{Name: "record", Usage: "`FILE` that gets each execution as a line of JSON when it begins, and again if the target declines it"},
 		&cli.DurationFlag{Name: "drain-limit", Value: 30 * time.Second, Usage: "longest wait for running requests when draining"},
 	}
 }
