Try another target when one declines without having made a call

A target that declares that it did nothing, and had made no call, has a fault of its own. Its request ended as "declined" at once, although other targets could run it, and the declaration did not count as a failure, so that an idle broken target drew ever more requests.

Such a declaration has the reason target-unable now: the request goes to another target within its retries, since it was provably not run, and target choice counts a failure. A declaration because of a refused call keeps the reason declined and is still not tried elsewhere, because the calls below have had their retries.

TestUnableTargetIsAvoided without the change: expected answered, actual not run.

--- a/internal/process/engine/balancers.go
+++ b/internal/process/engine/balancers.go
@@ -79,7 +79,7 @@
 // balanceResult says what a response tells about its target.
 func balanceResult(r *message.Response) balance.Result {
 	return balance.Result{
-		Failed: r.Reason == message.ReasonConnection ||
+		Failed: r.Reason == message.ReasonConnection || r.Reason == message.ReasonTargetUnable ||
 			r.Outcome == message.Unknown && r.Reason == message.ReasonDeadline ||
 			r.Outcome == message.Answered && r.Status == http.StatusInternalServerError,
 		Refused: r.Outcome == message.NotRun && r.Reason == message.ReasonOverload,
--- a/internal/process/engine/call.go
+++ b/internal/process/engine/call.go
@@ -99,7 +99,8 @@
 	switch r.Outcome {
 	case message.NotRun:
 		return r.Reason == message.ReasonConnection || r.Reason == message.ReasonLeaving ||
-			r.Reason == message.ReasonUnconfirmed || r.Reason == message.ReasonOverload
+			r.Reason == message.ReasonUnconfirmed || r.Reason == message.ReasonOverload ||
+			r.Reason == message.ReasonTargetUnable
 	case message.Unknown:
 		return c.route.Idempotent && r.Reason == message.ReasonConnection
 	default:
--- a/internal/process/engine/declared_test.go
+++ b/internal/process/engine/declared_test.go
@@ -57,6 +57,28 @@
 	}
 }
 
+// Guards against a target that declines at once, draws ever more requests because it is idle, and fails them although other
+// targets could run them.
+func TestUnableTargetIsAvoided(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(t, "a1", "a2", "b1")
+			m.do = func(_ context.Context, n *meshNode, _ *message.Request) *message.Response {
+				if n.address == "a1" {
+					return declaring(http.StatusServiceUnavailable)
+				}
+				return ok("done")
+			}
+			req := order("a", m.node("b1").keys.Issue(1)[0])
+			req.Method = method
+			r := m.node("b1").Serve(t.Context(), req)
+			require.Equal(t, []any{message.Answered, "done"}, []any{r.Outcome, string(r.Body)})
+		})
+	}
+	require.True(t, balanceResult(&message.Response{Outcome: message.NotRun, Reason: message.ReasonTargetUnable}).Failed)
+	require.False(t, balanceResult(&message.Response{Outcome: message.NotRun, Reason: message.ReasonDeclined}).Failed)
+}
+
 // Guards against a declaration that the node can see to be false: it would let a key run twice.
 func TestDeclarationIsCheckedAgainstCalls(t *testing.T) {
 	type calls func(ctx context.Context, n *meshNode, req *message.Request)
--- a/internal/process/engine/deliver.go
+++ b/internal/process/engine/deliver.go
@@ -78,11 +78,11 @@
 	if run.open > 0 || run.effects {
 		return r
 	}
-	detail := fmt.Sprintf("target declares with status %d that it did nothing", r.Status)
+	reason, detail := message.ReasonTargetUnable, fmt.Sprintf("target declares with status %d that it did nothing", r.Status)
 	if run.refusal != nil {
-		detail += ", because a call was not run: " + run.refusal.Error()
+		reason, detail = message.ReasonDeclined, detail+", because a call was not run: "+run.refusal.Error()
 	}
-	refusal := e.refuse(message.ReasonDeclined, message.StepRun, "%s", detail)
+	refusal := e.refuse(reason, message.StepRun, "%s", detail)
 	refusal.RetryAfter = max(run.retryAfter, targetRetryAfter(r.Header))
 	return refusal
 }
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -99,43 +99,45 @@
 
 // Reasons of responses that carry no answer of a target.
 const (
-	ReasonNone        Reason = iota
-	ReasonInvalid            // the request breaks a rule of the caller protocol
-	ReasonNoService          // no such service or route in the policy
-	ReasonNoTarget           // the service has no ready target
-	ReasonOverload           // shed by priority or refused by a full queue
-	ReasonDeadline           // the deadline cannot be met any more
-	ReasonCancelled          // the caller left
-	ReasonLeaving            // the node or its target is leaving
-	ReasonUnconfirmed        // the node's configuration is not confirmed
-	ReasonConnection         // the connection failed
-	ReasonKeyConflict        // the idempotency key was used with another request
-	ReasonKeyExpired         // the idempotency key can no longer be executed
-	ReasonPlatform           // the platform is needed and not available
-	ReasonTooLarge           // a body or header exceeds its limit
-	ReasonInternal           // a fault of the node itself
-	ReasonKeyRequired        // the route needs an idempotency key
-	ReasonDeclined           // the target declares that it did nothing
+	ReasonNone         Reason = iota
+	ReasonInvalid             // the request breaks a rule of the caller protocol
+	ReasonNoService           // no such service or route in the policy
+	ReasonNoTarget            // the service has no ready target
+	ReasonOverload            // shed by priority or refused by a full queue
+	ReasonDeadline            // the deadline cannot be met any more
+	ReasonCancelled           // the caller left
+	ReasonLeaving             // the node or its target is leaving
+	ReasonUnconfirmed         // the node's configuration is not confirmed
+	ReasonConnection          // the connection failed
+	ReasonKeyConflict         // the idempotency key was used with another request
+	ReasonKeyExpired          // the idempotency key can no longer be executed
+	ReasonPlatform            // the platform is needed and not available
+	ReasonTooLarge            // a body or header exceeds its limit
+	ReasonInternal            // a fault of the node itself
+	ReasonKeyRequired         // the route needs an idempotency key
+	ReasonDeclined            // the target declares that it did nothing because a call below was not run
+	ReasonTargetUnable        // the target declares that it did nothing, and made no call
 )
 
 var reasonNames = [...]string{
-	ReasonNone:        "none",
-	ReasonInvalid:     "invalid",
-	ReasonNoService:   "no-service",
-	ReasonNoTarget:    "no-target",
-	ReasonOverload:    "overload",
-	ReasonDeadline:    "deadline",
-	ReasonCancelled:   "cancelled",
-	ReasonLeaving:     "leaving",
-	ReasonUnconfirmed: "unconfirmed",
-	ReasonConnection:  "connection",
-	ReasonKeyConflict: "key-conflict",
-	ReasonKeyExpired:  "key-expired",
-	ReasonPlatform:    "platform",
-	ReasonTooLarge:    "too-large",
-	ReasonInternal:    "internal",
-	ReasonKeyRequired: "key-required",
-	ReasonDeclined:    "declined",
+	ReasonNone:         "none",
+	ReasonInvalid:      "invalid",
+	ReasonNoService:    "no-service",
+	ReasonNoTarget:     "no-target",
+	ReasonOverload:     "overload",
+	ReasonDeadline:     "deadline",
+	ReasonCancelled:    "cancelled",
+	ReasonLeaving:      "leaving",
+	ReasonUnconfirmed:  "unconfirmed",
+	ReasonConnection:   "connection",
+	ReasonKeyConflict:  "key-conflict",
+	ReasonKeyExpired:   "key-expired",
+	ReasonPlatform:     "platform",
+	ReasonTooLarge:     "too-large",
+	ReasonInternal:     "internal",
+	ReasonKeyRequired:  "key-required",
+	ReasonDeclined:     "declined",
+	ReasonTargetUnable: "target-unable",
 }
 
 // String returns the name used in logs, metrics and error bodies.
