Count the queue of a target when zones are compared

Limits stood at 0.96 to 1.00 of the slots in all services and at 1.00 in royalty. Refusals and late responses were not traced by cause. A local target with a queue counted as just full, so that one of another zone with 90 % or more in use never looked better.

Requests above the limit count now when a local target is compared with one of another zone. The score keeps its bound of twice the own count.

The new test fails without the change (2 of 100 picks). -race -count=3 of balance passes.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -287,21 +287,23 @@
 	return min(limit, slots)
 }
 
-// utilisation returns the reported utilisation from zero to one. A refusal counts as a full target, whatever it reports.
+// utilisation returns the reported utilisation, which is above one with a queue. A refusal counts as a full target,
+// whatever it reports.
 func (m *member) utilisation(now int64) float64 {
+	least := 0.0
 	if at := m.refused.Load(); at != 0 && now-at < int64(loadValid) {
-		return 1
+		least = 1
 	}
 	if at := m.loadAt.Load(); at == 0 || now-at >= int64(loadValid) {
-		return unknownLoad
+		return max(least, unknownLoad)
 	}
-	return min(1, float64(m.load.Load()>>32)/m.size())
+	return max(least, float64(m.load.Load()>>32)/m.size())
 }
 
 // score orders targets; lower is better. The reported load at most doubles a score, so that a false report attracts a
 // bounded excess of traffic.
 func (m *member) score(now int64) float64 {
-	return float64(m.inFlight.Load()+1) / m.size() * (1 + m.utilisation(now))
+	return float64(m.inFlight.Load()+1) / m.size() * (1 + min(1, m.utilisation(now)))
 }
 
 // fullness returns the larger of own and reported utilisation.
--- a/internal/process/balance/balance_test.go
+++ b/internal/process/balance/balance_test.go
@@ -148,6 +148,23 @@
 	}
 }
 
+// Guards against a target with a queue that keeps the requests of its zone while another zone's has a slot in twenty free.
+func TestQueueOfLocalTargetCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPicker("a", 1)
+		p.Update(site(2, 20, "a", "b"))
+		loads := map[string]message.Load{"t0": {InFlight: 28, Limit: 20}, "t1": {InFlight: 19, Limit: 20}}
+		counts := map[string]int{}
+		for range 100 {
+			target, done, ok := p.Pick()
+			require.True(t, ok)
+			counts[target.Address]++
+			done(Result{Load: loads[target.Address]})
+		}
+		require.Greater(t, counts["t1"], 90)
+	})
+}
+
 // fail ends picks with failures until the target has failed n times. It gives up after many picks.
 func fail(p *Picker, address string, n int) {
 	for range 10_000 {
