--- a/internal/process/balance/balance_test.go
+++ b/internal/process/balance/balance_test.go
@@ -148,6 +148,30 @@
 	}
 }
 
+// Guards against a target with a queue that keeps the requests of its zone while one of another zone has a slot in twenty
+// free, alone or beside a full one.
+func TestQueueOfLocalTargetCounts(t *testing.T) {
+	for _, inFlight := range [][]int{{28, 19}, {28, 28, 19}} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPicker("a", 1)
+			targets, loads := site(len(inFlight), 20, "b"), map[string]message.Load{}
+			targets[0].Zone = "a"
+			p.Update(targets)
+			for i, n := range inFlight {
+				loads[targets[i].Address] = message.Load{InFlight: n, Limit: 20}
+			}
+			counts := map[string]int{}
+			for range 100 {
+				target, done, ok := p.Pick()
+				require.True(t, ok)
+				counts[target.Address]++
+				done(Result{Load: loads[target.Address]})
+			}
+			require.Greater(t, counts[targets[len(inFlight)-1].Address], 90)
+		})
+	}
+}
+
 // fail ends picks with failures until the target has failed n times. It gives up after many picks.
 func fail(p *Picker, address string, n int) {
 	for range 10_000 {
