Let a site choose how fast shed classes return

The time depends on the steps in which an idle target lowers its threshold, which return_step of [shed] now sets (30 %, as before).

--- a/internal/measure/real.go
+++ b/internal/measure/real.go
@@ -37,6 +37,7 @@
 		control:   admission.New(admission.LimitsOf(pol, &svc, 0)),
 		mislead:   mislead,
 	}
+	n.control.SetReturnStep(pol.Shed.ReturnStep)
 	n.Engine = engine.New(engine.Config{
 		Address: m.address, Service: m.service, Policy: w.policy, Confirmed: always, Ready: always,
 		Peers: sender{w, m}, Target: m.target, Admission: engine.Guard(n.control), Pickers: n.balancers,
--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -19,6 +19,7 @@
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
 )
 
 // Work describes a request that asks for a slot.
@@ -101,6 +102,7 @@
 // New returns a Controller that admits at the full limit. StartRamp makes it start slowly.
 func New(l Limits) *Controller {
 	c := &Controller{origin: time.Now(), random: rand.Float64, limits: l, rampFrom: -1}
+	c.shedder.returnStep = policy.DefaultShedReturnStep
 	c.trial.reset(l.ceiling(), 0)
 	c.limit = c.present(0)
 	c.nextTick.Store(int64(tickInterval))
--- a/internal/process/admission/shedder.go
+++ b/internal/process/admission/shedder.go
@@ -34,15 +34,11 @@
 	// minDemandWeight and maxDemandWeight bound the weight of one interval in the same averages: 1 to 5 s.
 	minDemandWeight = 0.02
 	maxDemandWeight = 0.1
-	// firstStep is the first decrease of the threshold, as a number of priorities. The decrease doubles with each
-	// interval without pressure: from the top of four ranks to zero it takes 0.7 s.
-	firstStep = 8
-	// maxStep bounds the decrease of one interval to one rank.
+	// firstShare is the first decrease of the threshold as a part of the largest one, which the return step sets. The
+	// decrease doubles with each interval without pressure.
+	firstShare = 1.0 / 8
+	// maxStep is the number of priorities of one rank, the bound on the decrease of one interval.
 	maxStep = 256
-	// idleStep is the decrease of one interval as a part of a rank, for a target whose slots all stand idle. A request that
-	// an entry node admits after a decrease arrives some intervals later, when the hops above have done their work; larger
-	// steps let the threshold fall far below its balance in that time, and what was admitted then is refused here.
-	idleStep = 0.3
 	// minIdleStep keeps the threshold falling while few slots are idle.
 	minIdleStep = 2
 	// fillShare is the part of the idle slots that the requests of one decrease may fill if entry nodes shed those below the
@@ -60,12 +56,23 @@
 type shedder struct {
 	threshold message.Priority
 	step      int
-	pressure  float64            // refused requests per departure, smoothed
-	seen      [256]time.Duration // time of the last arrival per rank, plus one
-	demand    [256]float64       // arrivals per interval and rank, smoothed
-	admitted  [256]float64       // the part of demand at or above the threshold
-	capacity  float64            // departures per interval with all slots in use, smoothed
-	scratch   [sampleSize]message.Priority
+	// returnStep is the decrease of one interval as a part of a rank, for a target whose slots all stand idle. A request that
+	// an entry node admits after a decrease arrives some intervals later, when the hops above have done their work; larger
+	// steps let the threshold fall far below its balance in that time, and what was admitted then is refused here.
+	returnStep float64
+	pressure   float64            // refused requests per departure, smoothed
+	seen       [256]time.Duration // time of the last arrival per rank, plus one
+	demand     [256]float64       // arrivals per interval and rank, smoothed
+	admitted   [256]float64       // the part of demand at or above the threshold
+	capacity   float64            // departures per interval with all slots in use, smoothed
+	scratch    [sampleSize]message.Priority
+}
+
+// SetReturnStep sets the part of a rank that a target with idle slots admits again at most in each interval.
+func (c *Controller) SetReturnStep(share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shedder.returnStep = share
 }
 
 func (sh *shedder) see(rank uint8, now time.Duration) { sh.seen[rank] = now + 1 }
@@ -171,8 +178,9 @@
 
 // lower sets the threshold so that refused arrivals would have filled part of the idle slots, by at most one step.
 func (sh *shedder) lower(now time.Duration, m *meter, use float64) {
-	sh.step = min(max(firstStep, 2*sh.step), maxStep)
-	sh.step = min(sh.step, max(minIdleStep, int((1-use)*idleStep*maxStep)))
+	largest := sh.returnStep * maxStep
+	sh.step = min(max(int(firstShare*largest), 2*sh.step), int(largest))
+	sh.step = max(minIdleStep, min(sh.step, int((1-use)*largest)))
 	next := sh.below(now, sh.step)
 	s, weight := sh.samples(m)
 	from, _ := slices.BinarySearch(s, sh.threshold)
--- a/internal/process/admission/shedder_test.go
+++ b/internal/process/admission/shedder_test.go
@@ -37,7 +37,7 @@
 // idle slots: entry nodes shed what is below it, and the hops above take four intervals.
 func TestThresholdFallsByWhatIdleSlotsHold(t *testing.T) {
 	const lowest, perInterval, use = 0xd0, 12, 0.8
-	sh := shedder{threshold: rankRead<<8 | lowest}
+	sh := shedder{threshold: rankRead<<8 | lowest, returnStep: 1}
 	perPriority := float64(perInterval) / (256 - lowest)
 	var m meter
 	for i := range perInterval {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -221,6 +221,7 @@
 	if announced := int(n.slots.Load()); announced > 0 {
 		own.Slots = min(own.Slots, announced)
 	}
+	n.control.SetReturnStep(pol.Shed.ReturnStep)
 	n.control.SetLimits(admission.LimitsOf(pol, &own, rampTime))
 }
 
--- a/internal/version/policy/load.go
+++ b/internal/version/policy/load.go
@@ -126,6 +126,7 @@
 	retry, queue, limits, balance, once := v.One("retry"), v.One("queue"), v.One("limits"), v.One("balance"), v.One("once")
 	p.Retry = Retry{Budget: int(retry.Get("budget").Int), Ratio: retry.Get("ratio").Share}
 	p.Queue = Queue{Length: queue.Get("length").Share, MaxWait: queue.Get("max_wait").Duration}
+	p.Shed = Shed{ReturnStep: v.One("shed").Get("return_step").Share}
 	p.Limits = Limits{
 		RequestBody:  int(limits.Get("request_body").Int),
 		ResponseBody: int(limits.Get("response_body").Int),
--- a/internal/version/policy/policy.go
+++ b/internal/version/policy/policy.go
@@ -17,6 +17,7 @@
 	Classes  map[string]uint8 // rank by class name
 	Retry    Retry
 	Queue    Queue
+	Shed     Shed
 	Limits   Limits
 	Balance  Balance
 	Once     Once
@@ -53,6 +54,11 @@
 	MaxWait time.Duration // longest wait that admission accepts
 }
 
+// Shed tunes the shedding of requests under overload.
+type Shed struct {
+	ReturnStep float64 // part of a class that a target with idle slots admits again at most in each interval of 100 ms
+}
+
 // Limits bounds what one request may take.
 type Limits struct {
 	RequestBody  int // bytes
@@ -111,6 +117,7 @@
 	DefaultRetryRatio      = 0.1
 	DefaultQueueLength     = 1.0
 	DefaultQueueMaxWait    = 200 * time.Millisecond
+	DefaultShedReturnStep  = 0.3
 	DefaultTimeout         = 2 * time.Second
 	DefaultRequestBody     = 1 << 20
 	DefaultResponseBody    = 4 << 20
@@ -129,6 +136,7 @@
 		Classes:  map[string]uint8{},
 		Retry:    Retry{Budget: DefaultRetryBudget, Ratio: DefaultRetryRatio},
 		Queue:    Queue{Length: DefaultQueueLength, MaxWait: DefaultQueueMaxWait},
+		Shed:     Shed{ReturnStep: DefaultShedReturnStep},
 		Limits:   Limits{RequestBody: DefaultRequestBody, ResponseBody: DefaultResponseBody, Header: DefaultHeader},
 		Balance:  Balance{EjectFailures: DefaultEjectFailures, EjectTime: DefaultEjectTime, EjectShare: DefaultEjectShare},
 		Once:     Once{KeyValidity: DefaultKeyValidity, RecordRetention: DefaultRecordRetention},
--- a/internal/version/policy/schema.go
+++ b/internal/version/policy/schema.go
@@ -10,7 +10,7 @@
 
 // Schema returns the schema of the base file and the overlays. It drives parsing, checking and docs/settings.md.
 func Schema() schema.Schema {
-	return schema.Schema{siteSection, classSection, serviceSection, routeSection, retrySection, queueSection, limitsSection, balanceSection, onceSection}
+	return schema.Schema{siteSection, classSection, serviceSection, routeSection, retrySection, queueSection, shedSection, limitsSection, balanceSection, onceSection}
 }
 
 var siteSection = schema.Section{
@@ -69,6 +69,14 @@
 	},
 }
 
+var shedSection = schema.Section{
+	Name: "shed",
+	Doc:  "The shedding of requests under overload.",
+	Keys: []schema.Key{
+		{Name: "return_step", Type: schema.Share, Default: "30%", Min: "5%", Max: "100%", Doc: "Part of a class that a target whose slots stand idle admits again at most in each 100 ms. Higher: faster recovery when an overload ends; lower: less work of earlier hops is lost to requests that are admitted too soon."},
+	},
+}
+
 var limitsSection = schema.Section{
 	Name: "limits",
 	Doc:  "Bounds on what one request may take. A response is held in memory until it is complete.",
