Measure each site with its own overlay and with the other's

The measured sites ran with the defaults and not with the overlays that the examples give them. They now take queue, retry, shedding and balance settings from examples/, and surge and deep-slow run three more times with the settings of each site.

--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -1,8 +1,10 @@
 package measure
 
 import (
+	"cmp"
 	"flag"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,9 +17,13 @@
 	scenario = flag.String("scenario", "", "run this scenario only")
 	siteName = flag.String("site", "", "run this site only")
 	only     = flag.String("system", "", "run this system only")
+	overlay  = flag.String("overlay", "", "use the overlay of this site for all sites")
 	docs     = flag.String("docs", "", "write measurements.md and plots into this directory")
 )
 
+// examples is the directory of the policy files.
+const examples = "../../examples"
+
 // run measures in a bubble of virtual time.
 func run(t *testing.T, site Site, system System, s Scenario) Figures {
 	var f Figures
@@ -26,9 +32,11 @@
 }
 
 // selected returns the measurements that the flags ask for, without figures.
-func selected() Report {
+func selected(t *testing.T) Report {
 	var out Report
 	for _, site := range []Site{Haetsal(), Gnomon()} {
+		site, err := site.WithOverlay(examples, cmp.Or(*overlay, site.Name))
+		require.NoError(t, err)
 		for _, s := range Scenarios() {
 			for _, system := range []System{Naive, Real} {
 				if *siteName != "" && site.Name != *siteName || *scenario != "" && s.Name != *scenario ||
@@ -36,23 +44,46 @@
 					continue
 				}
 				out = append(out, Measurement{Site: site, Scenario: s, System: system})
+				if system == Real && *overlay == "" && slices.Contains(chosen, s.Name) {
+					out = append(out, choices(t, site, s)...)
+				}
 			}
 		}
 	}
 	return out
 }
 
+// chosen lists the scenarios in which the settings of the sites are compared, and choiceRuns the runs for each.
+var chosen = []string{"surge", "deep-slow"}
+
+const choiceRuns = 3
+
+// choices returns measurements of a scenario with the settings of each site. Their seeds differ, because single runs with
+// the same settings differ as much as the means for different settings.
+func choices(t *testing.T, site Site, s Scenario) Report {
+	var out Report
+	for _, name := range []string{Haetsal().Name, Gnomon().Name} {
+		with, err := site.WithOverlay(examples, name)
+		require.NoError(t, err)
+		for range choiceRuns {
+			s.Options.Seed += 100
+			out = append(out, Measurement{Site: with, Scenario: s, System: Real, Overlay: name})
+		}
+	}
+	return out
+}
+
 // TestMeasure prints the figures of the selected scenarios and writes the report. It runs on demand only: make measure.
 func TestMeasure(t *testing.T) {
 	if !*full {
 		t.Log("run by make measure")
 		return
 	}
-	report := selected()
+	report := selected(t)
 	t.Run("runs", func(t *testing.T) {
 		for i := range report {
 			x := &report[i]
-			t.Run(x.name()+"/"+string(x.System), func(t *testing.T) {
+			t.Run(x.name()+"/"+string(x.System)+x.Overlay, func(t *testing.T) {
 				t.Parallel()
 				start := time.Now()
 				x.Figures = run(t, x.Site, x.System, x.Scenario)
--- a/internal/measure/plot.go
+++ b/internal/measure/plot.go
@@ -35,7 +35,7 @@
 	var panels []*plot.Plot
 	bySite := map[string]*plot.Plot{}
 	for _, x := range r {
-		if x.Scenario.Name != s.Name {
+		if x.Scenario.Name != s.Name || x.Overlay != "" {
 			continue
 		}
 		p, ok := bySite[x.Site.Name]
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -18,6 +18,7 @@
 	Site     Site
 	Scenario Scenario
 	System   System
+	Overlay  string // in the comparison of settings: the site whose settings are used; empty otherwise
 	Figures  Figures
 }
 
@@ -109,11 +110,16 @@
 	return strconv.FormatFloat(v, 'f', digits, 64)
 }
 
-// Lines writes one line per figure: scenario, system, metric and value, separated by tabs.
+// Lines writes one line per figure: scenario, system, metric and value, separated by tabs. A measurement of the
+// comparison of settings has the name of their site after that of the system.
 func (r Report) Lines(w io.Writer) error {
 	for _, x := range r {
+		system := string(x.System)
+		if x.Overlay != "" {
+			system += "/" + x.Overlay
+		}
 		for _, m := range metrics {
-			if _, err := fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", x.name(), x.System, m.Name, m.show(x.Figures)); err != nil {
+			if _, err := fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", x.name(), system, m.Name, m.show(x.Figures)); err != nil {
 				return err
 			}
 		}
@@ -138,6 +144,38 @@
 	return cells
 }
 
+// choiceMetrics lists the figures in which the settings of the sites are compared.
+var choiceMetrics = []string{"goodput_ratio", "order_success", "recovery_s", "wasted_ratio"}
+
+// choiceRows returns mean, least and highest figure of each scenario that was measured with the settings of both sites.
+func (r Report) choiceRows() [][]string {
+	var rows [][]string
+	for i, x := range r {
+		same := func(y Measurement) bool { return y.name() == x.name() && y.Overlay == x.Overlay }
+		if x.Overlay == "" || slices.ContainsFunc(r[:i], same) {
+			continue
+		}
+		cells := []string{x.name(), x.Overlay}
+		for _, m := range metrics {
+			if !slices.Contains(choiceMetrics, m.Name) {
+				continue
+			}
+			var values []float64
+			sum := 0.0
+			for _, y := range r[i:] {
+				if same(y) {
+					v := m.value(y.Figures)
+					values = append(values, v)
+					sum += v
+				}
+			}
+			cells = append(cells, fmt.Sprintf("%.3f (%.3f to %.3f)", sum/float64(len(values)), slices.Min(values), slices.Max(values)))
+		}
+		rows = append(rows, cells)
+	}
+	return rows
+}
+
 //go:embed report.md.tmpl
 var pageText string
 
@@ -154,6 +192,9 @@
 	var unbound []string
 	short := map[string]string{}
 	for _, x := range r {
+		if x.Overlay != "" {
+			continue
+		}
 		rows = append(rows, row(x))
 		if f := x.Figures; f.Unbound > 0 && x.System == Real {
 			unbound = append(unbound, fmt.Sprintf("%s: %d orders with keys of their callers were first sent while the platform was down; %d of them got a complete response, from a later attempt.",
@@ -172,7 +213,8 @@
 		}
 	}
 	var b bytes.Buffer
-	data := map[string]any{"Rows": rows, "Metrics": metrics, "Scenarios": scenarios, "Short": short, "Unbound": unbound}
+	data := map[string]any{"Rows": rows, "Metrics": metrics, "Scenarios": scenarios, "Short": short, "Unbound": unbound,
+		"Choices": r.choiceRows(), "ChoiceMetrics": choiceMetrics}
 	if err := page.Execute(&b, data); err != nil {
 		return fmt.Errorf("write page: %w", err)
 	}
--- a/internal/measure/site.go
+++ b/internal/measure/site.go
@@ -5,7 +5,14 @@
 // A World must be created and run inside a testing/synctest bubble.
 package measure
 
-import "time"
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
 
 // Site describes a deployment.
 type Site struct {
@@ -16,6 +23,8 @@
 	Services []Service
 	Routes   []Route
 	Rate     float64 // requests a second at a load of 1, at which the tightest service is just saturated
+	// Settings gives the site's queue, retry and balance settings; nil: the defaults.
+	Settings *policy.Policy
 }
 
 // Service describes the targets of a service.
@@ -82,6 +91,28 @@
 	}.withRate()
 }
 
+// baseFile is the base file in the directory of the policy files; the overlay of a site has the site's name.
+const baseFile = "base.ini"
+
+// WithOverlay returns the site with the settings of a site's overlay over the base file. Services and routes stay as they
+// are, because the sites that are measured have several services of the same kind in one.
+func (s Site) WithOverlay(dir, overlay string) (Site, error) {
+	var files [2]policy.File
+	for i, name := range []string{baseFile, overlay + ".ini"} {
+		body, err := os.ReadFile(filepath.Join(dir, name))
+		if err != nil {
+			return s, fmt.Errorf("read policy file: %w", err)
+		}
+		files[i] = policy.File{Name: name, Body: body}
+	}
+	p, _, err := policy.Load(files[0], files[1])
+	if err != nil {
+		return s, fmt.Errorf("settings of site %s: %w", overlay, err)
+	}
+	s.Settings = p
+	return s, nil
+}
+
 // service returns the service with the name.
 func (s Site) service(name string) *Service {
 	for i := range s.Services {
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -242,6 +242,9 @@
 func (s Site) policy() *policy.Policy {
 	p := policy.New()
 	p.Version = 1
+	if own := s.Settings; own != nil {
+		p.Retry, p.Queue, p.Shed, p.Limits, p.Balance, p.Once = own.Retry, own.Queue, own.Shed, own.Limits, own.Balance, own.Once
+	}
 	for _, svc := range s.Services {
 		ps := &policy.Service{Name: svc.Name, Slots: svc.Slots, Connections: svc.Connections}
 		for _, r := range s.Routes {
