Run requests at the target in the calling goroutine

http.Transport hands each request to a writing goroutine and each response to a reading one, and for a request without a body it also starts a goroutine that probes the body, with a timer. The sched profile of an execution trace of BenchmarkChain puts 17 % of the time that goroutines wait to run at channel sends, and 85 % of that inside net/http's transport, of which the benchmark's own client is one half.

The node now keeps its connections to the target itself, and the goroutine of the call writes the request and reads the response. Idle connections are checked before they are used again, a body above 32 KiB is written in a goroutine of its own because the target may answer early, and nothing is ever repeated. A redirect of a target is now passed on as its answer; the client of the library followed it, which was an attempt beyond the bound.

--- a/internal/process/node/chain_bench_test.go
+++ b/internal/process/node/chain_bench_test.go
@@ -178,6 +178,7 @@
 			if len(failed) > 0 {
 				b.Logf("%d of %d requests failed, the first: %v", len(failed), b.N, failed[0])
 			}
+			require.NotEmpty(b, c.added, "no request was answered")
 			slices.Sort(c.added)
 			for _, q := range []int{50, 99} {
 				b.ReportMetric(float64(c.added[(len(c.added)-1)*q/100].Microseconds()), fmt.Sprintf("added-µs/call-p%d", q))
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -91,9 +91,7 @@
 		return nil, fmt.Errorf("idempotency keys: %w", err)
 	}
 	n.keys = keys
-	if n.target, err = newTargetClient(context.Background(), s.Target.Address, n.policy.Load); err != nil {
-		return nil, err
-	}
+	n.target = newTargetClient(s.Target.Address, n.policy.Load)
 	if n.metrics, err = metrics.New(n.gauges); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/process/node/targetconn_test.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
+
+// startTarget serves each accepted connection with the function, which gets the number of the connection.
+func startTarget(t *testing.T, serve func(n int, conn net.Conn, in *bufio.Reader)) *targetClient {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			go serve(n, conn, bufio.NewReader(conn))
+		}
+	}()
+	return newTargetClient(l.Addr().String(), func() *policy.Policy { return nil })
+}
+
+func targetRequest(method string, body []byte) *message.Request {
+	return &message.Request{ID: message.NewID(), Method: method, Path: "/", Body: body, Deadline: time.Now().Add(time.Minute)}
+}
+
+// Guards against a leftover of one response that is taken for the response of the next request, against a connection that
+// its target has closed and is used again, and against a connection that is not used again although it could be.
+func TestTargetConnectionReuse(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	c := startTarget(t, func(n int, conn net.Conn, in *bufio.Reader) {
+		for range 2 {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\n\r\n"+wholeResponse)
+		}
+		if n == 1 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale")
+		} else {
+			_ = conn.Close()
+		}
+		closed <- struct{}{}
+	})
+	for i := range 6 {
+		r := c.Do(t.Context(), targetRequest(http.MethodGet, nil))
+		require.Equal(t, message.Answered, r.Outcome, "%v", r.Err)
+		require.Equal(t, "good", string(r.Body))
+		if i%2 == 1 {
+			<-closed
+			require.Eventually(t, func() bool { return len(c.conns.idle) == 1 && !c.conns.idle[0].quiet() }, time.Minute, time.Millisecond)
+		}
+	}
+}
+
+// Guards against a call that hangs until its deadline because the target answers before it has read a large body, and
+// against a connection with an unread body that is used again.
+func TestTargetAnswersBeforeTheBody(t *testing.T) {
+	c := startTarget(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	for range 2 {
+		r := c.Do(t.Context(), targetRequest(http.MethodPost, make([]byte, 16<<20)))
+		require.Equal(t, message.Answered, r.Outcome, "%v", r.Err)
+		require.Equal(t, http.StatusRequestEntityTooLarge, r.Status)
+		require.Empty(t, c.conns.idle)
+	}
+}
+
+// Guards against a redirect that the node follows itself, which would be an attempt beyond the bound.
+func TestRedirectIsAnAnswer(t *testing.T) {
+	c := startTarget(t, func(_ int, conn net.Conn, in *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 302 Found\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	r := c.Do(t.Context(), targetRequest(http.MethodGet, nil))
+	require.Equal(t, http.StatusFound, r.Status)
+	require.Equal(t, "/other", r.Header.Get("Location"))
+}
+
+// Guards against a request that goes on after its caller has left, and against a connection that is kept after it.
+func TestTargetCallEndsWithItsContext(t *testing.T) {
+	gone := make(chan error, 1)
+	c := startTarget(t, func(_ int, _ net.Conn, in *bufio.Reader) {
+		_, _ = http.ReadRequest(in)
+		_, err := in.ReadByte()
+		gone <- err
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	r := c.Do(ctx, targetRequest(http.MethodGet, nil))
+	require.Equal(t, []any{message.Unknown, message.ReasonCancelled}, []any{r.Outcome, r.Reason})
+	require.ErrorIs(t, <-gone, io.EOF)
+	require.Empty(t, c.conns.idle)
+}
