Measure targets that let requests wait for a slot

BenchmarkChain counts the time that a request waits in admission as added, while the targets of the variant "direct" take any number of requests at once. The variant "slots" is "direct" with targets that have the slots which they state, so it shows what the queue of the target would add without nodes.

--- a/internal/process/node/chain_bench_test.go
+++ b/internal/process/node/chain_bench_test.go
@@ -64,11 +64,15 @@
 	return err
 }
 
-// target serves one hop.
-func (c *chain) target(b *testing.B, hop int) string {
+// target serves one hop. With slots, a request waits for one before its handler starts to count the time.
+func (c *chain) target(b *testing.B, hop int, slots chan struct{}) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b, err)
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if slots != nil {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+		}
 		start := time.Now()
 		time.Sleep(chainWork)
 		if hop+1 < chainHops {
@@ -140,19 +144,24 @@
 }
 
 // Shows the time that the system adds to a call and the allocations of a request of three calls, at half of the load that
-// the first target can take. The variant "direct" calls the targets without nodes: what it shows is HTTP alone.
+// the first target can take. The variant "direct" calls the targets without nodes: what it shows is HTTP alone. The variant
+// "slots" does the same with targets that let requests wait for one of their slots, as admission does in a node.
 // docs/performance.md has the figures.
 func BenchmarkChain(b *testing.B) {
-	for _, variant := range []string{"direct", "nodes"} {
+	for _, variant := range []string{"direct", "slots", "nodes"} {
 		b.Run(variant, func(b *testing.B) {
 			c := &chain{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}}
 			defer c.client.CloseIdleConnections()
 			var seeds []string
 			own := make([]string, chainHops)
 			for hop := range chainHops {
-				target := c.target(b, hop)
+				var slots chan struct{}
+				if variant == "slots" {
+					slots = make(chan struct{}, chainSlots)
+				}
+				target := c.target(b, hop, slots)
 				c.next[hop] = "http://" + target + "/x"
-				if variant == "direct" {
+				if variant != "nodes" {
 					continue
 				}
 				faces := c.node(b, hop, target, seeds)
