Write link frames in the goroutine that made them

A link handed every frame to its writer goroutine. A frame that finds nothing else to be written is now written by the goroutine that made it. Responses wait for the connection; requests must not, because their caller has a deadline and a context that ends would close the connection. Frames of the reader goroutine are still queued, so that two readers cannot block each other.

The heartbeat ends a link whose write takes longer than its timeout.

--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -15,7 +15,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
-// Conn carries whole messages. Read is called by one goroutine, Write by one other.
+// Conn carries whole messages. Read is called by one goroutine, Write by one goroutine at a time.
 type Conn interface {
 	Read(ctx context.Context) ([]byte, error)
 	Write(ctx context.Context, b []byte) error
@@ -81,6 +81,7 @@
 
 var (
 	errSilent   = errors.New("no frame within the heartbeat timeout")
+	errStalled  = errors.New("a write took longer than the heartbeat timeout")
 	errIdle     = errors.New("idle")
 	errClosed   = errors.New("link closed")
 	errProtocol = errors.New("peer broke the protocol")
@@ -89,8 +90,7 @@
 // webSocket adapts a WebSocket connection to Conn.
 type webSocket struct{ c *websocket.Conn }
 
-// NewWebSocket returns a Conn over a WebSocket connection.
-func NewWebSocket(c *websocket.Conn) Conn {
+func newWebSocket(c *websocket.Conn) webSocket {
 	c.SetReadLimit(wire.MaxFrame)
 	return webSocket{c}
 }
--- a/internal/connection/link/outbound.go
+++ b/internal/connection/link/outbound.go
@@ -100,7 +100,7 @@
 		generation: generation,
 		conn:       conn,
 		reader:     newReader(conn, peer, log),
-		writer:     newWriter(conn, cfg.HeartbeatTimeout),
+		writer:     newWriter(conn),
 		log:        log,
 		cancel:     cancel,
 		done:       make(chan struct{}),
@@ -152,13 +152,16 @@
 	if o.leaving.Load() {
 		return message.Refuse(message.ReasonLeaving, message.Errorf(message.StepSend, o.peer.Address, "node is leaving")), true
 	}
-	stream, c, err := o.open(req)
+	stream, c, mine, err := o.open(req)
 	if err != nil {
 		return message.Refuse(message.ReasonInvalid, message.Errorf(message.StepSend, o.peer.Address, "%v", err)), true
 	}
 	if c == nil {
 		return nil, false
 	}
+	if mine {
+		o.writer.writeNow(c.out)
+	}
 	select {
 	case r := <-c.response:
 		return r, true
@@ -167,29 +170,31 @@
 	}
 }
 
-// open registers a call and queues its frames.
-func (o *outbound) open(req *message.Request) (uint64, *call, error) {
+// open registers a call. It queues the call's frames, or claims the writer for the caller. Streams are numbered and claimed
+// or queued under one mutex, because the peer takes them in rising order only.
+func (o *outbound) open(req *message.Request) (stream uint64, c *call, mine bool, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.closed {
-		return 0, nil, nil
+		return 0, nil, false, nil
 	}
-	stream := o.nextStream + 1
+	stream = o.nextStream + 1
 	now := time.Now()
 	frames, err := wire.EncodeRequest(stream, req, now)
 	if err != nil {
-		return 0, nil, err
+		return 0, nil, false, err
 	}
-	c := &call{id: req.ID, out: &outgoing{frames: frames}, response: make(chan *message.Response, 1)}
-	if !o.writer.enqueue(c.out) {
-		return 0, nil, nil
+	c = &call{id: req.ID, out: &outgoing{frames: frames}, response: make(chan *message.Response, 1)}
+	mine, ok := o.writer.claimNow(c.out)
+	if !ok {
+		return 0, nil, false, nil
 	}
 	o.nextStream = stream
 	if len(o.calls) == 0 {
 		o.waitSince = now
 	}
 	o.calls[stream] = c
-	return stream, c, nil
+	return stream, c, mine, nil
 }
 
 // take removes a call, so that exactly one party settles it.
@@ -344,6 +349,8 @@
 		case now := <-ticker.C:
 			silent, waiting, idle := o.quiet(now)
 			switch {
+			case o.writer.stalled(now) >= o.cfg.HeartbeatTimeout:
+				return errStalled
 			case waiting && silent >= o.cfg.HeartbeatTimeout:
 				return errSilent
 			case waiting && silent >= o.cfg.HeartbeatInterval:
--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -184,7 +184,7 @@
 		peer:    peer,
 		conn:    conn,
 		reader:  newReader(conn, peer, p.log),
-		writer:  newWriter(conn, p.cfg.HeartbeatTimeout),
+		writer:  newWriter(conn),
 		handler: p.handler,
 		streams: map[uint64]*stream{},
 	}
