Let BenchmarkChain go on when its single first request is shed

The testing package runs a benchmark with one request before the measured run. On an overloaded machine the nodes shed that request at times, and the benchmark ended: with a panic before the check for answers was added, and with that check after it (two of two runs at a load average of 60). A measured run without any answer still fails.

--- a/internal/process/node/chain_bench_test.go
+++ b/internal/process/node/chain_bench_test.go
@@ -187,6 +187,9 @@
 			if len(failed) > 0 {
 				b.Logf("%d of %d requests failed, the first: %v", len(failed), b.N, failed[0])
 			}
+			if len(c.added) == 0 && b.N == 1 {
+				return // the single request with which a benchmark starts was shed; the run that is measured follows
+			}
 			require.NotEmpty(b, c.added, "no request was answered")
 			slices.Sort(c.added)
 			for _, q := range []int{50, 99} {
