--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -5,6 +5,7 @@
 package link
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -17,6 +18,7 @@
 
 // Conn carries whole messages. Read is called by one goroutine, Write by one goroutine at a time.
 type Conn interface {
+	// Read returns the next message. Its bytes are valid until the next Read.
 	Read(ctx context.Context) ([]byte, error)
 	Write(ctx context.Context, b []byte) error
 	// Close ends the connection at once, without waiting for the other side.
@@ -87,17 +89,30 @@
 	errProtocol = errors.New("peer broke the protocol")
 )
 
+// maxKeptRead bounds the buffer that a link keeps between messages, in bytes. A node has a link to each of its peers.
+const maxKeptRead = 8 << 10
+
 // webSocket adapts a WebSocket connection to Conn.
-type webSocket struct{ c *websocket.Conn }
+type webSocket struct {
+	c  *websocket.Conn
+	in *bytes.Buffer // message that was read last
+}
 
 func newWebSocket(c *websocket.Conn) webSocket {
 	c.SetReadLimit(wire.MaxFrame)
-	return webSocket{c}
+	return webSocket{c: c, in: new(bytes.Buffer)}
 }
 
 func (w webSocket) Read(ctx context.Context) ([]byte, error) {
-	_, b, err := w.c.Read(ctx)
-	return b, err
+	if w.in.Cap() > maxKeptRead {
+		*w.in = bytes.Buffer{}
+	}
+	w.in.Reset()
+	_, r, err := w.c.Reader(ctx)
+	if err == nil {
+		_, err = w.in.ReadFrom(r)
+	}
+	return w.in.Bytes(), err
 }
 
 func (w webSocket) Write(ctx context.Context, b []byte) error {
--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -182,7 +182,7 @@
 func (*GoAway) frameType() Type   { return TypeGoAway }
 func (*Control) frameType() Type  { return TypeControl }
 
-// Decode reads one frame.
+// Decode reads one frame. The frame keeps no part of b.
 func Decode(b []byte) (Frame, error) {
 	if len(b) == 0 {
 		return nil, fmt.Errorf("%w: empty message", ErrFrame)
--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -46,6 +46,27 @@
 	}
 }
 
+// Guards against frames that change when the buffer of the connection or of the encoder is used again.
+func TestFramesKeepNoBuffer(t *testing.T) {
+	want := request([]byte("body"), time.Now())
+	frames, err := EncodeRequest(9, want, time.Now())
+	require.NoError(t, err)
+	read := bytes.Clone(frames[0])
+	f, err := Decode(read)
+	require.NoError(t, err)
+	for i := range read {
+		read[i] = 0xff
+	}
+	_, err = Encode(&Body{Stream: 1, Part: bytes.Repeat([]byte{0xff}, 2*len(read))})
+	require.NoError(t, err)
+	got := f.(*Request)
+	require.Equal(t, []any{"menu", "GET", "/boards/1?x=1", "k", want.Header, []byte("body")},
+		[]any{got.Service, got.Method, got.Path, got.Key, got.Header, got.Part})
+	again, err := Decode(frames[0])
+	require.NoError(t, err)
+	require.Equal(t, f, again)
+}
+
 // Guards against a cut, repeated or reordered body that is taken as whole.
 func TestAssemblyRefusesWrongParts(t *testing.T) {
 	a, err := NewAssembly(10, []byte("12345"), 100)
