--- a/internal/connection/link/dial.go
+++ b/internal/connection/link/dial.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/http/httptrace"
 
 	"github.com/coder/websocket"
 )
@@ -12,22 +11,14 @@
 // Path is the path of the peer interface.
 const Path = "/-/peer"
 
-// WebSocketDialer returns a Dialer that opens WebSocket connections.
-func WebSocketDialer() Dialer {
-	client := &http.Client{Transport: &http.Transport{DialContext: dialSocket}}
+// WebSocketDialer returns a Dialer that opens WebSocket connections with the client.
+func WebSocketDialer(client *http.Client) Dialer {
 	return func(ctx context.Context, address string) (Conn, error) {
-		var s *socket
-		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-			GotConn: func(info httptrace.GotConnInfo) { s, _ = info.Conn.(*socket) },
-		})
 		c, _, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{HTTPClient: client})
 		if err != nil {
 			return nil, fmt.Errorf("dial %s: %w", address, err)
 		}
-		if s == nil {
-			return newWebSocket(c), nil
-		}
-		return dialedSocket{webSocket: newWebSocket(c), s: s}, nil
+		return NewWebSocket(c), nil
 	}
 }
 
@@ -37,5 +28,5 @@
 	if err != nil {
 		return // Accept has answered
 	}
-	_ = p.Accept(r.Context(), newWebSocket(c)) // logged where it arose
+	_ = p.Accept(r.Context(), NewWebSocket(c)) // logged where it arose
 }
--- a/internal/connection/link/inbound.go
+++ b/internal/connection/link/inbound.go
@@ -139,10 +139,7 @@
 	in.running.Go(func() {
 		r := in.handler.HandleRequest(ctx, in.peer, s.req)
 		s.cancel()
-		o := in.response(id, s.req.ID, r)
-		if mine, _ := in.writer.claim(o); mine {
-			in.writer.write(o)
-		}
+		in.respond(id, s.req.ID, r)
 	})
 }
 
@@ -170,19 +167,16 @@
 
 // respond queues the response of a stream.
 func (in *inbound) respond(stream uint64, id message.ID, r *message.Response) {
-	in.writer.enqueue(in.response(stream, id, r))
-}
-
-// response returns the message with the response of a stream.
-func (in *inbound) response(stream uint64, id message.ID, r *message.Response) *outgoing {
 	frames, err := wire.EncodeResponse(stream, id, r)
 	if err != nil {
 		// Only the headers of the target can make a response too large for its first frame.
 		doubt := message.Doubt(message.ReasonTooLarge, message.Errorf(message.StepRun, in.cfg.Self.Address, "%v", err))
 		doubt.RetriesLeft = r.RetriesLeft
-		frames, _ = wire.EncodeResponse(stream, id, doubt) // has no headers, so it is never too large
+		if frames, err = wire.EncodeResponse(stream, id, doubt); err != nil {
+			return
+		}
 	}
-	return &outgoing{frames: frames, after: func() { in.forget(stream) }}
+	in.writer.enqueue(&outgoing{frames: frames, after: func() { in.forget(stream) }})
 }
 
 func (in *inbound) post(f wire.Frame) {
--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -16,7 +16,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
-// Conn carries whole messages. Read is called by one goroutine, Write by one goroutine at a time.
+// Conn carries whole messages. Read is called by one goroutine, Write by one other.
 type Conn interface {
 	// Read returns the next message. Its bytes are valid until the next Read.
 	Read(ctx context.Context) ([]byte, error)
@@ -98,7 +98,8 @@
 	in *bytes.Buffer // message that was read last
 }
 
-func newWebSocket(c *websocket.Conn) webSocket {
+// NewWebSocket returns a Conn over a WebSocket connection.
+func NewWebSocket(c *websocket.Conn) Conn {
 	c.SetReadLimit(wire.MaxFrame)
 	return webSocket{c: c, in: new(bytes.Buffer)}
 }
--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -5,10 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -27,13 +25,12 @@
 	done    chan struct{}
 	once    *sync.Once
 	silent  *atomic.Bool // drops every message in both directions
-	rest    []byte       // message that WriteNow kept for Flush
 }
 
 func newPipe() (*pipe, *pipe) {
 	a, b := make(chan []byte, 64), make(chan []byte, 64)
 	done, once, silent := make(chan struct{}), new(sync.Once), new(atomic.Bool)
-	return &pipe{a, b, done, once, silent, nil}, &pipe{b, a, done, once, silent, nil}
+	return &pipe{a, b, done, once, silent}, &pipe{b, a, done, once, silent}
 }
 
 func (p *pipe) Read(ctx context.Context) ([]byte, error) {
@@ -61,26 +58,6 @@
 	}
 }
 
-func (p *pipe) WriteNow(b []byte) (bool, error) {
-	if p.silent.Load() {
-		return false, nil
-	}
-	select {
-	case p.out <- b:
-	case <-p.done:
-		return false, errors.New("connection reset")
-	default:
-		p.rest = b
-	}
-	return p.rest != nil, nil
-}
-
-func (p *pipe) Flush() error {
-	err := p.Write(context.Background(), p.rest)
-	p.rest = nil
-	return err
-}
-
 func (p *pipe) Close() { p.once.Do(func() { close(p.done) }) }
 
 // testHandler answers requests with a function and remembers the IDs that it saw.
@@ -290,40 +267,6 @@
 	})
 }
 
-// Guards against bytes that are lost, repeated or reordered, and against a writer that waits, when the operating system takes
-// only a part of what is written.
-func TestSocketKeepsTheRest(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	conn, err := dialSocket(t.Context(), "tcp", l.Addr().String())
-	require.NoError(t, err)
-	defer conn.Close()
-	peer, err := l.Accept()
-	require.NoError(t, err)
-	defer peer.Close()
-	s := conn.(*socket)
-	var want []byte
-	s.setNow(true)
-	for i := 0; !s.setNow(true); i++ { // nobody reads, so a write that waits would never end
-		part := bytes.Repeat([]byte{byte(i)}, 70_001)
-		_, err := s.Write(part)
-		require.NoError(t, err)
-		want = append(want, part...)
-	}
-	_, err = s.Write([]byte("more"))
-	require.NoError(t, err)
-	require.True(t, s.setNow(false))
-	want = append(want, "more and last"...)
-	go func() {
-		_, _ = s.Write([]byte(" and last"))
-		_ = s.Close()
-	}()
-	got, err := io.ReadAll(peer)
-	require.NoError(t, err)
-	require.True(t, bytes.Equal(want, got))
-}
-
 // Guards against a response that carries the ID of another request.
 func TestResponseOfAnotherRequestIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/connection/link/outbound.go
+++ b/internal/connection/link/outbound.go
@@ -152,16 +152,13 @@
 	if o.leaving.Load() {
 		return message.Refuse(message.ReasonLeaving, message.Errorf(message.StepSend, o.peer.Address, "node is leaving")), true
 	}
-	stream, c, mine, err := o.open(req)
+	stream, c, err := o.open(req)
 	if err != nil {
 		return message.Refuse(message.ReasonInvalid, message.Errorf(message.StepSend, o.peer.Address, "%v", err)), true
 	}
 	if c == nil {
 		return nil, false
 	}
-	if mine {
-		o.writer.writeNow(c.out)
-	}
 	select {
 	case r := <-c.response:
 		return r, true
@@ -170,31 +167,29 @@
 	}
 }
 
-// open registers a call. It queues the call's frames, or claims the writer for the caller. Streams are numbered and claimed
-// or queued under one mutex, because the peer takes them in rising order only.
-func (o *outbound) open(req *message.Request) (stream uint64, c *call, mine bool, err error) {
+// open registers a call and queues its frames.
+func (o *outbound) open(req *message.Request) (uint64, *call, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.closed {
-		return 0, nil, false, nil
+		return 0, nil, nil
 	}
-	stream = o.nextStream + 1
+	stream := o.nextStream + 1
 	now := time.Now()
 	frames, err := wire.EncodeRequest(stream, req, now)
 	if err != nil {
-		return 0, nil, false, err
+		return 0, nil, err
 	}
-	c = &call{id: req.ID, out: &outgoing{frames: frames}, response: make(chan *message.Response, 1)}
-	mine, ok := o.writer.claimNow(c.out)
-	if !ok {
-		return 0, nil, false, nil
+	c := &call{id: req.ID, out: &outgoing{frames: frames}, response: make(chan *message.Response, 1)}
+	if !o.writer.enqueue(c.out) {
+		return 0, nil, nil
 	}
 	o.nextStream = stream
 	if len(o.calls) == 0 {
 		o.waitSince = now
 	}
 	o.calls[stream] = c
-	return stream, c, mine, nil
+	return stream, c, nil
 }
 
 // take removes a call, so that exactly one party settles it.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,7 +101,7 @@
 		HeartbeatInterval: s.Link.HeartbeatInterval,
 		HeartbeatTimeout:  s.Link.HeartbeatTimeout,
 		IdleTimeout:       s.Link.IdleTimeout,
-	}, link.WebSocketDialer(), n, n.log)
+	}, link.WebSocketDialer(http.DefaultClient), n, n.log)
 	n.engine = engine.New(engine.Config{
 		Address:   s.Node.PeerAddress,
 		Service:   s.Target.Service,
