End the call of a test when its target has the request

The test cancelled after 20 ms of real time. On a stalled machine the connection may not be open by then, and the call is then rightly reported as not run.

--- a/internal/process/node/targetconn_test.go
+++ b/internal/process/node/targetconn_test.go
@@ -100,13 +100,13 @@
 // Guards against a request that goes on after its caller has left, and against a connection that is kept after it.
 func TestTargetCallEndsWithItsContext(t *testing.T) {
 	gone := make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
 	c := startTarget(t, func(_ int, _ net.Conn, in *bufio.Reader) {
 		_, _ = http.ReadRequest(in)
+		cancel()
 		_, err := in.ReadByte()
 		gone <- err
 	})
-	ctx, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(20*time.Millisecond, cancel)
 	r := c.Do(ctx, targetRequest(http.MethodGet, nil))
 	require.Equal(t, []any{message.Unknown, message.ReasonCancelled}, []any{r.Outcome, r.Reason})
 	require.ErrorIs(t, <-gone, io.EOF)
