--- a/internal/connection/link/inbound.go
+++ b/internal/connection/link/inbound.go
@@ -59,6 +59,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
+			if in.writer.stalled(now) >= in.cfg.HeartbeatTimeout {
+				return errStalled
+			}
 			if in.active() > 0 && now.Sub(in.reader.heard()) >= limit {
 				return errSilent
 			}
--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -233,6 +233,40 @@
 	})
 }
 
+// Guards against a caller that is held beyond its deadline by a connection that takes no more bytes, against requests that
+// are reported as not run after they may have been written, and against a blocked write that nobody ends.
+func TestBlockedWriteHoldsNoCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newPipe()
+		go func() {
+			if _, err := readHello(t.Context(), b); err == nil {
+				_ = writeHello(t.Context(), b, Peer{Address: "b"}, 1)
+			}
+		}()
+		dial := func(context.Context, string) (Conn, error) { return a, nil }
+		p := NewPool(Config{Self: Peer{Address: "a"}}, dial, &testHandler{fn: echo}, slog.New(slog.DiscardHandler))
+		defer p.Close()
+		room := cap(a.out)
+		for i := range room + 3 {
+			start := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			r := p.Send(ctx, "b", newRequest(nil, time.Second))
+			cancel()
+			require.Equal(t, time.Millisecond, time.Since(start))
+			require.Equal(t, message.ReasonDeadline, r.Reason)
+			// Each request that was written is followed by its cancellation, so the pipe is full after half of its room.
+			want := message.Unknown
+			if i > room/2 {
+				want = message.NotRun
+			}
+			require.Equal(t, want, r.Outcome, "request %d", i)
+		}
+		time.Sleep(2 * time.Second)
+		dialed, _ := p.Links()
+		require.Zero(t, dialed)
+	})
+}
+
 // Guards against a response that carries the ID of another request.
 func TestResponseOfAnotherRequestIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/connection/link/outbound.go
+++ b/internal/connection/link/outbound.go
@@ -100,7 +100,7 @@
 		generation: generation,
 		conn:       conn,
 		reader:     newReader(conn, peer, log),
-		writer:     newWriter(conn, cfg.HeartbeatTimeout),
+		writer:     newWriter(conn),
 		log:        log,
 		cancel:     cancel,
 		done:       make(chan struct{}),
@@ -344,6 +344,8 @@
 		case now := <-ticker.C:
 			silent, waiting, idle := o.quiet(now)
 			switch {
+			case o.writer.stalled(now) >= o.cfg.HeartbeatTimeout:
+				return errStalled
 			case waiting && silent >= o.cfg.HeartbeatTimeout:
 				return errSilent
 			case waiting && silent >= o.cfg.HeartbeatInterval:
--- a/internal/connection/link/writer.go
+++ b/internal/connection/link/writer.go
@@ -27,10 +27,11 @@
 	return o.state.CompareAndSwap(stateQueued, stateWithdrawn)
 }
 
-// writer writes messages in the order in which they were queued.
+// writer writes messages in the order in which they were queued. Its writes have no context, because a context that can end
+// costs the library several allocations and a timer for each frame; stalled shows a write that does not end.
 type writer struct {
 	conn    Conn
-	timeout time.Duration // of one frame; a longer block means that the connection is dead
+	started atomic.Int64 // UnixNano of the start of the present write, zero if there is none
 
 	mu     sync.Mutex
 	queue  []*outgoing
@@ -38,8 +39,8 @@
 	closed bool
 }
 
-func newWriter(conn Conn, timeout time.Duration) *writer {
-	return &writer{conn: conn, timeout: timeout, wake: make(chan struct{}, 1)}
+func newWriter(conn Conn) *writer {
+	return &writer{conn: conn, wake: make(chan struct{}, 1)}
 }
 
 // enqueue queues a message and reports false if the writer is closed, in which case nothing is written.
@@ -58,7 +59,7 @@
 	return true
 }
 
-// run writes until the context ends or a write fails.
+// run writes until the context ends or a write fails. The connection is closed when the context ends, which ends its writes.
 func (w *writer) run(ctx context.Context) error {
 	defer w.close()
 	for {
@@ -75,7 +76,7 @@
 			if !o.state.CompareAndSwap(stateQueued, stateWriting) {
 				continue
 			}
-			err := w.write(ctx, o)
+			err := w.write(o)
 			if o.after != nil {
 				o.after()
 			}
@@ -94,17 +95,26 @@
 	return batch
 }
 
-func (w *writer) write(ctx context.Context, o *outgoing) error {
-	ctx, cancel := context.WithTimeout(ctx, w.timeout)
-	defer cancel()
+func (w *writer) write(o *outgoing) error {
+	w.started.Store(time.Now().UnixNano())
+	defer w.started.Store(0)
 	for _, b := range o.frames {
-		if err := w.conn.Write(ctx, b); err != nil {
+		if err := w.conn.Write(context.Background(), b); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// stalled returns how long the present message has been written.
+func (w *writer) stalled(now time.Time) time.Duration {
+	started := w.started.Load()
+	if started == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, started))
+}
+
 func (w *writer) close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
