Call targets through the library's HTTP client again

The version before kept its own connections to the target and ran each call in the calling goroutine. So the client of kratos is back.

The library passes on a redirect without a Location header as it is, so the header is held back while the response passes the client. Without that TestRedirectIsAnAnswer fails: expected 302, actual 0. The tests of early answers, leftovers and cancelled calls stay and pass with the library's client.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -91,7 +91,9 @@
 		return nil, fmt.Errorf("idempotency keys: %w", err)
 	}
 	n.keys = keys
-	n.target = newTargetClient(s.Target.Address, n.policy.Load)
+	if n.target, err = newTargetClient(context.Background(), s.Target.Address, n.policy.Load); err != nil {
+		return nil, err
+	}
 	if n.metrics, err = metrics.New(n.gauges); err != nil {
 		return nil, err
 	}
--- a/internal/process/node/target.go
+++ b/internal/process/node/target.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
 )
@@ -25,64 +27,91 @@
 
 // targetClient runs requests at the target beside the node.
 type targetClient struct {
-	conns   targetConns
+	client  *khttp.Client
 	address atomic.Pointer[string] // as last announced
 	policy  func() *policy.Policy
 }
 
 // newTargetClient returns a client. An empty address means that the target says where it serves when it announces itself.
-func newTargetClient(address string, pol func() *policy.Policy) *targetClient {
-	t := &targetClient{policy: pol}
-	t.conns.dialer.Timeout = targetDialTimeout
-	t.conns.idleTimeout = targetIdleTimeout
+func newTargetClient(ctx context.Context, address string, pol func() *policy.Policy) (*targetClient, error) {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: targetDialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 1024,
+		IdleConnTimeout:     targetIdleTimeout,
+		DisableCompression:  true, // bodies pass unchanged
+	}
+	client, err := khttp.NewClient(ctx,
+		khttp.WithTransport(redirects{transport}),
+		khttp.WithTimeout(0),
+		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }), // every status is an answer
+	)
+	if err != nil {
+		return nil, fmt.Errorf("target client: %w", err)
+	}
+	t := &targetClient{client: client, policy: pol}
 	t.address.Store(&address)
-	return t
+	return t, nil
 }
 
 // Do implements engine.Target.
 func (t *targetClient) Do(ctx context.Context, req *message.Request) *message.Response {
 	address := *t.address.Load()
-	hr, err := t.httpRequest(address, req)
+	hr, err := t.httpRequest(ctx, address, req)
 	if err != nil {
 		return message.Refuse(message.ReasonInvalid, message.Errorf(message.StepRun, address, "%v", err))
 	}
-	conn, err := t.conns.get(ctx, address)
+	resp, err := t.client.Do(hr)
 	if err != nil {
 		return targetFailure(ctx, address, err)
 	}
-	stop := context.AfterFunc(ctx, conn.interrupt)
-	resp, reusable := t.exchange(ctx, conn, hr)
-	if stop() && reusable {
-		t.conns.put(conn)
-	} else {
-		_ = conn.Close()
-	}
-	return resp
-}
-
-// exchange runs a request on a connection and reports whether the connection can take another one.
-func (t *targetClient) exchange(ctx context.Context, conn *targetConn, hr *http.Request) (*message.Response, bool) {
-	resp, err := conn.roundTrip(hr)
-	if err != nil {
-		return targetFailure(ctx, conn.address, err), false
-	}
+	defer func() { _ = resp.Body.Close() }()
+	restoreLocation(resp.Header)
 	if resp.StatusCode < http.StatusOK {
 		// An interim status is no answer: 101 ends HTTP on the connection, and one below 100 can't be passed on.
 		return message.Doubt(message.ReasonConnection,
-			message.Errorf(message.StepRun, conn.address, "status %d is not final", resp.StatusCode)), false
+			message.Errorf(message.StepRun, address, "status %d is not final", resp.StatusCode))
 	}
-	body, err := t.readBody(hr.Method, resp)
+	body, err := t.readBody(req.Method, resp)
 	if err != nil {
-		return message.Doubt(message.ReasonConnection, message.Errorf(message.StepRun, conn.address, "read response: %v", err)), false
+		return message.Doubt(message.ReasonConnection, message.Errorf(message.StepRun, address, "read response: %v", err))
 	}
 	message.RemoveHopHeaders(resp.Header)
-	answer := &message.Response{Outcome: message.Answered, Status: resp.StatusCode, Header: resp.Header, Body: body}
-	return answer, !resp.Close && conn.written()
+	return &message.Response{Outcome: message.Answered, Status: resp.StatusCode, Header: resp.Header, Body: body}
+}
+
+const (
+	locationHeader = "Location"
+	// heldLocationHeader holds the value of locationHeader while a response passes the client of the library.
+	heldLocationHeader = "Wigeon-Held-Location"
+)
+
+// redirects keeps the client of the library from following redirects, each of which would be an attempt beyond the bound.
+// The library has no option for it, but passes on a redirect without a Location header as it is.
+type redirects struct{ http.RoundTripper }
+
+func (t redirects) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	resp.Header.Del(heldLocationHeader)
+	if location, ok := resp.Header[locationHeader]; ok {
+		resp.Header[heldLocationHeader] = location
+		resp.Header.Del(locationHeader)
+	}
+	return resp, nil
+}
+
+func restoreLocation(h http.Header) {
+	if location, ok := h[heldLocationHeader]; ok {
+		h[locationHeader] = location
+		h.Del(heldLocationHeader)
+	}
 }
 
 // httpRequest builds the request for the target.
-func (t *targetClient) httpRequest(address string, req *message.Request) (*http.Request, error) {
-	hr, err := http.NewRequest(req.Method, "http://"+address+req.Path, nil)
+func (t *targetClient) httpRequest(ctx context.Context, address string, req *message.Request) (*http.Request, error) {
+	hr, err := http.NewRequestWithContext(ctx, req.Method, "http://"+address+req.Path, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -98,10 +127,10 @@
 	if req.Key != "" {
 		hr.Header.Set(message.HeaderKey, req.Key)
 	}
-	if len(req.Body) > 0 {
-		hr.Body = io.NopCloser(bytes.NewReader(req.Body))
-		hr.ContentLength = int64(len(req.Body))
-	}
+	// http.Transport repeats a GET or a request with an Idempotency-Key by itself if it has no body or one that can be read
+	// again. A body without GetBody keeps it from doing so, which would break the bound on attempts.
+	hr.Body = io.NopCloser(bytes.NewReader(req.Body))
+	hr.ContentLength = int64(len(req.Body))
 	return hr, nil
 }
 
