Refuse a response that came before its request

A target that sends two responses to one request left the second one in the buffer of the connection, and the next request got it as its answer, which is another request's answer.

Cause: the library closes a connection on which something unsolicited arrives, but its reader looks only after the connection is back in the pool; a request that is quicker takes the leftover.

The connection to the target now counts its reads. A response for which nothing was read since the request got the connection was there before; it is refused as unknown and the connection is closed. Guards of the transport have a file of their own.

--- a/internal/process/node/target.go
+++ b/internal/process/node/target.go
@@ -18,13 +18,6 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
 )
 
-const (
-	targetDialTimeout = 500 * time.Millisecond
-	// targetIdleTimeout is shorter than the idle timeouts that servers usually have, so that a request rarely meets a
-	// connection that its target has just closed.
-	targetIdleTimeout = 15 * time.Second
-)
-
 // targetClient runs requests at the target beside the node.
 type targetClient struct {
 	client  *khttp.Client
@@ -34,14 +27,8 @@
 
 // newTargetClient returns a client. An empty address means that the target says where it serves when it announces itself.
 func newTargetClient(ctx context.Context, address string, pol func() *policy.Policy) (*targetClient, error) {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: targetDialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 1024,
-		IdleConnTimeout:     targetIdleTimeout,
-		DisableCompression:  true, // bodies pass unchanged
-	}
 	client, err := khttp.NewClient(ctx,
-		khttp.WithTransport(redirects{transport}),
+		khttp.WithTransport(newTargetTransport()),
 		khttp.WithTimeout(0),
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }), // every status is an answer
 	)
@@ -79,36 +66,6 @@
 	return &message.Response{Outcome: message.Answered, Status: resp.StatusCode, Header: resp.Header, Body: body}
 }
 
-const (
-	locationHeader = "Location"
-	// heldLocationHeader holds the value of locationHeader while a response passes the client of the library.
-	heldLocationHeader = "Wigeon-Held-Location"
-)
-
-// redirects keeps the client of the library from following redirects, each of which would be an attempt beyond the bound.
-// The library has no option for it, but passes on a redirect without a Location header as it is.
-type redirects struct{ http.RoundTripper }
-
-func (t redirects) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.RoundTripper.RoundTrip(r)
-	if err != nil {
-		return nil, err
-	}
-	resp.Header.Del(heldLocationHeader)
-	if location, ok := resp.Header[locationHeader]; ok {
-		resp.Header[heldLocationHeader] = location
-		resp.Header.Del(locationHeader)
-	}
-	return resp, nil
-}
-
-func restoreLocation(h http.Header) {
-	if location, ok := h[heldLocationHeader]; ok {
-		h[locationHeader] = location
-		h.Del(heldLocationHeader)
-	}
-}
-
 // httpRequest builds the request for the target.
 func (t *targetClient) httpRequest(ctx context.Context, address string, req *message.Request) (*http.Request, error) {
 	hr, err := http.NewRequestWithContext(ctx, req.Method, "http://"+address+req.Path, nil)
--- /dev/null
+++ b/internal/process/node/targettransport.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	targetDialTimeout = 500 * time.Millisecond
+	// targetIdleTimeout is shorter than the idle timeouts that servers usually have, so that a request rarely meets a
+	// connection that its target has just closed.
+	targetIdleTimeout = 15 * time.Second
+
+	locationHeader = "Location"
+	// heldLocationHeader holds the value of locationHeader while a response passes the client of the library.
+	heldLocationHeader = "Wigeon-Held-Location"
+)
+
+var errLeftover = errors.New("response was on the connection before the request")
+
+// targetTransport is the transport of the library with two guards. It hides the Location header of redirects, which the
+// client would follow: each step would be an attempt beyond the bound, and the library has no option against it. And it
+// refuses a response that was received before its request was sent: the target sent more than one response to the request
+// before, and the library notices that only if its reader is faster than the next request.
+type targetTransport struct {
+	transport http.Transport
+}
+
+func newTargetTransport() *targetTransport {
+	dialer := &net.Dialer{Timeout: targetDialTimeout}
+	return &targetTransport{http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &targetConn{Conn: conn}, nil
+		},
+		MaxIdleConnsPerHost: 1024,
+		IdleConnTimeout:     targetIdleTimeout,
+		DisableCompression:  true, // bodies pass unchanged
+	}}
+}
+
+// RoundTrip implements http.RoundTripper. The caller passes the header of the response to restoreLocation.
+func (t *targetTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn *targetConn
+	var reads int64
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, _ = info.Conn.(*targetConn); conn != nil {
+			reads = conn.reads.Load()
+		}
+	}}
+	resp, err := t.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if conn != nil && conn.reads.Load() == reads {
+		_ = conn.Close()
+		_ = resp.Body.Close()
+		return nil, errLeftover
+	}
+	resp.Header.Del(heldLocationHeader)
+	if location, ok := resp.Header[locationHeader]; ok {
+		resp.Header[heldLocationHeader] = location
+		resp.Header.Del(locationHeader)
+	}
+	return resp, nil
+}
+
+func restoreLocation(h http.Header) {
+	if location, ok := h[heldLocationHeader]; ok {
+		h[locationHeader] = location
+		h.Del(heldLocationHeader)
+	}
+}
+
+// targetConn counts the reads that received something.
+type targetConn struct {
+	net.Conn
+	reads atomic.Int64
+}
+
+func (c *targetConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.reads.Add(1)
+	}
+	return n, err
+}
