--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -58,11 +58,11 @@
 
 const choiceRuns = 3
 
-// choices returns measurements of a scenario with the settings of each site. Their seeds differ, because single runs with
+// choices returns measurements of a scenario with the settings of the base file alone and of each site. Their seeds differ, because single runs with
 // the same settings differ as much as the means for different settings.
 func choices(t *testing.T, site Site, s Scenario) Report {
 	var out Report
-	for _, name := range []string{Haetsal().Name, Gnomon().Name} {
+	for _, name := range []string{BaseFileOnly, Haetsal().Name, Gnomon().Name} {
 		with, err := site.WithOverlay(examples, name)
 		require.NoError(t, err)
 		for range choiceRuns {
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -18,7 +18,7 @@
 	Site     Site
 	Scenario Scenario
 	System   System
-	Overlay  string // in the comparison of settings: the site whose settings are used; empty otherwise
+	Overlay  string // in the comparison of settings: the site whose settings are used, or BaseFileOnly; empty otherwise
 	Figures  Figures
 }
 
--- a/internal/measure/site.go
+++ b/internal/measure/site.go
@@ -94,16 +94,23 @@
 // baseFile is the base file in the directory of the policy files; the overlay of a site has the site's name.
 const baseFile = "base.ini"
 
-// WithOverlay returns the site with the settings of a site's overlay over the base file. Services and routes stay as they
-// are, because the sites that are measured have several services of the same kind in one.
+// BaseFileOnly names no overlay: the settings of the base file.
+const BaseFileOnly = "base file"
+
+// WithOverlay returns the site with the settings of a site's overlay over the base file, or of the base file alone.
+// Services and routes stay as they are, because the sites that are measured have several services of the same kind in one.
 func (s Site) WithOverlay(dir, overlay string) (Site, error) {
-	var files [2]policy.File
-	for i, name := range []string{baseFile, overlay + ".ini"} {
-		body, err := os.ReadFile(filepath.Join(dir, name))
+	files := [2]policy.File{{Name: baseFile}, {Name: overlay + ".ini"}}
+	for i := range files {
+		if i == 1 && overlay == BaseFileOnly {
+			files[i].Body = fmt.Appendf(nil, "[site]\nname = %s\n", s.Name)
+			continue
+		}
+		body, err := os.ReadFile(filepath.Join(dir, files[i].Name))
 		if err != nil {
 			return s, fmt.Errorf("read policy file: %w", err)
 		}
-		files[i] = policy.File{Name: name, Body: body}
+		files[i].Body = body
 	}
 	p, _, err := policy.Load(files[0], files[1])
 	if err != nil {
