Pack membership records with CBOR instead of a byte format of our own

The packed records of a membership message were written and read byte by byte. The records are now CBOR arrays: shared texts by number, IPv4 addresses in 6 bytes, incarnations relative to the first one. The reader of bytes with its bounds is gone; limits on texts, records and values are checked as before.

--- a/internal/process/membership/message.go
+++ b/internal/process/membership/message.go
@@ -54,7 +54,7 @@
 	Mask        uint64   `cbor:"9,keyasint,omitempty"`
 	Last        bool     `cbor:"10,keyasint,omitempty"` // the last part of the view that answers a join
 	View        bool     `cbor:"12,keyasint,omitempty"` // a part of the view that answers a join
-	Packed      []byte   `cbor:"11,keyasint,omitempty"` // Updates on the wire only; key 5 held them in an earlier form
+	Packed      *packed  `cbor:"11,keyasint,omitempty"` // Updates on the wire only; key 5 held them in an earlier form
 }
 
 // Update is a statement about one member.
@@ -139,7 +139,7 @@
 	if len(m.Buckets) != 0 && len(m.Buckets) != buckets*bucketBytes {
 		return nil, fmt.Errorf("%w: %d bytes of bucket hashes", ErrInvalid, len(m.Buckets))
 	}
-	updates, err := unpack(m.Packed)
+	updates, err := m.Packed.unpack()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/membership/pack.go
+++ b/internal/process/membership/pack.go
@@ -6,248 +6,170 @@
 	"net/netip"
 )
 
-// Updates travel in a packed form, because they make up nearly all bytes of a join and of a partition that heals. It
-// starts with the first incarnation and the texts that the records share, such as services and zones. Each record then
-// has its flags, its address, the difference of its incarnation to the first one, and what the flags announce. An IPv4
-// address with a port takes 6 bytes. A record of TestCapacity has 10 to 20 bytes, with Info 29 to 36.
-const (
-	packState   = 1<<3 - 1 // bits of the state
-	packIPv4    = 1 << 3   // the address is IPv4
-	packSince   = 1 << 4   // SinceBorn and SinceMeta follow
-	packAge     = 1 << 5
-	packInfo    = 1 << 6
-	packUnknown = 1 << 7
-
-	packCallerPort = 1 << 0 // the caller interface has the same IPv4 address, and its port follows
-	packStated     = 1 << 1
-	packUnused     = ^byte(packCallerPort | packStated)
-)
-
 // maxTexts bounds the texts that the records of one message share.
 const maxTexts = 1024
 
-// packer builds the packed form.
+// packed holds updates in the form in which they travel, which is compact because they make up nearly all bytes of a join
+// and of a partition that heals: records are arrays, share their texts, and have incarnations relative to the first one.
+type packed struct {
+	_       struct{} `cbor:",toarray"`
+	Base    uint64   // incarnation of the first record
+	Texts   []string // zones, regions and services
+	Records []packedUpdate
+}
+
+// packedUpdate is an Update. An address of IPv4 takes 6 bytes, any other one is in Name.
+type packedUpdate struct {
+	_     struct{} `cbor:",toarray"`
+	IPv4  []byte
+	Name  string
+	State State
+	Delta int64    // incarnation without Base
+	Since []uint64 // SinceBorn and SinceMeta, or empty
+	Age   uint32
+	Info  *packedInfo
+}
+
+// packedInfo is an Info. A caller interface at the member's own IPv4 address has its port in Port, any other one is in Caller.
+type packedInfo struct {
+	_                     struct{} `cbor:",toarray"`
+	Port                  []byte
+	Caller                string
+	Instance              uint64
+	Zone, Region, Service uint16 // numbers of texts
+	Slots                 int
+	Stated                State
+}
+
+// packer collects the texts that records share.
 type packer struct {
-	texts map[string]uint64
-	list  []string
-	out   []byte
+	numbers map[string]uint16
+	texts   []string
 }
 
-func pack(updates []Update) []byte {
+func pack(updates []Update) *packed {
 	if len(updates) == 0 {
 		return nil
 	}
-	p := &packer{texts: map[string]uint64{}}
+	t := &packer{numbers: map[string]uint16{}}
+	out := &packed{Base: updates[0].Incarnation, Records: make([]packedUpdate, len(updates))}
 	for i := range updates {
-		p.update(&updates[i], updates[0].Incarnation)
+		out.Records[i] = t.update(&updates[i], out.Base)
 	}
-	head := binary.AppendUvarint(nil, updates[0].Incarnation)
-	head = binary.AppendUvarint(head, uint64(len(p.list)))
-	for _, s := range p.list {
-		head = appendText(head, s)
-	}
-	return append(head, p.out...)
+	out.Texts = t.texts
+	return out
 }
 
-func appendText(b []byte, s string) []byte {
-	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
-}
-
-// shared appends the number of a text that records share.
-func (p *packer) shared(s string) {
-	n, ok := p.texts[s]
+func (t *packer) number(s string) uint16 {
+	n, ok := t.numbers[s]
 	if !ok {
-		n = uint64(len(p.list))
-		p.texts[s] = n
-		p.list = append(p.list, s)
+		n = uint16(len(t.texts)) // a message has fewer records than numbers
+		t.numbers[s] = n
+		t.texts = append(t.texts, s)
 	}
-	p.number(n)
+	return n
 }
 
-func (p *packer) number(n uint64) { p.out = binary.AppendUvarint(p.out, n) }
-
-func (p *packer) update(u *Update, base uint64) {
-	at, isIPv4 := parseIPv4(u.Address)
-	flags := byte(u.State)&packState | bitIf(isIPv4, packIPv4) | bitIf(u.SinceBorn|u.SinceMeta != 0, packSince) |
-		bitIf(u.Age != 0, packAge) | bitIf(u.Info != nil, packInfo)
-	p.out = append(p.out, flags)
-	if isIPv4 {
-		ip := at.Addr().As4()
-		p.out = binary.BigEndian.AppendUint16(append(p.out, ip[:]...), at.Port())
+func (t *packer) update(u *Update, base uint64) packedUpdate {
+	out := packedUpdate{State: u.State, Delta: int64(u.Incarnation - base), Age: u.Age}
+	at, ok := parseIPv4(u.Address)
+	if ok {
+		out.IPv4, _ = at.MarshalBinary()
 	} else {
-		p.out = appendText(p.out, u.Address)
-	}
-	p.out = binary.AppendVarint(p.out, int64(u.Incarnation-base))
-	if flags&packSince != 0 {
-		p.number(u.SinceBorn)
-		p.number(u.SinceMeta)
+		out.Name = u.Address
 	}
-	if flags&packAge != 0 {
-		p.number(uint64(u.Age))
+	if u.SinceBorn|u.SinceMeta != 0 {
+		out.Since = []uint64{u.SinceBorn, u.SinceMeta}
 	}
 	if u.Info != nil {
-		p.info(u.Info, at, isIPv4)
+		out.Info = t.info(u.Info, at)
 	}
+	return out
 }
 
-func bitIf(set bool, bit byte) byte {
-	if set {
-		return bit
+// info packs the rarely changing part of a record. The address is not valid if the member has none of IPv4.
+func (t *packer) info(i *Info, at netip.AddrPort) *packedInfo {
+	out := &packedInfo{
+		Instance: i.Instance, Zone: t.number(i.Zone), Region: t.number(i.Region), Service: t.number(i.Service),
+		Slots: i.Slots, Stated: i.Stated,
 	}
-	return 0
-}
-
-func (p *packer) info(i *Info, at netip.AddrPort, isIPv4 bool) {
-	caller, ok := parseIPv4(i.Caller)
-	ok = ok && isIPv4 && caller.Addr() == at.Addr()
-	p.out = append(p.out, bitIf(ok, packCallerPort)|bitIf(i.Stated != 0, packStated))
-	if ok {
-		p.out = binary.BigEndian.AppendUint16(p.out, caller.Port())
+	if caller, ok := parseIPv4(i.Caller); ok && caller.Addr() == at.Addr() {
+		out.Port = binary.BigEndian.AppendUint16(nil, caller.Port())
 	} else {
-		p.out = appendText(p.out, i.Caller)
-	}
-	p.out = binary.BigEndian.AppendUint64(p.out, i.Instance)
-	p.shared(i.Zone)
-	p.shared(i.Region)
-	p.shared(i.Service)
-	p.number(uint64(i.Slots))
-	if i.Stated != 0 {
-		p.out = append(p.out, byte(i.Stated))
+		out.Caller = i.Caller
 	}
+	return out
 }
 
-// parseIPv4 parses an address that has the usual form, so that it can be restored exactly.
+// parseIPv4 parses an address that has the usual form, so that it can be restored exactly. It returns the zero AddrPort
+// for any other address.
 func parseIPv4(s string) (netip.AddrPort, bool) {
 	a, err := netip.ParseAddrPort(s)
-	return a, err == nil && a.Addr().Is4() && a.String() == s
-}
-
-// unpacker reads the packed form. After the first fault it returns zero values.
-type unpacker struct {
-	in    []byte
-	bad   bool
-	texts []string
+	if err != nil || !a.Addr().Is4() || a.String() != s {
+		return netip.AddrPort{}, false
+	}
+	return a, true
 }
 
-func unpack(b []byte) ([]Update, error) {
-	if len(b) == 0 {
+// unpack returns the updates. Message.Decode checks their values.
+func (p *packed) unpack() ([]Update, error) {
+	if p == nil {
 		return nil, nil
 	}
-	p := &unpacker{in: b}
-	base := p.number()
-	n := p.number()
-	if n > maxTexts {
-		return nil, fmt.Errorf("%w: %d texts", ErrInvalid, n)
+	if len(p.Texts) > maxTexts || len(p.Records) > maxUpdates {
+		return nil, fmt.Errorf("%w: %d texts and %d records", ErrInvalid, len(p.Texts), len(p.Records))
 	}
-	for range n {
-		p.texts = append(p.texts, p.text())
-	}
-	var updates []Update
-	for len(p.in) > 0 && !p.bad {
-		if len(updates) == maxUpdates {
-			return nil, fmt.Errorf("%w: more than %d updates", ErrInvalid, maxUpdates)
+	updates := make([]Update, len(p.Records))
+	for i := range p.Records {
+		u, err := p.update(&p.Records[i])
+		if err != nil {
+			return nil, err
 		}
-		updates = append(updates, p.update(base))
-	}
-	if p.bad {
-		return nil, fmt.Errorf("%w: packed updates", ErrInvalid)
+		updates[i] = u
 	}
 	return updates, nil
 }
 
-// take returns the next n bytes, or n zero bytes after the end. n is small and does not come from the message.
-func (p *unpacker) take(n int) []byte {
-	if len(p.in) < n {
-		p.bad, p.in = true, nil
-		return make([]byte, n)
-	}
-	b := p.in[:n]
-	p.in = p.in[n:]
-	return b
-}
-
-func (p *unpacker) number() uint64 {
-	v, n := binary.Uvarint(p.in)
-	return advanced(p, v, n)
-}
-
-// advanced skips the n bytes of a number and returns it.
-func advanced[T int64 | uint64](p *unpacker, v T, n int) T {
-	if n <= 0 {
-		p.bad, p.in = true, nil
-		return 0
-	}
-	p.in = p.in[n:]
-	return v
-}
-
-func (p *unpacker) text() string {
-	n := p.number()
-	if n > maxText || n > uint64(len(p.in)) {
-		p.bad, p.in = true, nil
-		return ""
-	}
-	return string(p.take(int(n)))
-}
-
-func (p *unpacker) shared() string {
-	n := p.number()
-	if n >= uint64(len(p.texts)) {
-		p.bad = true
-		return ""
-	}
-	return p.texts[n]
-}
-
-func (p *unpacker) ipv4() netip.AddrPort {
-	b := p.take(6)
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b)), binary.BigEndian.Uint16(b[4:]))
-}
-
-func (p *unpacker) update(base uint64) Update {
-	var u Update
-	flags := p.take(1)[0]
-	p.bad = p.bad || flags&packUnknown != 0
-	u.State = State(flags & packState)
+func (p *packed) update(r *packedUpdate) (Update, error) {
+	u := Update{Address: r.Name, Incarnation: p.Base + uint64(r.Delta), State: r.State, Age: r.Age}
 	var at netip.AddrPort
-	if flags&packIPv4 != 0 {
-		at = p.ipv4()
+	if len(r.IPv4) != 0 {
+		if err := at.UnmarshalBinary(r.IPv4); err != nil || !at.Addr().Is4() {
+			return u, fmt.Errorf("%w: address of %d bytes", ErrInvalid, len(r.IPv4))
+		}
 		u.Address = at.String()
-	} else {
-		u.Address = p.text()
 	}
-	delta, n := binary.Varint(p.in)
-	u.Incarnation = base + uint64(advanced(p, delta, n))
-	if flags&packSince != 0 {
-		u.SinceBorn = p.number()
-		u.SinceMeta = p.number()
+	switch len(r.Since) {
+	case 0:
+	case 2:
+		u.SinceBorn, u.SinceMeta = r.Since[0], r.Since[1]
+	default:
+		return u, fmt.Errorf("%w: %d differences of incarnations of %q", ErrInvalid, len(r.Since), u.Address)
 	}
-	if flags&packAge != 0 {
-		u.Age = uint32(min(p.number(), 1<<32-1))
+	if r.Info == nil {
+		return u, nil
 	}
-	if flags&packInfo != 0 {
-		u.Info = p.info(at)
+	info, err := p.info(r.Info, at)
+	if err != nil {
+		return u, fmt.Errorf("record of %q: %w", u.Address, err)
 	}
-	return u
+	u.Info = info
+	return u, nil
 }
 
-func (p *unpacker) info(at netip.AddrPort) *Info {
-	i := &Info{}
-	flags := p.take(1)[0]
-	p.bad = p.bad || flags&packUnused != 0 || flags&packCallerPort != 0 && !at.IsValid()
-	if flags&packCallerPort != 0 {
-		i.Caller = netip.AddrPortFrom(at.Addr(), binary.BigEndian.Uint16(p.take(2))).String()
-	} else {
-		i.Caller = p.text()
+func (p *packed) info(r *packedInfo, at netip.AddrPort) (*Info, error) {
+	if int(max(r.Zone, r.Region, r.Service)) >= len(p.Texts) {
+		return nil, fmt.Errorf("%w: text beyond %d", ErrInvalid, len(p.Texts))
 	}
-	i.Instance = binary.BigEndian.Uint64(p.take(8))
-	i.Zone, i.Region, i.Service = p.shared(), p.shared(), p.shared()
-	slots := p.number()
-	if i.Slots = int(slots); uint64(i.Slots) != slots {
-		p.bad = true
+	i := &Info{
+		Caller: r.Caller, Instance: r.Instance, Zone: p.Texts[r.Zone], Region: p.Texts[r.Region], Service: p.Texts[r.Service],
+		Slots: r.Slots, Stated: r.Stated,
 	}
-	if flags&packStated != 0 {
-		i.Stated = State(p.take(1)[0])
+	if len(r.Port) != 0 {
+		if len(r.Port) != 2 || !at.IsValid() {
+			return nil, fmt.Errorf("%w: port of %d bytes", ErrInvalid, len(r.Port))
+		}
+		i.Caller = netip.AddrPortFrom(at.Addr(), binary.BigEndian.Uint16(r.Port)).String()
 	}
-	return i
+	return i, nil
 }
