--- a/internal/process/membership/capacity_test.go
+++ b/internal/process/membership/capacity_test.go
@@ -12,17 +12,18 @@
 	"github.com/stretchr/testify/require"
 )
 
-var capacitySizes = flag.String("capacity", "", "numbers of members for TestCapacity, separated by commas")
+var capacitySizes = flag.String("capacity", "50", "numbers of members for TestCapacity, separated by commas")
 
-// TestCapacity prints the figures of docs/capacity-membership.md. It checks nothing and runs only with the flag.
+// maxControl is the traffic that a node may spend on control, in bytes a second, sent and received.
+const maxControl = 4000
+
+// TestCapacity prints the figures of docs/capacity-membership.md for the sizes of the flag. Guards against traffic at rest
+// above what a node may spend, at the busiest member too.
 func TestCapacity(t *testing.T) {
-	if *capacitySizes == "" {
-		t.Skip("prints figures only; run with -capacity 50,100,200,1000,2300")
-	}
 	for _, f := range strings.Split(*capacitySizes, ",") {
 		n, err := strconv.Atoi(f)
 		require.NoError(t, err)
-		measureSize(n)
+		require.LessOrEqual(t, 2*measureSize(n), float64(maxControl), "%d members", n)
 		runtime.GC()
 	}
 }
@@ -41,8 +42,8 @@
 	return total, most
 }
 
-// measureSize prints what n members cost at rest and per change.
-func measureSize(n int) {
+// measureSize prints what n members cost at rest and per change, and returns what the busiest one sends a second at rest.
+func measureSize(n int) float64 {
 	s := newSim(uint64(n), Config{})
 	s.cluster(n)
 	s.measure = true
@@ -103,6 +104,7 @@
 	s.cut = nil
 	change("healing", time.Minute, func() {}, s.agree)
 	fmt.Printf("n=%d cut: %.2f of the deaths that were right\n", n, float64(deaths)/float64(2*(n/9)*(n-n/9)))
+	return float64(most.bytes) / rest
 }
 
 // apart reports whether no member of the availability zone holds a member outside to be live, or the reverse.
--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -13,10 +13,13 @@
 )
 
 var (
-	soakTime = flag.Duration("soak.duration", 0, "time in which TestSoak begins faults; 0 leaves it out")
+	soakTime = flag.Duration("soak.duration", 0, "time in which TestSoak begins faults, at least shortSoak of them")
 	soakSeed = flag.Uint64("soak.seed", 1, "seed of the order of faults in TestSoak")
 )
 
+// shortSoak is the least number of faults of TestSoak, and all that run without a duration.
+const shortSoak = 3
+
 // soakFault is a fault that ends with the site as it was before.
 type soakFault struct {
 	name string
@@ -74,19 +77,17 @@
 	}, false},
 }
 
-// Guards against faults that only show in some order: a long run of the faults of the other tests, one at a time, in random
-// order at random VMs. `make soak` runs it.
+// Guards against faults that only show in some order: the faults of the other tests, one at a time, in random order at
+// random VMs. `make soak` runs it for long.
 func TestSoak(t *testing.T) {
-	if *soakTime == 0 {
-		t.Skip("-soak.duration is not set")
-	}
 	s := newSite(t)
 	t.Logf("seed %d", *soakSeed)
 	rng := rand.New(rand.NewPCG(*soakSeed, 0))
 	l := s.startLoad()
 	l.awaitOrders(warmUp)
 	var lossy []func(*outcome) bool
-	for end := time.Now().Add(*soakTime); time.Now().Before(end); {
+	end := time.Now().Add(*soakTime)
+	for n := 0; n < shortSoak || time.Now().Before(end); n++ {
 		f, v := soakFaults[rng.IntN(len(soakFaults))], s.vms[rng.IntN(len(s.vms))]
 		t.Logf("%s at %s", f.name, v.name())
 		from := time.Now()
