--- /dev/null
+++ b/cmd/wigeoncleat-sidecar/main.go
@@ -0,0 +1,130 @@
+// Command wigeoncleat-sidecar runs the node beside a target on VMs where requests are forwarded transparently.
+//
+// Exit codes: 0 after a graceful stop, 1 on an error, 2 when the settings are rejected.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/logsink"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/sidecar"
+	"github.com/wigeoncleat/wigeoncleat/platform"
+)
+
+const (
+	exitFailed   = 1
+	exitSettings = 2
+	// memoryShare is the part of the VM's memory that the runtime's collector tries not to exceed.
+	memoryShare = 0.7
+	// storeTimeout bounds one call of the platform's store.
+	storeTimeout = 1500 * time.Millisecond
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "wigeoncleat-sidecar",
+		Usage: "run the node beside a target until SIGTERM, then stop gracefully; SIGHUP reads the settings again",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: "settings", Sources: cli.EnvVars(platform.SettingsVariable), Required: true,
+				Usage: "settings `FILE` (TOML), see docs/deployment.md",
+			},
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "lowest `LEVEL` that is logged: debug, info, warn or error"},
+		},
+		Action: run,
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "wigeoncleat-sidecar:", err)
+		if errors.Is(err, platform.ErrSettings) {
+			os.Exit(exitSettings)
+		}
+		os.Exit(exitFailed)
+	}
+}
+
+func run(_ context.Context, c *cli.Command) error {
+	path := c.String("settings")
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.String("log-level"))); err != nil {
+		return fmt.Errorf("log level: %w", err)
+	}
+	sink := logsink.New(os.Stdout)
+	defer sink.Close()
+	log := slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: level}))
+	slog.SetDefault(log)
+	// Log lines of the HTTP library have no event number; its errors are returned and logged by the process.
+	klog.SetLogger(klog.NewStdLogger(io.Discard))
+	event.Log(log, event.SettingsRead, slog.String("file", path))
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	}
+	s, err := assemble(settings, path, log)
+	if err != nil {
+		return err
+	}
+	return s.Run(sidecar.Handlers{
+		Readiness: platform.ReadyHandler(s.Ready),
+		Reports:   platform.ReportHandler(s),
+	}, signals())
+}
+
+func assemble(settings sidecar.Settings, path string, log *slog.Logger) (*sidecar.Sidecar, error) {
+	nodes, err := platform.NewNodesTable(settings.StoreURL, storeTimeout)
+	if err != nil {
+		return nil, err
+	}
+	operator, err := platform.NewOperatorTable(settings.StoreURL, storeTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return sidecar.New(sidecar.Options{
+		Settings:     settings,
+		Log:          log,
+		Codec:        platform.Codec{},
+		Nodes:        nodes,
+		Operator:     operator,
+		ConfigKey:    platform.ConfigKey,
+		DecodeConfig: platform.DecodeConfig,
+		Reload:       func() (sidecar.Settings, error) { return platform.LoadSettings(path) },
+	})
+}
+
+// signals turns the signals of the process into channels.
+func signals() sidecar.Signals {
+	in := make(chan os.Signal, 4)
+	signal.Notify(in, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stop, reload := make(chan struct{}), make(chan struct{}, 1)
+	go func() {
+		stopping := false
+		for s := range in {
+			switch {
+			case s == syscall.SIGHUP:
+				select {
+				case reload <- struct{}{}:
+				default: // a reload is due already
+				}
+			case !stopping:
+				stopping = true
+				close(stop)
+			}
+		}
+	}()
+	return sidecar.Signals{Stop: stop, Reload: reload}
+}
--- /dev/null
+++ b/internal/connection/entry/conn.go
@@ -0,0 +1,382 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+// conn is one connection of a caller.
+type conn struct {
+	srv    *Server
+	nc     net.Conn
+	in     limitedReader
+	br     *bufio.Reader
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	mu      sync.Mutex
+	open    int           // requests that were read and not answered
+	reading bool          // a request has begun to arrive
+	closed  bool          // no further request is taken
+	ending  bool          // the last answer announced the end of the connection
+	tail    chan struct{} // closed when the last request so far is answered; nil without one
+}
+
+// readBuffer is the size of the buffer of a connection: requests without a body fit.
+const readBuffer = 2 << 10
+
+func newConn(s *Server, nc net.Conn) *conn {
+	c := &conn{srv: s, nc: nc, in: limitedReader{r: nc}}
+	c.ctx, c.cancel = context.WithCancelCause(context.Background())
+	c.br = bufio.NewReaderSize(&c.in, readBuffer)
+	return c
+}
+
+// limitedReader fails once more than the allowed number of bytes was read. A negative number allows any.
+type limitedReader struct {
+	r    io.Reader
+	left int
+	hit  bool
+}
+
+var errHeaderSize = errors.New("header exceeds its limit")
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left == 0 {
+		l.hit = true
+		return 0, errHeaderSize
+	}
+	if l.left > 0 && len(p) > l.left {
+		p = p[:l.left]
+	}
+	n, err := l.r.Read(p)
+	if l.left > 0 {
+		l.left -= n
+	}
+	return n, err
+}
+
+// run reads requests until the caller or the server ends the connection, then waits for the requests that still run.
+func (c *conn) run() {
+	cause := c.read()
+	c.mu.Lock()
+	c.closed = true
+	tail, ending := c.tail, c.ending
+	c.mu.Unlock()
+	if cause != nil && !ending {
+		c.cancel(cause)
+	}
+	if tail != nil {
+		<-tail
+	}
+	if ending {
+		c.linger()
+	}
+	c.cancel(errCallerLeft)
+	_ = c.nc.Close()
+}
+
+// read takes requests. The result is nil if the requests that run should still be answered.
+func (c *conn) read() error {
+	for {
+		limits := c.srv.handler.Limits()
+		if err := c.await(limits); err != nil {
+			return err
+		}
+		r, err := c.readRequest(limits)
+		var reject *RejectError
+		switch {
+		case errors.As(err, &reject):
+			c.reject(reject)
+			return nil
+		case err != nil:
+			return errCallerLeft
+		}
+		last := r.Close
+		if !c.dispatch(r) || last {
+			return c.watch()
+		}
+		if err := c.throttle(); err != nil {
+			return err
+		}
+	}
+}
+
+// await waits for the first byte of the next request.
+func (c *conn) await(limits Limits) error {
+	c.in.left = -1
+	c.mu.Lock()
+	c.reading = false
+	if c.closed {
+		c.mu.Unlock()
+		return c.watch()
+	}
+	c.idleDeadline(limits.IdleTimeout)
+	c.mu.Unlock()
+	if _, err := c.br.Peek(1); err != nil {
+		return errCallerLeft
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return errServerClosed
+	}
+	c.reading = true
+	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	return nil
+}
+
+// idleDeadline bounds the wait for the next request while none runs. The caller holds the mutex.
+func (c *conn) idleDeadline(idle time.Duration) {
+	deadline := time.Time{}
+	if c.open == 0 && idle > 0 {
+		deadline = time.Now().Add(idle)
+	}
+	_ = c.nc.SetReadDeadline(deadline)
+}
+
+// watch waits until the caller leaves or every request is answered; nothing more is read as a request.
+func (c *conn) watch() error {
+	c.in.left = -1
+	c.mu.Lock()
+	tail := c.tail
+	if tail != nil {
+		_ = c.nc.SetReadDeadline(time.Time{})
+	}
+	c.mu.Unlock()
+	if tail == nil {
+		return nil
+	}
+	go func() {
+		<-tail
+		_ = c.nc.SetReadDeadline(time.Now())
+	}()
+	for {
+		if _, err := c.br.Discard(1); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				return nil
+			}
+			return errCallerLeft
+		}
+	}
+}
+
+// throttle waits while the connection has too many requests running.
+func (c *conn) throttle() error {
+	for {
+		c.mu.Lock()
+		full, tail := c.open >= maxPipelined, c.tail
+		c.mu.Unlock()
+		if !full {
+			return nil
+		}
+		select {
+		case <-tail:
+		case <-c.ctx.Done():
+			return context.Cause(c.ctx)
+		}
+	}
+}
+
+func (c *conn) readRequest(limits Limits) (*Request, error) {
+	arrived := time.Now()
+	c.in.left, c.in.hit = max(0, limits.HeaderBytes-c.br.Buffered())+readBuffer, false
+	hr, err := http.ReadRequest(c.br)
+	if err != nil {
+		return nil, c.headerError(err)
+	}
+	if headerSize(hr) > limits.HeaderBytes {
+		return nil, &RejectError{http.StatusRequestHeaderFieldsTooLarge, errHeaderSize.Error()}
+	}
+	c.in.left = -1
+	if hr.ContentLength > int64(limits.BodyBytes) {
+		return nil, &RejectError{http.StatusRequestEntityTooLarge, "body exceeds its limit"}
+	}
+	r := &Request{Request: hr, Arrived: arrived}
+	if hr.ContentLength != 0 {
+		if r.Payload, err = c.readBody(hr, limits); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// headerError says why a header could not be read.
+func (c *conn) headerError(err error) error {
+	switch {
+	case c.in.hit:
+		return &RejectError{http.StatusRequestHeaderFieldsTooLarge, errHeaderSize.Error()}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &RejectError{http.StatusRequestTimeout, "header did not arrive in time"}
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
+		return err
+	default:
+		return &RejectError{http.StatusBadRequest, err.Error()}
+	}
+}
+
+func isNetError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op)
+}
+
+// headerSize returns the size of a header as it was sent, apart from white space.
+func headerSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + len("Host: ")
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+func (c *conn) readBody(hr *http.Request, limits Limits) ([]byte, error) {
+	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if strings.EqualFold(hr.Header.Get("Expect"), "100-continue") {
+		if err := c.proceed(); err != nil {
+			return nil, err
+		}
+	}
+	if hr.ContentLength > 0 {
+		body := make([]byte, hr.ContentLength)
+		_, err := io.ReadFull(hr.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(hr.Body, int64(limits.BodyBytes)+1))
+	switch {
+	case err != nil && !isNetError(err) && !errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, &RejectError{http.StatusBadRequest, err.Error()}
+	case err != nil:
+		return nil, err
+	case len(body) > limits.BodyBytes:
+		return nil, &RejectError{http.StatusRequestEntityTooLarge, "body exceeds its limit"}
+	}
+	return body, nil
+}
+
+// proceed asks the caller for a body that it holds back, once the requests before it are answered.
+func (c *conn) proceed() error {
+	c.mu.Lock()
+	tail := c.tail
+	c.mu.Unlock()
+	if tail != nil {
+		<-tail
+	}
+	_, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
+	return err
+}
+
+// dispatch runs a request in a goroutine of its own. It reports false if the connection takes no more requests.
+func (c *conn) dispatch(r *Request) bool {
+	done := make(chan struct{})
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return false
+	}
+	before := c.tail
+	c.tail = done
+	c.open++
+	c.reading = false
+	c.mu.Unlock()
+	c.srv.active.Add(1)
+	c.srv.last.Store(r.Arrived.UnixNano())
+	go func() {
+		defer close(done)
+		defer c.srv.active.Add(-1)
+		a := c.srv.handler.Serve(c.ctx, r)
+		if before != nil {
+			<-before
+		}
+		c.answer(r.Request, a)
+	}()
+	return true
+}
+
+// answer writes an answer. The connection ends with it if the caller asked for that, or if the server retires and nothing
+// else was read from the connection: what was read must be answered.
+func (c *conn) answer(r *http.Request, a *Answer) {
+	if c.ctx.Err() != nil {
+		c.finish(nil)
+		return
+	}
+	c.mu.Lock()
+	last := r.Close || c.srv.closing.Load() && c.open == 1 && !c.reading
+	if last {
+		c.closed, c.ending = true, true
+	}
+	c.mu.Unlock()
+	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	err := writeAnswer(c.nc, r, a, last)
+	c.finish(err)
+	if last {
+		_ = c.nc.SetReadDeadline(time.Now()) // ends the wait for the next request
+	}
+}
+
+// finish counts an answered request and starts the idle time of a connection without others.
+func (c *conn) finish(err error) {
+	if err != nil {
+		c.cancel(err)
+		_ = c.nc.Close()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open--
+	if c.open == 0 && !c.reading && !c.closed {
+		c.idleDeadline(c.srv.handler.Limits().IdleTimeout)
+	}
+}
+
+// reject answers a request that cannot be served, after those before it, and ends the connection.
+func (c *conn) reject(e *RejectError) {
+	c.mu.Lock()
+	before := c.tail
+	c.closed = true
+	c.mu.Unlock()
+	if before != nil {
+		<-before
+	}
+	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = writeAnswer(c.nc, &http.Request{Method: http.MethodGet}, c.srv.handler.Reject(e.Status, e.Detail), true)
+	c.linger()
+}
+
+// lingerTime is the time in which what the caller still sends is read after a rejection: a close with unread bytes would
+// reset the connection and destroy the answer.
+const lingerTime = 500 * time.Millisecond
+
+func (c *conn) linger() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, c.nc)
+}
+
+// closeIdle ends the connection if no request runs or arrives on it, and reports whether it did.
+func (c *conn) closeIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open > 0 || c.reading {
+		return false
+	}
+	c.closed = true
+	_ = c.nc.SetReadDeadline(time.Now())
+	return true
+}
+
+// abort ends the connection at once.
+func (c *conn) abort(cause error) {
+	c.cancel(cause)
+	_ = c.nc.Close()
+}
--- /dev/null
+++ b/internal/connection/targetconn/targetconn.go
@@ -0,0 +1,314 @@
+// Package targetconn keeps HTTP/1.1 connections to one target and exchanges one request at a time on each. It tells for
+// every failure whether the target can have seen the request, skips answers that belong to earlier requests, and uses no
+// connection again on which anything unexpected arrived.
+//
+// A Pool is safe for concurrent use.
+package targetconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Exchange is one request with the rules for its answer.
+type Exchange struct {
+	Method string
+	Bytes  []byte // the whole request as it is written
+	// Fresh refuses connections that were idle for more than freshIdle: a target may have closed them unnoticed, and a
+	// request that was written to such a connection may not be repeated.
+	Fresh bool
+	// Owns reports whether an answer belongs to this request.
+	Owns func(http.Header) bool
+	// MaxBody bounds the body of the answer, in bytes.
+	MaxBody int
+}
+
+// Answer is a complete answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Error is a failed exchange.
+type Error struct {
+	Sent bool // the target may have seen the request
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// maxIdle is shorter than the idle timeout of targets, which is 10 s where it is known.
+	maxIdle = 7 * time.Second
+	// freshIdle bounds the idle time of connections for requests that must not be repeated.
+	freshIdle = 700 * time.Millisecond
+	// advertisedShare is the part of an idle timeout that the target states after which a connection is not used again.
+	advertisedShare = 0.7
+	// maxSkipped bounds the answers to earlier requests that are skipped on one connection.
+	maxSkipped = 2
+	// maxInformational bounds the 1xx responses before an answer.
+	maxInformational = 5
+	// inlineWrite is the size up to which a request is written before its answer is read; a larger one is written
+	// meanwhile, because the target may answer before it has read everything.
+	inlineWrite = 2 << 10
+	readBuffer  = 4 << 10
+)
+
+// Errors of exchanges.
+var (
+	ErrBodySize = errors.New("body of the answer exceeds its limit")
+	ErrForeign  = errors.New("only answers to other requests arrived")
+	errUnread   = errors.New("bytes arrived before the request was sent")
+)
+
+// Pool keeps the connections to one target.
+type Pool struct {
+	address string
+
+	mu     sync.Mutex
+	idle   []*conn // most recently used last
+	closed bool
+	opened int
+}
+
+// NewPool returns a pool for the target at the address.
+func NewPool(address string) *Pool { return &Pool{address: address} }
+
+// Opened returns the number of connections opened so far.
+func (p *Pool) Opened() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// Close closes idle connections. Exchanges that run go on.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		_ = c.nc.Close()
+	}
+	p.idle = nil
+}
+
+type conn struct {
+	nc    net.Conn
+	br    *bufio.Reader
+	since time.Time     // start of the present idle time
+	limit time.Duration // longest idle time
+}
+
+// Do sends the request and returns its answer, or an *Error.
+func (p *Pool) Do(ctx context.Context, x *Exchange) (*Answer, error) {
+	c, err := p.get(ctx, x.Fresh)
+	if err != nil {
+		return nil, &Error{Err: fmt.Errorf("connect to target %s: %w", p.address, err)}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.nc.Close() })
+	a, reusable, err := c.exchange(x)
+	if !stop() {
+		err = errors.Join(ctx.Err(), err)
+		reusable = false
+	}
+	if reusable {
+		p.put(c)
+	} else {
+		_ = c.nc.Close()
+	}
+	if a != nil {
+		return a, nil
+	}
+	return nil, &Error{Sent: true, Err: fmt.Errorf("exchange with target %s: %w", p.address, err)}
+}
+
+// get returns an idle connection that is still open, or a new one.
+func (p *Pool) get(ctx context.Context, fresh bool) (*conn, error) {
+	now := time.Now()
+	for {
+		c := p.pop()
+		if c == nil {
+			break
+		}
+		idle := now.Sub(c.since)
+		if idle < c.limit && (!fresh || idle < freshIdle) && c.silent() {
+			return c, nil
+		}
+		_ = c.nc.Close()
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	p.opened++
+	p.mu.Unlock()
+	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), limit: maxIdle}, nil
+}
+
+func (p *Pool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+func (p *Pool) put(c *conn) {
+	c.since = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		_ = c.nc.Close()
+		return
+	}
+	for len(p.idle) > 0 && c.since.Sub(p.idle[0].since) >= p.idle[0].limit {
+		_ = p.idle[0].nc.Close()
+		p.idle = p.idle[1:]
+	}
+	p.idle = append(p.idle, c)
+}
+
+// silent reports whether nothing has arrived on an idle connection, neither bytes nor its end.
+func (c *conn) silent() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// exchange writes the request and reads its answer. The connection is reusable if nothing is left of either.
+func (c *conn) exchange(x *Exchange) (*Answer, bool, error) {
+	written := make(chan error, 1)
+	if len(x.Bytes) <= inlineWrite {
+		_, err := c.nc.Write(x.Bytes)
+		written <- err
+	} else {
+		go func() {
+			_, err := c.nc.Write(x.Bytes)
+			written <- err
+		}()
+	}
+	a, keep, err := c.readAnswer(x)
+	if err != nil {
+		return nil, false, err
+	}
+	select {
+	case err := <-written:
+		return a, keep && err == nil && c.br.Buffered() == 0, nil
+	default:
+		return a, false, nil // the target answered before it read everything
+	}
+}
+
+// readAnswer reads the answer to the request and skips those to earlier ones.
+func (c *conn) readAnswer(x *Exchange) (a *Answer, keep bool, err error) {
+	req := &http.Request{Method: x.Method}
+	for skipped := 0; skipped <= maxSkipped; {
+		resp, err := c.readFinal(req)
+		if err != nil {
+			return nil, false, err
+		}
+		body, err := readBody(resp, x.MaxBody)
+		if err != nil {
+			return nil, false, err
+		}
+		if x.Owns(resp.Header) {
+			c.learnLimit(resp.Header)
+			return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, !resp.Close && framed(resp), nil
+		}
+		if resp.Close {
+			break
+		}
+		skipped++
+	}
+	return nil, false, ErrForeign
+}
+
+func (c *conn) readFinal(req *http.Request) (*http.Response, error) {
+	for range maxInformational {
+		resp, err := http.ReadResponse(c.br, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+	return nil, errUnread
+}
+
+func readBody(resp *http.Response, limit int) ([]byte, error) {
+	defer resp.Body.Close()
+	if resp.ContentLength > int64(limit) {
+		return nil, ErrBodySize
+	}
+	if resp.ContentLength >= 0 {
+		body := make([]byte, resp.ContentLength)
+		if resp.Request.Method == http.MethodHead {
+			return nil, nil
+		}
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
+	if err == nil && len(body) > limit {
+		err = ErrBodySize
+	}
+	return body, err
+}
+
+// framed reports whether the end of the answer was marked by something other than the end of the connection.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Request.Method == http.MethodHead
+}
+
+// learnLimit takes the idle timeout that the target states.
+func (c *conn) learnLimit(h http.Header) {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		seconds, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if n, err := strconv.Atoi(seconds); err == nil && n >= 0 {
+			stated := time.Duration(float64(n) * advertisedShare * float64(time.Second))
+			c.limit = min(maxIdle, stated)
+		}
+	}
+}
--- a/internal/connection/wire/convert.go
+++ b/internal/connection/wire/convert.go
@@ -30,6 +30,10 @@
 		Mode:       uint8(r.Mode),
 		BodySize:   uint64(len(r.Body)),
 		Part:       firstPart(r.Body),
+		Host:       r.Host,
+		Attempt:    r.Attempt,
+		Instance:   r.Instance,
+		Caller:     r.Caller,
 	}
 	return encodeWithBody(f, stream, r.Body)
 }
@@ -93,6 +97,10 @@
 		Retries:    f.Retries,
 		Key:        f.Key,
 		Mode:       message.Mode(f.Mode),
+		Host:       f.Host,
+		Attempt:    f.Attempt,
+		Instance:   f.Instance,
+		Caller:     f.Caller,
 	}
 }
 
--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -13,7 +13,7 @@
 )
 
 // ProtocolVersion is the version of the peer protocol. Nodes with different versions refuse each other's links.
-const ProtocolVersion = 2
+const ProtocolVersion = 3
 
 // Sizes of the peer protocol.
 const (
@@ -50,6 +50,7 @@
 const (
 	ChannelGossip Channel = 1
 	ChannelConfig Channel = 2
+	ChannelView   Channel = 3
 )
 
 // Hello is the first frame in both directions.
@@ -79,6 +80,10 @@
 	Mode       uint8       `cbor:"14,keyasint,omitempty"`
 	BodySize   uint64      `cbor:"15,keyasint,omitempty"` // bytes of the whole body
 	Part       []byte      `cbor:"16,keyasint,omitempty"` // first part of the body
+	Host       string      `cbor:"17,keyasint,omitempty"`
+	Attempt    string      `cbor:"18,keyasint,omitempty"`
+	Instance   string      `cbor:"19,keyasint,omitempty"`
+	Caller     string      `cbor:"20,keyasint,omitempty"`
 }
 
 // Body carries a further part of the body of a request or response.
--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -29,6 +29,8 @@
 	// Worked says that earlier hops have worked for the request. The threshold then refuses it by its rank only: within
 	// a rank it is an estimate for entry nodes, and the queue decides about work that would be lost.
 	Worked bool
+	// MaxWait is the longest wait for a slot. Zero: what the limits say.
+	MaxWait time.Duration
 }
 
 // shedPriority returns the priority that is compared with the threshold.
--- a/internal/process/admission/wait.go
+++ b/internal/process/admission/wait.go
@@ -44,6 +44,9 @@
 
 // maxWait returns the longest wait of the work in the queue.
 func (c *Controller) maxWait(now time.Duration, w Work) time.Duration {
+	if w.MaxWait > 0 {
+		return w.MaxWait
+	}
 	if !c.longWait(w) || w.Deadline.IsZero() {
 		return c.limits.QueueMaxWait
 	}
--- /dev/null
+++ b/internal/process/balance/set.go
@@ -0,0 +1,59 @@
+package balance
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+)
+
+// Set keeps a Picker for every service. Readers load a map that is replaced as a whole.
+type Set struct {
+	zone string
+
+	mu       sync.Mutex // held while the map is replaced
+	settings policy.Balance
+	pickers  atomic.Pointer[map[string]*Picker]
+}
+
+// NewSet returns a set without targets for a node in the availability zone.
+func NewSet(zone string, settings policy.Balance) *Set {
+	s := &Set{zone: zone, settings: settings}
+	s.pickers.Store(&map[string]*Picker{})
+	return s
+}
+
+// SetPolicy replaces the settings of all pickers.
+func (s *Set) SetPolicy(settings policy.Balance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settings = settings
+	for _, p := range *s.pickers.Load() {
+		p.SetPolicy(settings, DefaultRampTime)
+	}
+}
+
+// Update replaces the targets of all services. Services that are missing have no targets any more.
+func (s *Set) Update(targets map[string][]Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pickers := maps.Clone(*s.pickers.Load())
+	for service, list := range targets {
+		p, ok := pickers[service]
+		if !ok {
+			p = New(s.zone, s.settings, DefaultRampTime)
+			pickers[service] = p
+		}
+		p.Update(list)
+	}
+	for service, p := range pickers {
+		if _, ok := targets[service]; !ok {
+			p.Update(nil)
+		}
+	}
+	s.pickers.Store(&pickers)
+}
+
+// Picker returns the picker of a service, or nil if the service never had a target.
+func (s *Set) Picker(service string) *Picker { return (*s.pickers.Load())[service] }
--- /dev/null
+++ b/internal/process/directory/directory.go
@@ -0,0 +1,233 @@
+// Package directory keeps what a node knows of all nodes: where they are, which target runs beside each, and whether it
+// takes work. Every node is the only author of its own entry; entries spread between nodes, and of two entries of one node
+// the newer one wins wherever they meet.
+//
+// A Directory is safe for concurrent use.
+package directory
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/report"
+)
+
+// Member is the entry of one node.
+type Member struct {
+	Address     string       `cbor:"1,keyasint"` // of its peer interface; identifies the node
+	Zone        string       `cbor:"2,keyasint,omitempty"`
+	Incarnation uint64       `cbor:"3,keyasint"` // of the node's process
+	Revision    uint64       `cbor:"4,keyasint"` // rises with each change within the incarnation
+	Service     string       `cbor:"5,keyasint,omitempty"`
+	Instance    string       `cbor:"6,keyasint,omitempty"` // of the target
+	Born        int64        `cbor:"7,keyasint,omitempty"` // start of the target, Unix milliseconds
+	Sequence    int64        `cbor:"8,keyasint,omitempty"` // of the target's last report that changed the entry
+	Slots       int          `cbor:"9,keyasint,omitempty"`
+	Phase       report.Phase `cbor:"10,keyasint,omitempty"`
+	Leaving     bool         `cbor:"11,keyasint,omitempty"` // the node itself stops
+}
+
+// Serving reports whether the member's target takes work.
+func (m *Member) Serving() bool {
+	return !m.Leaving && m.Phase == report.PhaseReady && m.Instance != "" && m.Service != ""
+}
+
+// newer reports whether a is newer than b; both are entries of one node.
+func newer(a, b Member) bool {
+	return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Revision, b.Revision)) > 0
+}
+
+// Directory is one node's view.
+type Directory struct {
+	self string
+
+	mu      sync.Mutex
+	members map[string]Member
+	down    map[string]time.Time // nodes that could not be reached, since when
+}
+
+// New returns a directory that holds the node's own entry.
+func New(self Member) *Directory {
+	return &Directory{
+		self:    self.Address,
+		members: map[string]Member{self.Address: self},
+		down:    map[string]time.Time{},
+	}
+}
+
+// Self returns the node's own entry.
+func (d *Directory) Self() Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.members[d.self]
+}
+
+// Update changes the node's own entry and returns it.
+func (d *Directory) Update(change func(*Member)) Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.members[d.self]
+	change(&m)
+	m.Revision++
+	d.members[d.self] = m
+	return m
+}
+
+// Merged is the result of a merge.
+type Merged struct {
+	Changed []Member // entries that are new or newer
+	// Echo is an entry of this node from an earlier process, or nil. The node's own entry was made newer than it.
+	Echo *Member
+}
+
+// Merge takes entries of other nodes.
+func (d *Directory) Merge(list []Member) Merged {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out Merged
+	for _, m := range list {
+		if m.Address == d.self {
+			if own := d.members[d.self]; m.Incarnation != own.Incarnation {
+				echo := m
+				out.Echo = &echo
+				if m.Incarnation > own.Incarnation {
+					own.Incarnation = m.Incarnation + 1
+					d.members[d.self] = own
+				}
+			}
+			continue
+		}
+		have, ok := d.members[m.Address]
+		if ok && !newer(m, have) {
+			continue
+		}
+		d.members[m.Address] = m
+		out.Changed = append(out.Changed, m)
+	}
+	return out
+}
+
+// Introduce adds an address of which nothing else is known and reports whether it was new.
+func (d *Directory) Introduce(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.members[address]; ok {
+		return false
+	}
+	d.members[address] = Member{Address: address}
+	return true
+}
+
+// Remove forgets a node.
+func (d *Directory) Remove(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if address != d.self {
+		delete(d.members, address)
+		delete(d.down, address)
+	}
+}
+
+// SetDown records that a node cannot be reached. It reports whether that is news.
+func (d *Directory) SetDown(address string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.members[address]; !ok || address == d.self {
+		return false
+	}
+	if _, ok := d.down[address]; ok {
+		return false
+	}
+	d.down[address] = now
+	return true
+}
+
+// SetUp records that a node was reached. It reports whether that is news.
+func (d *Directory) SetUp(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.down[address]
+	delete(d.down, address)
+	return ok
+}
+
+// Member returns the entry of a node.
+func (d *Directory) Member(address string) (Member, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m, ok := d.members[address]
+	return m, ok
+}
+
+// All returns all entries in the order of their addresses.
+func (d *Directory) All() []Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.SortedFunc(maps.Values(d.members), func(a, b Member) int { return cmp.Compare(a.Address, b.Address) })
+}
+
+// Peers returns the addresses of the other nodes: those that can be reached, and those that could not.
+func (d *Directory) Peers() (up, down []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address := range d.members {
+		if address == d.self {
+			continue
+		}
+		if _, ok := d.down[address]; ok {
+			down = append(down, address)
+		} else {
+			up = append(up, address)
+		}
+	}
+	slices.Sort(up)
+	slices.Sort(down)
+	return up, down
+}
+
+// Targets returns the entries whose targets take work and whose nodes can be reached, by service.
+func (d *Directory) Targets() map[string][]Member {
+	out := map[string][]Member{}
+	for _, m := range d.All() {
+		if m.Serving() && !d.isDown(m.Address) {
+			out[m.Service] = append(out[m.Service], m)
+		}
+	}
+	return out
+}
+
+func (d *Directory) isDown(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.down[address]
+	return ok
+}
+
+// Size returns the number of nodes.
+func (d *Directory) Size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.members)
+}
+
+// Digest returns a hash of all entries. Two nodes with the same digest have the same view.
+func (d *Directory) Digest() uint64 {
+	h := xxhash.New()
+	for _, m := range d.All() {
+		if m.Incarnation == 0 {
+			continue // introduced only: nothing that could be passed on
+		}
+		_, _ = h.WriteString(m.Address) // a hash never fails
+		var b [16]byte
+		binary.BigEndian.PutUint64(b[:8], m.Incarnation)
+		binary.BigEndian.PutUint64(b[8:], m.Revision)
+		_, _ = h.Write(b[:])
+	}
+	return h.Sum64()
+}
--- a/internal/process/engine/balancers.go
+++ b/internal/process/engine/balancers.go
@@ -1,10 +1,7 @@
 package engine
 
 import (
-	"maps"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
@@ -12,57 +9,18 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
 )
 
-// Balancers keeps a balance.Picker for every service. Readers load a map that is replaced as a whole.
-type Balancers struct {
-	zone string
-
-	mu       sync.Mutex // held while the map is replaced
-	settings policy.Balance
-	pickers  atomic.Pointer[map[string]*balance.Picker]
-}
+// Balancers adapts a balance.Set to Pickers.
+type Balancers struct{ *balance.Set }
 
 // NewBalancers returns balancers without targets for a node in the availability zone.
 func NewBalancers(zone string, settings policy.Balance) *Balancers {
-	b := &Balancers{zone: zone, settings: settings}
-	b.pickers.Store(&map[string]*balance.Picker{})
-	return b
-}
-
-// SetPolicy replaces the settings of all pickers.
-func (b *Balancers) SetPolicy(settings policy.Balance) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.settings = settings
-	for _, p := range *b.pickers.Load() {
-		p.SetPolicy(settings, balance.DefaultRampTime)
-	}
-}
-
-// Update replaces the targets of all services. Services that are missing have no targets any more.
-func (b *Balancers) Update(targets map[string][]balance.Target) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	pickers := maps.Clone(*b.pickers.Load())
-	for service, list := range targets {
-		p, ok := pickers[service]
-		if !ok {
-			p = balance.New(b.zone, b.settings, balance.DefaultRampTime)
-			pickers[service] = p
-		}
-		p.Update(list)
-	}
-	for service, p := range pickers {
-		if _, ok := targets[service]; !ok {
-			p.Update(nil)
-		}
-	}
-	b.pickers.Store(&pickers)
+	return &Balancers{balance.NewSet(zone, settings)}
 }
 
 // Picker implements Pickers.
 func (b *Balancers) Picker(service string) (Picker, bool) {
-	p, ok := (*b.pickers.Load())[service]
-	return balanced{p}, ok
+	p := b.Set.Picker(service)
+	return balanced{p}, p != nil
 }
 
 // balanced adapts a balance.Picker to Picker.
--- /dev/null
+++ b/internal/process/mesh/deliver.go
@@ -0,0 +1,68 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+const (
+	// calledWaitShare and enteredWaitShare are the parts of the time left that a request may wait for a slot. The rest of
+	// its chain has to fit into what remains.
+	calledWaitShare  = 0.1
+	enteredWaitShare = 0.2
+)
+
+// Deliver runs a request at the target beside this node. It is the only way to the target.
+func (p *Path) Deliver(ctx context.Context, req *message.Request) *message.Response {
+	g := p.gate.Load()
+	if g == nil || g.service != req.Service || g.instance != req.Instance {
+		return p.refuse(message.ReasonLeaving, message.StepAdmit, soonTime(), "instance %q of service %q does not take work here", req.Instance, req.Service)
+	}
+	r := p.deliver(ctx, g, req)
+	r.Load = g.control.Load()
+	return r
+}
+
+func (p *Path) deliver(ctx context.Context, g *gate, req *message.Request) *message.Response {
+	permit, err := g.control.Acquire(ctx, admission.Work{
+		Priority: admissionPriority(req),
+		Deadline: req.Deadline,
+		Worked:   req.Hop > 0,
+		MaxWait:  maxWait(req),
+	})
+	if err != nil {
+		return p.refused(err)
+	}
+	run := p.runs.begin(req)
+	start := time.Now()
+	r := g.target.Do(ctx, req)
+	permit.Release(admission.Result{
+		Latency:   time.Since(start),
+		Failed:    r.Outcome != message.Answered && r.Reason != message.ReasonCancelled || r.Status >= http.StatusInternalServerError,
+		Cancelled: r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline,
+	})
+	p.runs.end(run)
+	return r
+}
+
+// refused returns the response for work that admission turned away.
+func (p *Path) refused(err error) *message.Response {
+	var refusal *admission.Refusal
+	if !errors.As(err, &refusal) {
+		return p.refuse(message.ReasonInternal, message.StepAdmit, returnTime(), "%v", err)
+	}
+	return p.refuse(refusal.Reason, message.StepAdmit, returnTime(), "not admitted: %s", refusal.Reason)
+}
+
+func maxWait(req *message.Request) time.Duration {
+	share := enteredWaitShare
+	if req.Hop > 0 {
+		share = calledWaitShare
+	}
+	return time.Duration(share * float64(time.Until(req.Deadline)))
+}
--- /dev/null
+++ b/internal/process/mesh/mesh.go
@@ -0,0 +1,163 @@
+// Package mesh is the path of a transparently forwarded request: routing by host and path, choice of a target, retries,
+// admission beside the target, and the exchange with it. It knows neither HTTP connections nor links; its surroundings are
+// interfaces.
+//
+// All exported methods are safe for concurrent use. Routes and targets are read from atomic pointers.
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/retry"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
+)
+
+// PeerSender sends requests to other nodes.
+type PeerSender interface {
+	// Send hands req to the node at the address and waits for its response or for ctx to end. The outcome is NotRun only
+	// where that can be proved.
+	Send(ctx context.Context, address string, req *message.Request) *message.Response
+}
+
+// Target exchanges requests with the target beside this node.
+type Target interface {
+	Do(ctx context.Context, req *message.Request) *message.Response
+}
+
+// Pickers finds the picker of a service.
+type Pickers interface {
+	Picker(service string) *balance.Picker // nil if the service never had a target
+}
+
+// Config holds the parts of a Path. All fields are required.
+type Config struct {
+	Address string // of this node's peer interface
+	Service string // of this machine; the origin of every request that begins here
+	Routes  *atomic.Pointer[routing.Table]
+	Peers   PeerSender
+	Pickers Pickers
+	// Instance returns the instance of the target beside the node at the address.
+	Instance func(address string) string
+	// Unreachable is told of nodes that cannot be reached.
+	Unreachable func(address string, cause *message.Error)
+	Log         *slog.Logger
+}
+
+// Path serves requests.
+type Path struct {
+	cfg  Config
+	runs *runs
+
+	gate    atomic.Pointer[gate]
+	buckets sync.Map     // service to *retry.Bucket
+	burst   atomic.Value // float64, see SetRetryBurst
+}
+
+// gate is the target beside this node with its admission.
+type gate struct {
+	service  string
+	instance string
+	control  *admission.Controller
+	target   Target
+}
+
+// New returns a path without a target.
+func New(cfg Config) *Path { return &Path{cfg: cfg, runs: newRuns()} }
+
+// Open starts to take requests for an instance of the target beside this node.
+func (p *Path) Open(service, instance string, control *admission.Controller, target Target) {
+	if old := p.gate.Swap(&gate{service, instance, control, target}); old != nil {
+		old.control.StopAdmitting()
+	}
+}
+
+// Shut refuses all further requests for the target beside this node, and those that still wait for a slot.
+func (p *Path) Shut() {
+	if old := p.gate.Swap(nil); old != nil {
+		old.control.StopAdmitting()
+	}
+}
+
+// Load returns the load and the limit of the target beside this node.
+func (p *Path) Load() message.Load {
+	if g := p.gate.Load(); g != nil {
+		return g.control.Load()
+	}
+	return message.Load{}
+}
+
+const (
+	// retryRatio is the share of a service's requests that this node sends once more at most. The operators' bound is 0.2
+	// over all nodes, and repeated runs repeat their calls.
+	retryRatio = 0.1
+)
+
+// bucket returns the retry budget of a service.
+func (p *Path) bucket(service string) *retry.Bucket {
+	if b, ok := p.buckets.Load(service); ok {
+		return b.(*retry.Bucket)
+	}
+	fresh := retry.NewBucket(retryRatio)
+	if burst, ok := p.burst.Load().(float64); ok {
+		fresh.SetBurst(burst)
+	}
+	b, _ := p.buckets.LoadOrStore(service, fresh)
+	return b.(*retry.Bucket)
+}
+
+// SetRetryBurst sets the retries that this node may make for a service beyond the share of its requests.
+func (p *Path) SetRetryBurst(retries float64) {
+	p.burst.Store(retries)
+	p.buckets.Range(func(_, b any) bool {
+		b.(*retry.Bucket).SetBurst(retries)
+		return true
+	})
+}
+
+// Ranks of requests at the admission of a target. Work that belongs to a chain goes before new work, because the hops above
+// have worked for it already; within both, the chain's route decides.
+const (
+	topRank      = 100
+	rankStep     = 10
+	calledOffset = 128
+)
+
+// priorityOf returns the priority of a request on a route. It is kept on the whole chain.
+func priorityOf(r *routing.Route, attempt string) message.Priority {
+	return message.NewPriority(uint8(max(1, topRank-rankStep*r.Priority)), requestID(attempt))
+}
+
+// admissionPriority returns the priority at the admission of the target.
+func admissionPriority(req *message.Request) message.Priority {
+	if req.Hop == 0 {
+		return req.Priority
+	}
+	return req.Priority + calledOffset<<8
+}
+
+// requestID derives the ID of a request from the caller's name of the attempt.
+func requestID(attempt string) message.ID {
+	var id message.ID
+	h := xxhash.Sum64String(attempt)
+	for i := range 8 {
+		id[i] = byte(h >> (8 * i))
+		id[i+8] = ^id[i]
+	}
+	return id
+}
+
+// refuse says that a request was not run.
+func (p *Path) refuse(reason message.Reason, step message.Step, after time.Duration, format string, args ...any) *message.Response {
+	r := message.Refuse(reason, message.Errorf(step, p.cfg.Address, format, args...))
+	r.RetryAfter = after
+	return r
+}
--- /dev/null
+++ b/internal/process/mesh/parents.go
@@ -0,0 +1,61 @@
+package mesh
+
+import (
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// run is a request that runs at the target beside this node. The calls that the target makes for it belong to its chain.
+type run struct {
+	attempt  string
+	priority message.Priority
+	hop      uint8
+	deadline time.Time
+	refused  atomic.Int32 // calls that were not run
+	failed   atomic.Int32 // calls that ended in another failure
+}
+
+// runs finds the run that a call of the own target belongs to. Targets name a call after the attempt that they run, followed
+// by a dot and something of their own.
+type runs struct {
+	mu sync.Mutex
+	by map[string]*run
+}
+
+func newRuns() *runs { return &runs{by: map[string]*run{}} }
+
+func (t *runs) begin(req *message.Request) *run {
+	r := &run{attempt: req.Attempt, priority: req.Priority, hop: req.Hop, deadline: req.Deadline}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.by[req.Attempt] = r
+	return r
+}
+
+func (t *runs) end(r *run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.by[r.attempt] == r {
+		delete(t.by, r.attempt)
+	}
+}
+
+// parent returns the run that made the call, or nil if none is known: the call then counts as a request of its own.
+func (t *runs) parent(attempt string) *run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for {
+		dot := strings.LastIndexByte(attempt, '.')
+		if dot <= 0 {
+			return nil
+		}
+		attempt = attempt[:dot]
+		if r, ok := t.by[attempt]; ok {
+			return r
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/mesh/serve.go
@@ -0,0 +1,201 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
+)
+
+const (
+	// maxPicks bounds the nodes that one request is offered to. Refusals of nodes cost a hop and no work of a target.
+	maxPicks = 4
+	// maxOverloads is the number of full targets after which a request is refused: more offers would add to the load.
+	maxOverloads = 2
+	// minReturn and returnSpread give the time after which a refused request may come back: long enough for a queue to
+	// move, short against the time that callers have, and spread so that refused requests do not return together.
+	minReturn    = 300 * time.Millisecond
+	returnSpread = 900 * time.Millisecond
+	// soonReturn and soonSpread are the same where a request only has to find the next state of the system.
+	soonReturn = 100 * time.Millisecond
+	soonSpread = 200 * time.Millisecond
+)
+
+func returnTime() time.Duration { return minReturn + rand.N(returnSpread) }
+
+func soonTime() time.Duration { return soonReturn + rand.N(soonSpread) }
+
+// call is one request at its entry node, with all its attempts.
+type call struct {
+	req     *message.Request
+	route   *routing.Route
+	parent  *run // nil for a caller's request
+	service string
+	started time.Time
+	sent    int // attempts that may have reached a target
+	full    int // attempts that a full target refused
+	tried   []string
+}
+
+// Serve answers a request of a caller or of the target beside this node.
+func (p *Path) Serve(ctx context.Context, req *message.Request) *message.Response {
+	c, refusal := p.prepare(req)
+	if refusal != nil {
+		return refusal
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	r := p.attempts(ctx, c)
+	if c.parent != nil {
+		c.parent.note(r)
+	}
+	return r
+}
+
+// note records the end of a call that the run has made.
+func (r *run) note(resp *message.Response) {
+	switch {
+	case resp.Outcome == message.NotRun:
+		r.refused.Add(1)
+	case resp.Outcome != message.Answered || resp.Status >= http.StatusInternalServerError:
+		r.failed.Add(1)
+	}
+}
+
+// prepare finds the route of a request and sets what it decides.
+func (p *Path) prepare(req *message.Request) (*call, *message.Response) {
+	table := p.cfg.Routes.Load()
+	if table == nil {
+		return nil, p.refuse(message.ReasonUnconfirmed, message.StepConfigure, soonTime(), "no configuration yet")
+	}
+	route, ok := table.Match(req.Host, req.Path)
+	if !ok {
+		return nil, p.refuse(message.ReasonNoService, message.StepConfigure, 0, "version %d has no route for %s %s", table.Version, req.Host, req.Path)
+	}
+	now := time.Now()
+	c := &call{req: req, route: route, service: route.Next(), started: now}
+	req.ID = requestID(req.Attempt)
+	req.Service = c.service
+	req.Idempotent = route.Idempotent
+	req.Caller = p.cfg.Service
+	if latest := now.Add(route.Timeout); route.Timeout > 0 && (req.Deadline.IsZero() || latest.Before(req.Deadline)) {
+		req.Deadline = latest
+	}
+	if req.Deadline.IsZero() {
+		req.Deadline = now.Add(defaultTimeout)
+	}
+	c.parent = p.runs.parent(req.Attempt)
+	if c.parent == nil {
+		req.Priority, req.Hop = priorityOf(route, req.Attempt), 0
+		return c, nil
+	}
+	req.Priority, req.Hop = c.parent.priority, c.parent.hop+1
+	if c.parent.deadline.Before(req.Deadline) {
+		req.Deadline = c.parent.deadline
+	}
+	return c, nil
+}
+
+// defaultTimeout bounds a request for which neither caller nor route states a time.
+const defaultTimeout = 30 * time.Second
+
+// attempts offers the request to targets until one takes it, or going on could run it too often.
+func (p *Path) attempts(ctx context.Context, c *call) *message.Response {
+	bucket := p.bucket(c.service)
+	bucket.Earn()
+	doubt := false
+	for {
+		r := p.attempt(ctx, c)
+		doubt = doubt || r.Outcome == message.Unknown
+		arrived := r.Outcome != message.NotRun || r.Reason == message.ReasonTargetUnable
+		if arrived {
+			c.sent++
+		}
+		if r.Outcome == message.Answered || ctx.Err() != nil || !p.again(c, r) {
+			return final(r, doubt)
+		}
+		if arrived && !bucket.Take() {
+			return final(r, doubt)
+		}
+		invariant.Check(invariant.SingleExecution, c.route.Idempotent || !doubt,
+			"request %s may have run and is tried again", c.req.Attempt)
+	}
+}
+
+// again reports whether another attempt can help and is safe.
+func (p *Path) again(c *call, r *message.Response) bool {
+	if len(c.tried) >= maxPicks {
+		return false
+	}
+	switch r.Outcome {
+	case message.NotRun:
+		if r.Reason == message.ReasonOverload {
+			c.full++
+			return c.full < maxOverloads
+		}
+		if r.Reason == message.ReasonTargetUnable {
+			return c.sent < c.route.MaxAttempts
+		}
+		return r.Reason == message.ReasonConnection || r.Reason == message.ReasonLeaving
+	case message.Unknown:
+		return c.route.Idempotent && r.Reason == message.ReasonConnection && c.sent < c.route.MaxAttempts
+	default:
+		return false
+	}
+}
+
+// final makes the last response truthful for all attempts: if an earlier one may have run, so may the request.
+func final(r *message.Response, doubt bool) *message.Response {
+	if doubt && r.Outcome == message.NotRun {
+		r.Outcome = message.Unknown
+	}
+	return r
+}
+
+// attempt makes one attempt.
+func (p *Path) attempt(ctx context.Context, c *call) *message.Response {
+	picker := p.cfg.Pickers.Picker(c.service)
+	if picker == nil {
+		return p.refuse(message.ReasonNoTarget, message.StepPick, returnTime(), "service %q has no target", c.service)
+	}
+	target, done, ok := picker.Pick(c.tried...)
+	if !ok {
+		return p.refuse(message.ReasonNoTarget, message.StepPick, returnTime(), "service %q has no target left", c.service)
+	}
+	c.tried = append(c.tried, target.Address)
+	down := *c.req
+	down.Instance = p.cfg.Instance(target.Address)
+	r := p.send(ctx, target.Address, &down)
+	done(result(r))
+	if r.Reason == message.ReasonConnection && r.Err != nil && r.Err.Peer == target.Address && target.Address != p.cfg.Address {
+		p.cfg.Unreachable(target.Address, r.Err)
+	}
+	if r.Outcome == message.NotRun && r.RetryAfter == 0 {
+		r.RetryAfter = returnTime()
+	}
+	return r
+}
+
+func (p *Path) send(ctx context.Context, address string, req *message.Request) *message.Response {
+	if address == p.cfg.Address {
+		return p.Deliver(ctx, req)
+	}
+	return p.cfg.Peers.Send(ctx, address, req)
+}
+
+// result says what a response tells about its target.
+func result(r *message.Response) balance.Result {
+	return balance.Result{
+		Failed: r.Reason == message.ReasonConnection || r.Reason == message.ReasonTargetUnable ||
+			r.Outcome == message.Unknown && r.Reason == message.ReasonDeadline,
+		Refused:   r.Outcome == message.NotRun && r.Reason == message.ReasonOverload,
+		Leaving:   r.Outcome == message.NotRun && r.Reason == message.ReasonLeaving,
+		Cancelled: r.Reason == message.ReasonCancelled,
+		Load:      r.Load,
+	}
+}
--- a/internal/process/node/servers.go
+++ b/internal/process/node/servers.go
@@ -15,6 +15,7 @@
 
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/link"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/httpserver"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/metrics"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
@@ -28,26 +29,16 @@
 	done   sync.WaitGroup
 }
 
-// newServer returns a server whose handler sees every request as it came. The router of the library would redirect paths
-// that are not clean, which are valid for targets.
-func newServer(l net.Listener, h http.Handler) *khttp.Server {
-	return khttp.NewServer(
-		khttp.Listener(l),
-		khttp.Timeout(0), // requests have deadlines of their own
-		khttp.Filter(func(http.Handler) http.Handler { return h }),
-	)
-}
-
 func (n *Node) newServers(i Interfaces) *servers {
 	peers := http.NewServeMux()
 	peers.Handle(link.Path, n.pool)
 	s := &servers{log: n.log, failed: make(chan error, 4)}
 	refusing := func(l net.Listener) net.Listener { return refusingListener{l, n.settings.Node.PeerAddress} }
 	s.all = []*khttp.Server{
-		refuseUnreadable(newServer(refusing(i.Caller), n.callerHandler())),
-		newServer(i.Peer, peers),
-		refuseUnreadable(newServer(refusing(i.Target), n.ownHandler())),
-		newServer(i.Admin, n.adminHandler()),
+		refuseUnreadable(httpserver.New(refusing(i.Caller), n.callerHandler())),
+		httpserver.New(i.Peer, peers),
+		refuseUnreadable(httpserver.New(refusing(i.Target), n.ownHandler())),
+		httpserver.New(i.Admin, n.adminHandler()),
 	}
 	return s
 }
--- a/internal/process/platform/client.go
+++ b/internal/process/platform/client.go
@@ -24,14 +24,15 @@
 	idleTimeout        = 30 * time.Second
 )
 
-// client sends requests to one service of the platform.
-type client struct {
+// Client sends requests to one service of the platform. It is safe for concurrent use.
+type Client struct {
 	base      string
 	http      *khttp.Client
 	transport *http.Transport
 }
 
-func newClient(baseURL string, timeout time.Duration) (*client, error) {
+// NewClient returns a client for the service at the URL. A call ends at the latest after the timeout.
+func NewClient(baseURL string, timeout time.Duration) (*Client, error) {
 	if timeout <= 0 {
 		return nil, fmt.Errorf("platform client for %s: the timeout must be positive", baseURL)
 	}
@@ -57,10 +58,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("platform client for %s: %w", baseURL, err)
 	}
-	return &client{base: strings.TrimSuffix(baseURL, "/"), http: c, transport: t}, nil
+	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: c, transport: t}, nil
 }
 
-func (c *client) close() error {
+// Close closes idle connections.
+func (c *Client) Close() error {
 	c.transport.CloseIdleConnections()
 	return c.http.Close()
 }
@@ -77,37 +79,37 @@
 	return resp, err
 }
 
-// call is one request to the platform.
-type call struct {
-	method string
-	path   string
-	header http.Header
-	body   []byte
-	write  bool
+// Call is one request to the platform.
+type Call struct {
+	Method string
+	Path   string
+	Header http.Header
+	Body   []byte
+	Write  bool // the call changes something: without an answer it is in doubt
 }
 
-// reply is a complete response.
-type reply struct {
-	status int
-	header http.Header
-	body   []byte
+// Reply is a complete response.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
 }
 
-// do sends the call and reads the complete response. Its errors are those of package platform; a response with any
+// Do sends the call and reads the complete response. Its errors are those of package platform; a response with any
 // status is no error.
-func (c *client) do(ctx context.Context, q call) (*reply, error) {
+func (c *Client) Do(ctx context.Context, q Call) (*Reply, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	req, err := http.NewRequestWithContext(ctx, q.method, c.base+q.path, bytes.NewReader(q.body))
+	req, err := http.NewRequestWithContext(ctx, q.Method, c.base+q.Path, bytes.NewReader(q.Body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	for name, values := range q.header {
+	for name, values := range q.Header {
 		req.Header[name] = values
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, failure(q.write && !unsent(err, connected.Load()), err)
+		return nil, failure(q.Write && !unsent(err, connected.Load()), err)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse+1))
@@ -115,9 +117,9 @@
 		err = fmt.Errorf("the response is larger than %d bytes", maxResponse)
 	}
 	if err != nil {
-		return nil, failure(q.write, fmt.Errorf("status %d: %w", resp.StatusCode, err))
+		return nil, failure(q.Write, fmt.Errorf("status %d: %w", resp.StatusCode, err))
 	}
-	return &reply{status: resp.StatusCode, header: resp.Header, body: body}, nil
+	return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
 // unsent reports whether no byte of the request can have reached the platform: there never was a connection, or the last
@@ -143,8 +145,8 @@
 	http.StatusTooManyRequests: true, http.StatusRequestHeaderFieldsTooLarge: true, http.StatusServiceUnavailable: true,
 }
 
-// writeStatus maps the status of a write to an error, or nil for success.
-func writeStatus(status int) error {
+// WriteStatus maps the status of a write to an error, or nil for success.
+func WriteStatus(status int) error {
 	switch {
 	case status == http.StatusOK || status == http.StatusCreated || status == http.StatusNoContent:
 		return nil
@@ -155,8 +157,8 @@
 	}
 }
 
-// readStatus maps the status of a read to an error, or nil for success.
-func readStatus(status int) error {
+// ReadStatus maps the status of a read to an error, or nil for success.
+func ReadStatus(status int) error {
 	switch status {
 	case http.StatusOK:
 		return nil
--- a/internal/process/platform/http.go
+++ b/internal/process/platform/http.go
@@ -13,11 +13,11 @@
 )
 
 // HTTPTable is the table service over HTTP. It is safe for concurrent use.
-type HTTPTable struct{ c *client }
+type HTTPTable struct{ c *Client }
 
 // NewHTTPTable returns a client for the table service at the URL. A call ends at the latest after the timeout.
 func NewHTTPTable(tableURL string, timeout time.Duration) (*HTTPTable, error) {
-	c, err := newClient(tableURL, timeout)
+	c, err := NewClient(tableURL, timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -25,22 +25,22 @@
 }
 
 // Close closes idle connections.
-func (t *HTTPTable) Close() error { return t.c.close() }
+func (t *HTTPTable) Close() error { return t.c.Close() }
 
 // Get implements Table.
 func (t *HTTPTable) Get(ctx context.Context, key string) (Row, error) {
-	r, err := t.c.do(ctx, call{method: http.MethodGet, path: rowPath(key)})
+	r, err := t.c.Do(ctx, Call{Method: http.MethodGet, Path: rowPath(key)})
 	if err == nil {
-		err = readStatus(r.status)
+		err = ReadStatus(r.Status)
 	}
 	if err != nil {
 		return Row{}, fmt.Errorf("get %q: %w", key, err)
 	}
-	version, ok := ParseETag(r.header.Get("ETag"))
+	version, ok := ParseETag(r.Header.Get("ETag"))
 	if !ok {
 		return Row{}, fmt.Errorf("get %q: %w: no strong ETag in the response", key, ErrUnavailable)
 	}
-	return Row{Key: key, Value: r.body, Version: version}, nil
+	return Row{Key: key, Value: r.Body, Version: version}, nil
 }
 
 // Put implements Table.
@@ -55,14 +55,14 @@
 	if cond.Version != "" {
 		h.Set("If-Match", ETag(cond.Version))
 	}
-	r, err := t.c.do(ctx, call{method: http.MethodPut, path: rowPath(key), header: h, body: value, write: true})
+	r, err := t.c.Do(ctx, Call{Method: http.MethodPut, Path: rowPath(key), Header: h, Body: value, Write: true})
 	if err == nil {
-		err = writeStatus(r.status)
+		err = WriteStatus(r.Status)
 	}
 	if err != nil {
 		return "", fmt.Errorf("put %q: %w", key, err)
 	}
-	version, ok := ParseETag(r.header.Get("ETag"))
+	version, ok := ParseETag(r.Header.Get("ETag"))
 	if !ok {
 		return "", fmt.Errorf("put %q: %w: no strong ETag in the response", key, ErrInDoubt)
 	}
@@ -72,15 +72,15 @@
 // List implements Table.
 func (t *HTTPTable) List(ctx context.Context, prefix string, limit int) ([]Row, error) {
 	q := url.Values{ParamPrefix: {prefix}, ParamLimit: {strconv.Itoa(limit)}}
-	r, err := t.c.do(ctx, call{method: http.MethodGet, path: PathRows + "?" + q.Encode()})
-	if err == nil && r.status != http.StatusOK {
-		err = fmt.Errorf("%w: status %d", ErrUnavailable, r.status)
+	r, err := t.c.Do(ctx, Call{Method: http.MethodGet, Path: PathRows + "?" + q.Encode()})
+	if err == nil && r.Status != http.StatusOK {
+		err = fmt.Errorf("%w: status %d", ErrUnavailable, r.Status)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("list %q: %w", prefix, err)
 	}
 	var wire []WireRow
-	if err := json.Unmarshal(r.body, &wire); err != nil {
+	if err := json.Unmarshal(r.Body, &wire); err != nil {
 		return nil, fmt.Errorf("list %q: %w: %w", prefix, ErrUnavailable, err)
 	}
 	rows := make([]Row, 0, len(wire))
@@ -101,15 +101,15 @@
 		return nil, fmt.Errorf("commit: %w: %w", ErrUnavailable, err)
 	}
 	h := http.Header{"Content-Type": {"application/json"}}
-	r, err := t.c.do(ctx, call{method: http.MethodPost, path: PathTransaction, header: h, body: body, write: true})
+	r, err := t.c.Do(ctx, Call{Method: http.MethodPost, Path: PathTransaction, Header: h, Body: body, Write: true})
 	if err == nil {
-		err = writeStatus(r.status)
+		err = WriteStatus(r.Status)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("commit: %w", err)
 	}
 	var out WireVersions
-	if err := json.Unmarshal(r.body, &out); err != nil {
+	if err := json.Unmarshal(r.Body, &out); err != nil {
 		return nil, fmt.Errorf("commit: %w: %w", ErrInDoubt, err)
 	}
 	if len(out.Versions) != len(writes) {
@@ -121,11 +121,11 @@
 func rowPath(key string) string { return PathRow + "?" + url.Values{ParamKey: {key}}.Encode() }
 
 // HTTPObjects is the object store over HTTP. It is safe for concurrent use.
-type HTTPObjects struct{ c *client }
+type HTTPObjects struct{ c *Client }
 
 // NewHTTPObjects returns a client for the object store at the URL. A call ends at the latest after the timeout.
 func NewHTTPObjects(objectsURL string, timeout time.Duration) (*HTTPObjects, error) {
-	c, err := newClient(objectsURL, timeout)
+	c, err := NewClient(objectsURL, timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -133,15 +133,15 @@
 }
 
 // Close closes idle connections.
-func (o *HTTPObjects) Close() error { return o.c.close() }
+func (o *HTTPObjects) Close() error { return o.c.Close() }
 
 // Put implements Objects. A body that is stored already is no conflict, because the hash determines the body.
 func (o *HTTPObjects) Put(ctx context.Context, body []byte) (string, error) {
 	hash := Hash(body)
 	h := http.Header{"Content-Type": {"application/octet-stream"}, "If-None-Match": {"*"}}
-	r, err := o.c.do(ctx, call{method: http.MethodPut, path: PathObjects + hash, header: h, body: body, write: true})
-	if err == nil && r.status != http.StatusPreconditionFailed {
-		err = writeStatus(r.status)
+	r, err := o.c.Do(ctx, Call{Method: http.MethodPut, Path: PathObjects + hash, Header: h, Body: body, Write: true})
+	if err == nil && r.Status != http.StatusPreconditionFailed {
+		err = WriteStatus(r.Status)
 	}
 	if err != nil {
 		return "", fmt.Errorf("put object %s: %w", hash, err)
@@ -151,17 +151,17 @@
 
 // Get implements Objects.
 func (o *HTTPObjects) Get(ctx context.Context, hash string) ([]byte, error) {
-	r, err := o.c.do(ctx, call{method: http.MethodGet, path: PathObjects + url.PathEscape(hash)})
+	r, err := o.c.Do(ctx, Call{Method: http.MethodGet, Path: PathObjects + url.PathEscape(hash)})
 	if err == nil {
-		err = readStatus(r.status)
+		err = ReadStatus(r.Status)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("get object %s: %w", hash, err)
 	}
-	if got := Hash(r.body); got != hash {
+	if got := Hash(r.Body); got != hash {
 		return nil, fmt.Errorf("get object %s: %w: the body has hash %s", hash, ErrUnavailable, got)
 	}
-	return r.body, nil
+	return r.Body, nil
 }
 
 // Hash returns the name of an object with the given content.
--- /dev/null
+++ b/internal/process/sidecar/handlers.go
@@ -0,0 +1,88 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/entry"
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/link"
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
+)
+
+// entryHandler answers callers and the target on this VM. It implements entry.Handler.
+type entryHandler struct{ s *Sidecar }
+
+// faceEntry names the interface in metrics.
+const faceEntry = "entry"
+
+// Serve implements entry.Handler.
+func (h entryHandler) Serve(ctx context.Context, r *entry.Request) *entry.Answer {
+	req, err := h.s.opts.Codec.DecodeRequest(r)
+	if err != nil {
+		var reject *entry.RejectError
+		if !errors.As(err, &reject) {
+			reject = &entry.RejectError{Status: http.StatusBadRequest, Detail: err.Error()}
+		}
+		return h.Reject(reject.Status, reject.Detail)
+	}
+	resp := h.s.path.Serve(ctx, req)
+	took := time.Since(r.Arrived)
+	h.s.metrics.Request(faceEntry, resp, took)
+	h.s.requests.ended(req, resp, took, h.s.version())
+	return h.s.opts.Codec.EncodeAnswer(req, resp)
+}
+
+// Reject implements entry.Handler.
+func (h entryHandler) Reject(status int, detail string) *entry.Answer {
+	return &entry.Answer{
+		Status: status,
+		Header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
+		Body:   []byte(detail + "\n"),
+	}
+}
+
+// Limits implements entry.Handler.
+func (h entryHandler) Limits() entry.Limits {
+	limits := routing.DefaultLimits()
+	if t := h.s.routes.Load(); t != nil {
+		limits = t.Limits
+	}
+	return entry.Limits(limits)
+}
+
+// version returns the configuration version in force.
+func (s *Sidecar) version() routing.Version {
+	if t := s.routes.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// linkHandler answers other nodes. It implements link.Handler.
+type linkHandler struct{ s *Sidecar }
+
+// facePeer names the interface in metrics.
+const facePeer = "peer"
+
+// HandleRequest implements link.Handler.
+func (h linkHandler) HandleRequest(ctx context.Context, _ link.Peer, req *message.Request) *message.Response {
+	start := time.Now()
+	r := h.s.path.Deliver(ctx, req)
+	h.s.metrics.Request(facePeer, r, time.Since(start))
+	return r
+}
+
+// HandleControl implements link.Handler.
+func (h linkHandler) HandleControl(from link.Peer, channel wire.Channel, payload []byte) {
+	if channel != wire.ChannelView {
+		return
+	}
+	select {
+	case h.s.inbox <- inboundMessage{from.Address, payload}:
+	default: // the next comparison of digests makes up for it
+	}
+}
--- /dev/null
+++ b/internal/process/sidecar/target.go
@@ -0,0 +1,172 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/targetconn"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/directory"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/report"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// maxAnswer bounds the body of a target's answer, in bytes.
+const maxAnswer = 16 << 20
+
+// target exchanges requests with the target beside the node. It implements mesh.Target.
+type target struct {
+	pool  *targetconn.Pool
+	codec Codec
+}
+
+// Do implements mesh.Target.
+func (t *target) Do(ctx context.Context, req *message.Request) *message.Response {
+	a, err := t.pool.Do(ctx, &targetconn.Exchange{
+		Method:  req.Method,
+		Bytes:   t.codec.EncodeRequest(req, time.Now()),
+		Fresh:   !req.Idempotent,
+		Owns:    func(h http.Header) bool { return t.codec.Owns(req, h) },
+		MaxBody: maxAnswer,
+	})
+	if err == nil {
+		return t.codec.DecodeAnswer(req, a)
+	}
+	reason := message.ReasonConnection
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = message.ReasonDeadline
+	case ctx.Err() != nil:
+		reason = message.ReasonCancelled
+	}
+	var failed *targetconn.Error
+	if errors.As(err, &failed) && !failed.Sent {
+		return message.Refuse(reason, message.Errorf(message.StepRun, req.Instance, "%v", err))
+	}
+	return message.Doubt(reason, message.Errorf(message.StepRun, req.Instance, "%v", err))
+}
+
+const (
+	// limitShare is the part of a target's slots that requests may take: targets slow down when they are nearly full.
+	limitShare = 0.85
+	// queueShare is the length of the queue in front of a target, as a multiple of its slots.
+	queueShare = 1.0
+	// defaultQueueWait bounds the wait of work that states no bound of its own.
+	defaultQueueWait = 200 * time.Millisecond
+)
+
+// limitsOf returns the admission limits of a target.
+func (s *Sidecar) limitsOf(st report.State) admission.Limits {
+	connections := st.Slots
+	if t := s.routes.Load(); t != nil {
+		if svc, ok := t.Service(st.Service); ok && svc.Connections > 0 {
+			connections = min(connections, svc.Connections)
+		}
+	}
+	return admission.Limits{
+		Slots:        max(1, int(limitShare*float64(st.Slots))),
+		Connections:  connections,
+		QueueLength:  max(1, int(queueShare*float64(st.Slots))),
+		QueueMaxWait: defaultQueueWait,
+	}
+}
+
+// Report implements the interface for the target's reports.
+func (s *Sidecar) Report(r report.Report) error {
+	if r.Service != s.settings.Service || r.Address != s.settings.TargetAddress {
+		err := fmt.Errorf("report of %s: service %q at %s is not the target of this node", r.Instance, r.Service, r.Address)
+		event.Log(s.log, event.ReportRejected, slog.String("error", err.Error()))
+		return err
+	}
+	switch verdict := s.tracker.Observe(r, time.Now()); verdict {
+	case report.Replaced:
+		event.Log(s.log, event.TargetReplaced, slog.String("instance", r.Instance), slog.Int64("born", r.Born),
+			slog.Int64("sequence", r.Sequence), slog.String("phase", r.Phase.String()), slog.Int("slots", r.Slots))
+	case report.Changed:
+		event.Log(s.log, event.TargetChanged, slog.String("instance", r.Instance), slog.Int64("sequence", r.Sequence),
+			slog.String("phase", r.Phase.String()), slog.Int("slots", r.Slots))
+	case report.Ignored, report.Renewed:
+	}
+	s.applyTarget()
+	return nil
+}
+
+// Leave implements the interface for the target's reports.
+func (s *Sidecar) Leave(instance string) error {
+	if s.tracker.Leave(instance, time.Now()) {
+		event.Log(s.log, event.TargetChanged, slog.String("instance", instance), slog.String("phase", report.PhaseGone.String()))
+	}
+	s.applyTarget()
+	return nil
+}
+
+// applyTarget opens or shuts the way to the target and spreads its state. Work is refused here before anybody is told, so
+// that an acknowledged leave binds although other nodes learn of it later.
+func (s *Sidecar) applyTarget() {
+	s.targetMu.Lock()
+	defer s.targetMu.Unlock()
+	st := s.tracker.State(time.Now())
+	open := st.Phase == report.PhaseReady && s.settled.Load() && !s.leaving.Load()
+	id := ""
+	if open {
+		id = fmt.Sprintf("%s/%d", st.Instance, st.Born)
+	}
+	switch {
+	case id == s.serving:
+	case open:
+		s.path.Open(st.Service, st.Instance, admission.New(s.limitsOf(st)),
+			&target{targetconn.NewPool(st.Address), s.opts.Codec})
+	default:
+		s.path.Shut()
+	}
+	s.serving = id
+	s.publishTarget(st, open)
+}
+
+// publishTarget writes the target's state to the node's own entry and spreads it if it changed.
+func (s *Sidecar) publishTarget(st report.State, open bool) {
+	phase := st.Phase
+	if phase == report.PhaseReady && !open {
+		phase = report.PhaseUnknown
+	}
+	own := s.directory.Self()
+	if own.Instance == st.Instance && own.Born == st.Born && own.Phase == phase && own.Slots == st.Slots &&
+		own.Leaving == s.leaving.Load() {
+		return
+	}
+	m := s.directory.Update(func(m *directory.Member) {
+		m.Instance, m.Born, m.Sequence, m.Slots, m.Phase = st.Instance, st.Born, st.Sequence, st.Slots, phase
+		m.Leaving = s.leaving.Load()
+	})
+	s.refreshTargets()
+	s.broadcast(m)
+}
+
+// checkInterval is the time between looks at the age of the target's last report.
+const checkInterval = 500 * time.Millisecond
+
+// settleTime is the time after the start in which other nodes can say what they remember of this node's target. Without
+// that, an old report could make a target ready again that this node had acknowledged as leaving before a restart.
+const settleTime = 1200 * time.Millisecond
+
+// watchTarget shuts the way to a target that has fallen silent.
+func (s *Sidecar) watchTarget() {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !s.settled.Load() && time.Since(s.started) >= settleTime {
+			s.settled.Store(true)
+		}
+		s.applyTarget()
+	}
+}
--- a/internal/request/retry/bucket.go
+++ b/internal/request/retry/bucket.go
@@ -6,12 +6,13 @@
 // is safe for concurrent use and takes no lock.
 type Bucket struct {
 	ratio  atomic.Int64 // milli-retries earned by a first attempt
+	burst  atomic.Int64 // most milli-retries that are kept
 	tokens atomic.Int64 // milli-retries
 }
 
 const (
 	milli = 1000
-	// maxBucketRetries bounds the burst of retries after a quiet time.
+	// maxBucketRetries bounds the burst of retries after a quiet time, unless SetBurst says otherwise.
 	maxBucketRetries = 10
 )
 
@@ -19,6 +20,7 @@
 func NewBucket(ratio float64) *Bucket {
 	b := &Bucket{}
 	b.SetRatio(ratio)
+	b.burst.Store(maxBucketRetries * milli)
 	b.tokens.Store(maxBucketRetries * milli)
 	return b
 }
@@ -26,6 +28,15 @@
 // SetRatio changes the share of first attempts that may be retried.
 func (b *Bucket) SetRatio(ratio float64) { b.ratio.Store(int64(ratio * milli)) }
 
+// SetBurst changes the number of retries that are kept for a burst. Zero or less keeps it.
+func (b *Bucket) SetBurst(retries float64) {
+	if retries <= 0 {
+		return
+	}
+	b.burst.Store(int64(retries * milli))
+	b.add(0)
+}
+
 // Earn records a first attempt.
 func (b *Bucket) Earn() { b.add(b.ratio.Load()) }
 
@@ -35,7 +46,7 @@
 func (b *Bucket) add(tokens int64) {
 	for {
 		have := b.tokens.Load()
-		next := min(have+tokens, maxBucketRetries*milli)
+		next := min(have+tokens, b.burst.Load())
 		if next == have || b.tokens.CompareAndSwap(have, next) {
 			return
 		}
