--- /dev/null
+++ b/internal/connection/entry/entry_test.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// handler answers with the path of the request, after the path's time if it names one ("/500ms/x").
+type handler struct {
+	mu        sync.Mutex
+	seen      []string
+	cancelled []string
+}
+
+func (h *handler) Serve(ctx context.Context, r *Request) *Answer {
+	h.mu.Lock()
+	h.seen = append(h.seen, r.URL.Path)
+	h.mu.Unlock()
+	if d, err := time.ParseDuration(strings.Split(r.URL.Path, "/")[1]); err == nil {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+			h.mu.Lock()
+			h.cancelled = append(h.cancelled, r.URL.Path)
+			h.mu.Unlock()
+		}
+	}
+	return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: append([]byte(r.URL.Path+" "), r.Payload...)}
+}
+
+func (h *handler) Reject(status int, detail string) *Answer {
+	return &Answer{Status: status, Header: http.Header{}, Body: []byte(detail)}
+}
+
+func (h *handler) Limits() Limits {
+	return Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+}
+
+// connect returns a caller's end of a connection that a server serves.
+func connect(t *testing.T) (net.Conn, *bufio.Reader, *handler, *Server) {
+	t.Helper()
+	h := &handler{}
+	s := NewServer(h, 10)
+	caller, served := net.Pipe()
+	s.start(served)
+	t.Cleanup(func() {
+		_ = caller.Close()
+		s.Close()
+	})
+	return caller, bufio.NewReader(caller), h, s
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
+
+func write(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	_, err := io.WriteString(c, text)
+	require.NoError(t, err)
+}
+
+func read(t *testing.T, br *bufio.Reader) (int, string, bool) {
+	t.Helper()
+	resp, err := http.ReadResponse(br, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode, string(body), resp.Close
+}
+
+// Guards against a slow first request that keeps the ones behind it unread, and against answers in the order of completion.
+func TestPipelinedRequestsRunTogetherAndAreAnsweredInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, br, _, _ := connect(t)
+		start := time.Now()
+		write(t, c, get("/500ms/a")+get("/1ms/b")+get("/400ms/c"))
+		for _, want := range []string{"/500ms/a ", "/1ms/b ", "/400ms/c "} {
+			_, body, _ := read(t, br)
+			require.Equal(t, want, body)
+		}
+		require.Equal(t, 500*time.Millisecond, time.Since(start))
+	})
+}
+
+// Guards against work for callers that have left, also while further requests are pipelined.
+func TestRequestsOfACallerThatLeftAreCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _, h, _ := connect(t)
+		write(t, c, get("/5s/a")+get("/5s/b"))
+		synctest.Wait()
+		require.NoError(t, c.Close())
+		synctest.Wait()
+		require.ElementsMatch(t, []string{"/5s/a", "/5s/b"}, h.cancelled)
+	})
+}
+
+// Guards against kept connections that are closed while callers still use them, and against those that are never closed.
+func TestIdleConnectionLastsForItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, br, _, _ := connect(t)
+		write(t, c, get("/a"))
+		read(t, br)
+		time.Sleep(12 * time.Second) // four fifths of the idle timeout
+		write(t, c, get("/20s/b"))
+		_, body, _ := read(t, br) // the idle timeout does not run while a request does
+		require.Equal(t, "/20s/b ", body)
+		start := time.Now()
+		_, err := br.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+		require.Equal(t, 15*time.Second, time.Since(start))
+	})
+}
+
+// Guards against requests that are cut by a planned stop: each one that was read is answered, and the last answer says that
+// the connection ends.
+func TestRetiringServerAnswersWhatItHasRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, br, h, s := connect(t)
+		write(t, c, get("/500ms/a")+get("/600ms/b"))
+		synctest.Wait()
+		s.CloseIdle()
+		_, body, last := read(t, br)
+		require.Equal(t, "/500ms/a ", body)
+		require.False(t, last, "another request is running")
+		_, body, last = read(t, br)
+		require.Equal(t, "/600ms/b ", body)
+		require.True(t, last)
+		_, _ = io.WriteString(c, get("/c"))
+		_, err := br.ReadByte()
+		require.Error(t, err)
+		require.ElementsMatch(t, []string{"/500ms/a", "/600ms/b"}, h.seen)
+	})
+}
+
+// Guards against bodies that are taken for the next request.
+func TestBodiesWithLengthAndChunks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, br, _, _ := connect(t)
+		write(t, c, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"+
+			"POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"+get("/c"))
+		for _, want := range []string{"/a body", "/b abcde", "/c "} {
+			_, body, _ := read(t, br)
+			require.Equal(t, want, body)
+		}
+	})
+}
+
+// Guards against requests beyond the limits that are served, or that hold a connection for ever.
+func TestRequestsBeyondTheLimitsAreRejected(t *testing.T) {
+	for name, c := range map[string]struct {
+		request string
+		status  int
+	}{
+		"header too large":       {"GET /a HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 2<<10) + "\r\n\r\n", 431},
+		"header much too large":  {"GET /a HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 32<<10) + "\r\n\r\n", 431},
+		"body too large":         {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n", 413},
+		"chunked body too large": {"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n600\r\n" + strings.Repeat("x", 0x600) + "\r\n0\r\n\r\n", 413},
+		"no request":             {"what is this\r\n\r\n", 400},
+		"header does not end":    {"GET /a HTTP/1.1\r\nHost: x\r\n", 408},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				conn, br, h, _ := connect(t)
+				go func() { _, _ = io.WriteString(conn, c.request) }()
+				status, _, last := read(t, br)
+				require.Equal(t, c.status, status)
+				require.True(t, last)
+				require.Empty(t, h.seen)
+			})
+		})
+	}
+}
+
+// Guards against a full server that leaves new callers waiting while idle connections hold the room.
+func TestIdleConnectionMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &handler{}
+		s := NewServer(h, 2)
+		var callers []net.Conn
+		for i := range 3 {
+			caller, served := net.Pipe()
+			callers = append(callers, caller)
+			s.start(served)
+			go func() { _, _ = io.WriteString(caller, get(fmt.Sprintf("/%d", i))) }()
+			_, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			require.NoError(t, err, "caller %d", i)
+			synctest.Wait()
+		}
+		require.Equal(t, 2, s.Connections())
+		for _, c := range callers {
+			_ = c.Close()
+		}
+		s.Close()
+	})
+}
--- a/internal/connection/targetconn/targetconn.go
+++ b/internal/connection/targetconn/targetconn.go
@@ -80,6 +80,7 @@
 // Pool keeps the connections to one target.
 type Pool struct {
 	address string
+	dial    func(ctx context.Context) (net.Conn, error)
 
 	mu     sync.Mutex
 	idle   []*conn // most recently used last
@@ -88,7 +89,12 @@
 }
 
 // NewPool returns a pool for the target at the address.
-func NewPool(address string) *Pool { return &Pool{address: address} }
+func NewPool(address string) *Pool {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &Pool{address: address, dial: func(ctx context.Context) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address)
+	}}
+}
 
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() int {
@@ -152,8 +158,7 @@
 		}
 		_ = c.nc.Close()
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", p.address)
+	nc, err := p.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/process/directory/directory_test.go
@@ -0,0 +1,84 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/report"
+)
+
+func member(address string, incarnation, revision uint64) Member {
+	return Member{
+		Address: address, Incarnation: incarnation, Revision: revision,
+		Service: "menu", Instance: "i-" + address, Phase: report.PhaseReady, Slots: 36,
+	}
+}
+
+// Guards against an old entry that brings back a target that has left since.
+func TestOlderEntryLoses(t *testing.T) {
+	d := New(member("a", 1, 0))
+	left := member("b", 1, 3)
+	left.Phase = report.PhaseDraining
+	require.Len(t, d.Merge([]Member{left}).Changed, 1)
+	require.Empty(t, d.Merge([]Member{member("b", 1, 2)}).Changed)
+	require.Empty(t, d.Targets()["menu"][1:], "only the own target is left")
+	require.Len(t, d.Merge([]Member{member("b", 2, 0)}).Changed, 1, "a restarted node is newer whatever its revision")
+	require.Len(t, d.Targets()["menu"], 2)
+}
+
+// Guards against a node whose clock went back before its restart: others would ignore everything it says.
+func TestEntryOutlivesAClockThatWentBack(t *testing.T) {
+	d := New(member("a", 100, 0))
+	out := d.Merge([]Member{member("a", 900, 5)})
+	require.NotNil(t, out.Echo)
+	require.Equal(t, uint64(901), d.Self().Incarnation)
+	other := New(member("b", 1, 0))
+	other.Merge([]Member{member("a", 900, 5)})
+	require.Len(t, other.Merge([]Member{d.Self()}).Changed, 1)
+}
+
+// Guards against requests for a node that cannot be reached, and against one that stays out after it came back.
+func TestUnreachableNodeGetsNoRequests(t *testing.T) {
+	d := New(member("a", 1, 0))
+	d.Merge([]Member{member("b", 1, 1)})
+	require.True(t, d.SetDown("b", time.Now()))
+	require.False(t, d.SetDown("b", time.Now()))
+	require.Len(t, d.Targets()["menu"], 1)
+	up, down := d.Peers()
+	require.Empty(t, up)
+	require.Equal(t, []string{"b"}, down)
+	require.True(t, d.SetUp("b"))
+	require.Len(t, d.Targets()["menu"], 2)
+	require.False(t, d.SetDown("a", time.Now()), "a node always reaches itself")
+}
+
+// Guards against an entry of which only the address is known being passed on or counted as a target.
+func TestIntroducedNodeIsNoTarget(t *testing.T) {
+	d := New(member("a", 1, 0))
+	digest := d.Digest()
+	require.True(t, d.Introduce("b"))
+	require.False(t, d.Introduce("b"))
+	require.Equal(t, digest, d.Digest())
+	require.Len(t, d.Targets()["menu"], 1)
+}
+
+// Guards against views that depend on the order in which entries arrive, for example over links that heal one by one.
+func TestViewsConvergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Member {
+			return member(rapid.SampledFrom([]string{"b", "c", "d"}).Draw(t, "address"),
+				rapid.Uint64Range(1, 3).Draw(t, "incarnation"), rapid.Uint64Range(0, 3).Draw(t, "revision"))
+		}), 1, 20).Draw(t, "entries")
+		one, two := New(member("a", 1, 0)), New(member("a", 1, 0))
+		one.Merge(list)
+		for _, m := range rapid.Permutation(list).Draw(t, "order") {
+			two.Merge([]Member{m})
+		}
+		if one.Digest() != two.Digest() {
+			t.Fatalf("views differ: %v and %v", one.All(), two.All())
+		}
+	})
+}
--- /dev/null
+++ b/internal/process/mesh/mesh_test.go
@@ -0,0 +1,324 @@
+package mesh
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
+)
+
+// node is a node's path with a script for the nodes that it sends to.
+type node struct {
+	path        *Path
+	mu          sync.Mutex
+	sent        []*message.Request
+	to          []string
+	answers     []*message.Response // of the next sends; then an answer
+	unreachable []string
+}
+
+func (n *node) Send(_ context.Context, address string, req *message.Request) *message.Response {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent, n.to = append(n.sent, req), append(n.to, address)
+	if len(n.answers) == 0 {
+		return &message.Response{Outcome: message.Answered, Status: http.StatusOK}
+	}
+	r := n.answers[0]
+	n.answers = n.answers[1:]
+	if r.Err != nil && r.Err.Peer == "" {
+		r.Err.Peer = address
+	}
+	return r
+}
+
+var testRoutes = []*routing.Route{
+	{Name: "menu", Host: "h", Prefix: "/menu/", Idempotent: true, Timeout: 1200 * time.Millisecond, Priority: 2, MaxAttempts: 2,
+		Split: []routing.Share{{Service: "menu", Weight: 1}}},
+	{Name: "order", Host: "h", Prefix: "/order/", Timeout: 1500 * time.Millisecond, Priority: 0, MaxAttempts: 2,
+		Split: []routing.Share{{Service: "menu", Weight: 1}}},
+	{Name: "profile", Host: "h", Prefix: "/profile/", Idempotent: true, Timeout: 5 * time.Second, Priority: 3, MaxAttempts: 2,
+		Split: []routing.Share{{Service: "menu", Weight: 1}}},
+}
+
+func newNode(t *testing.T, targets int) *node {
+	t.Helper()
+	table, err := routing.New(4, testRoutes, []routing.Service{{Name: "menu"}}, routing.DefaultLimits())
+	require.NoError(t, err)
+	set := balance.NewSet("a", policy.New().Balance)
+	var list []balance.Target
+	for i := range targets {
+		list = append(list, balance.Target{Address: "n" + strconv.Itoa(i), Zone: "a", Slots: 36})
+	}
+	set.Update(map[string][]balance.Target{"menu": list})
+	routes := &atomic.Pointer[routing.Table]{}
+	routes.Store(table)
+	n := &node{}
+	n.path = New(Config{
+		Address: "self", Service: "store", Routes: routes, Peers: n, Pickers: set,
+		Instance:    func(address string) string { return "i-" + address },
+		Unreachable: func(address string, _ *message.Error) { n.unreachable = append(n.unreachable, address) },
+		Log:         slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	return n
+}
+
+func request(path, attempt string) *message.Request {
+	return &message.Request{Host: "h", Method: http.MethodGet, Path: path, Attempt: attempt, Deadline: time.Now().Add(5 * time.Second)}
+}
+
+func refusedBy(reason message.Reason) *message.Response {
+	return message.Refuse(reason, message.Errorf(message.StepAdmit, "", "test"))
+}
+
+func doubt(reason message.Reason) *message.Response {
+	return message.Doubt(reason, message.Errorf(message.StepAwait, "", "test"))
+}
+
+// Guards against requests that reach a target without what it needs: instance, origin, and the time of the route.
+func TestRequestBearsWhatTheRouteDecides(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNode(t, 1)
+		r := n.path.Serve(t.Context(), request("/menu/1", "9c41"))
+		require.Equal(t, message.Answered, r.Outcome)
+		req := n.sent[0]
+		require.Equal(t, "i-n0", req.Instance)
+		require.Equal(t, "store", req.Caller)
+		require.Equal(t, "menu", req.Service)
+		require.True(t, req.Idempotent)
+		require.Equal(t, 1200*time.Millisecond, time.Until(req.Deadline))
+	})
+}
+
+// Guards against a 404 before any configuration is known, and against work for paths without a route.
+func TestRequestWithoutRoute(t *testing.T) {
+	n := newNode(t, 1)
+	require.Equal(t, message.ReasonNoService, n.path.Serve(t.Context(), request("/other/1", "a")).Reason)
+	n.path.cfg.Routes.Store(nil)
+	r := n.path.Serve(t.Context(), request("/menu/1", "a"))
+	require.Equal(t, message.ReasonUnconfirmed, r.Reason)
+	require.Equal(t, message.NotRun, r.Outcome)
+	require.Positive(t, r.RetryAfter)
+	require.Empty(t, n.sent)
+}
+
+// Guards against an order that is run twice after its first answer was lost.
+func TestOrderThatMayHaveRunIsNotRepeated(t *testing.T) {
+	n := newNode(t, 3)
+	n.answers = []*message.Response{doubt(message.ReasonConnection)}
+	r := n.path.Serve(t.Context(), request("/order/1", "a"))
+	require.Equal(t, message.Unknown, r.Outcome)
+	require.Len(t, n.sent, 1)
+}
+
+// Guards against reads that fail with one lost answer although the budget allows another target, and against more targets
+// than the route allows.
+func TestReadIsRepeatedWithinItsAttempts(t *testing.T) {
+	n := newNode(t, 4)
+	n.answers = []*message.Response{doubt(message.ReasonConnection)}
+	require.Equal(t, message.Answered, n.path.Serve(t.Context(), request("/menu/1", "a")).Outcome)
+	require.Len(t, n.sent, 2)
+	require.NotEqual(t, n.to[0], n.to[1])
+
+	n.sent = nil
+	n.answers = []*message.Response{doubt(message.ReasonConnection), doubt(message.ReasonConnection)}
+	require.Equal(t, message.Unknown, n.path.Serve(t.Context(), request("/menu/1", "b")).Outcome)
+	require.Len(t, n.sent, 2)
+}
+
+// Guards against a retry storm while every answer of a service is lost: repeats stay within the burst and a share of the
+// requests.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	const requests, burst = 500, 3
+	n := newNode(t, 4)
+	n.path.SetRetryBurst(burst)
+	for i := range requests {
+		n.answers = []*message.Response{doubt(message.ReasonConnection), doubt(message.ReasonConnection)}
+		n.path.Serve(t.Context(), request("/menu/1", strconv.Itoa(i)))
+	}
+	require.LessOrEqual(t, len(n.sent)-requests, burst+int(retryRatio*requests))
+	require.Greater(t, len(n.sent)-requests, int(retryRatio*requests)/2)
+}
+
+// Guards against requests that a target shed and that count as if they had never reached it: they draw on the same budget.
+func TestShedByTheTargetCountsAsArrival(t *testing.T) {
+	n := newNode(t, 6)
+	n.path.SetRetryBurst(1)
+	n.path.Serve(t.Context(), request("/menu/0", "first")) // creates the bucket
+	n.sent = nil
+	for range 5 {
+		n.answers = append(n.answers, refusedBy(message.ReasonTargetUnable))
+	}
+	r := n.path.Serve(t.Context(), request("/order/1", "a"))
+	require.Equal(t, message.NotRun, r.Outcome)
+	require.Len(t, n.sent, 2, "max_attempts bounds the targets that it is sent to")
+}
+
+// Guards against orders that are lost while their target leaves: a node's refusal proves that nothing was run.
+func TestOrderMovesOnWhenATargetLeaves(t *testing.T) {
+	n := newNode(t, 4)
+	n.answers = []*message.Response{refusedBy(message.ReasonLeaving), refusedBy(message.ReasonConnection)}
+	require.Equal(t, message.Answered, n.path.Serve(t.Context(), request("/order/1", "a")).Outcome)
+	require.Len(t, n.sent, 3)
+	require.Equal(t, n.to[1:2], n.unreachable)
+	slices.Sort(n.to)
+	require.Len(t, slices.Compact(n.to), 3, "each try goes to another node")
+}
+
+// Guards against a surge that is offered to every target in turn.
+func TestFullServiceIsNotAskedInTurn(t *testing.T) {
+	n := newNode(t, 6)
+	for range 6 {
+		n.answers = append(n.answers, refusedBy(message.ReasonOverload))
+	}
+	r := n.path.Serve(t.Context(), request("/menu/1", "a"))
+	require.Equal(t, message.NotRun, r.Outcome)
+	require.Len(t, n.sent, maxOverloads)
+	require.Positive(t, r.RetryAfter)
+}
+
+// Guards against "not run" after an earlier attempt of the same request may have run.
+func TestDoubtOutlastsALaterRefusal(t *testing.T) {
+	n := newNode(t, 4)
+	n.answers = []*message.Response{doubt(message.ReasonConnection), refusedBy(message.ReasonOverload), refusedBy(message.ReasonOverload)}
+	require.Equal(t, message.Unknown, n.path.Serve(t.Context(), request("/menu/1", "a")).Outcome)
+}
+
+// slowTarget runs requests for a time and records them.
+type slowTarget struct {
+	time  time.Duration
+	calls func(req *message.Request)
+	mu    sync.Mutex
+	ran   []string
+}
+
+func (s *slowTarget) Do(ctx context.Context, req *message.Request) *message.Response {
+	s.mu.Lock()
+	s.ran = append(s.ran, req.Attempt)
+	s.mu.Unlock()
+	if s.calls != nil {
+		s.calls(req)
+	}
+	select {
+	case <-time.After(s.time):
+		return &message.Response{Outcome: message.Answered, Status: http.StatusOK}
+	case <-ctx.Done():
+		return doubt(message.ReasonCancelled)
+	}
+}
+
+func (n *node) open(slots int, target Target) {
+	n.path.Open("menu", "i-1", admission.New(admission.Limits{
+		Slots: slots, Connections: slots, QueueLength: slots, QueueMaxWait: 100 * time.Millisecond,
+	}), target)
+}
+
+func delivered(attempt string, hop uint8, p message.Priority) *message.Request {
+	return &message.Request{
+		Service: "menu", Instance: "i-1", Attempt: attempt, Hop: hop, Priority: p, Idempotent: true,
+		Deadline: time.Now().Add(time.Second),
+	}
+}
+
+// Guards against requests at a target that leaves, or at another instance or service that has taken its address: what waits
+// for a slot is refused as well, and what runs ends.
+func TestShutTargetTakesNoWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNode(t, 0)
+		target := &slowTarget{time: 50 * time.Millisecond}
+		n.open(1, target)
+		other := delivered("other", 0, 100)
+		other.Instance = "i-2"
+		require.Equal(t, message.ReasonLeaving, n.path.Deliver(t.Context(), other).Reason)
+		other.Instance, other.Service = "i-1", "order"
+		require.Equal(t, message.ReasonLeaving, n.path.Deliver(t.Context(), other).Reason)
+
+		results := make(chan *message.Response, 2)
+		for _, attempt := range []string{"runs", "waits"} {
+			go func() { results <- n.path.Deliver(t.Context(), delivered(attempt, 0, 100)) }()
+			synctest.Wait()
+		}
+		n.path.Shut()
+		waited, ran := <-results, <-results
+		require.Equal(t, message.NotRun, waited.Outcome)
+		require.Equal(t, message.ReasonLeaving, waited.Reason)
+		require.Equal(t, message.Answered, ran.Outcome)
+		require.Equal(t, message.NotRun, n.path.Deliver(t.Context(), delivered("late", 0, 100)).Outcome)
+		require.Equal(t, []string{"runs"}, target.ran)
+	})
+}
+
+// Guards against a surge of new requests that starves the calls of chains that have been worked for: a call takes the next
+// slot before requests that came earlier.
+func TestCallsGoBeforeNewRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNode(t, 0)
+		target := &slowTarget{time: 30 * time.Millisecond}
+		n.open(1, target)
+		var done sync.WaitGroup
+		deliver := func(attempt string, hop uint8, p message.Priority) {
+			done.Go(func() { n.path.Deliver(t.Context(), delivered(attempt, hop, p)) })
+			synctest.Wait()
+		}
+		order := priorityOf(testRoutes[1], "x")
+		menu := priorityOf(testRoutes[0], "x")
+		deliver("running", 0, menu)
+		deliver("new order", 0, order)
+		n.path.gate.Load().control.SetLimits(admission.Limits{Slots: 1, Connections: 1, QueueLength: 3, QueueMaxWait: time.Second})
+		deliver("call of a menu read", 2, menu)
+		deliver("call of an order", 1, order)
+		done.Wait()
+		require.Equal(t, []string{"running", "call of an order", "call of a menu read", "new order"}, target.ran)
+	})
+}
+
+// Guards against calls that lose the priority and the deadline of the request they belong to, or outlive it.
+func TestCallBelongsToItsChain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNode(t, 1)
+		parent := delivered("9c41", 1, priorityOf(testRoutes[1], "root"))
+		target := &slowTarget{calls: func(*message.Request) {
+			n.path.Serve(t.Context(), request("/profile/1", "9c41.1"))
+			n.path.Serve(t.Context(), request("/profile/1", "foreign.1"))
+		}}
+		n.open(1, target)
+		n.path.Deliver(t.Context(), parent)
+		call, foreign := n.sent[0], n.sent[1]
+		require.Equal(t, parent.Priority, call.Priority)
+		require.Equal(t, uint8(2), call.Hop)
+		require.Equal(t, parent.Deadline, call.Deadline)
+		require.Equal(t, uint8(0), foreign.Hop, "a call whose parent is unknown is a request of its own")
+		n.path.Serve(t.Context(), request("/profile/1", "9c41.2"))
+		require.Equal(t, uint8(0), n.sent[2].Hop, "the run has ended")
+	})
+}
+
+// Guards against requests that wait longer than their chain allows.
+func TestWaitIsAShareOfTheTimeLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNode(t, 0)
+		n.open(1, &slowTarget{time: 5 * time.Second})
+		go n.path.Deliver(t.Context(), delivered("running", 0, 100))
+		synctest.Wait()
+		start := time.Now()
+		r := n.path.Deliver(t.Context(), delivered("call", 1, 100))
+		require.Equal(t, message.NotRun, r.Outcome)
+		require.Equal(t, time.Duration(calledWaitShare*float64(time.Second)), time.Since(start))
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -36,8 +36,9 @@
 	// handoverTime is the time after which other nodes send nothing more to the target beside this node. Until then the
 	// target's slots are still used.
 	handoverTime = 1500 * time.Millisecond
-	// exitMargin is the time before the end of the grace period at which the process ends with what is left.
-	exitMargin = 500 * time.Millisecond
+	// exitMargin is the time before the end of the grace period at which the process ends with what is left. It leaves room
+	// for closeTime and for a processor that is busy.
+	exitMargin = 800 * time.Millisecond
 	drainPoll  = 20 * time.Millisecond
 	// defaultGrace holds where the settings state no grace period.
 	defaultGrace = 6 * time.Second
@@ -65,16 +66,35 @@
 		}
 	}
 	s.drain()
-	for _, srv := range servers {
-		_ = srv.Close() // nothing that counts is left on them
-	}
-	s.entry.Close()
-	s.pool.Close()
-	s.stop()
+	s.close(servers)
 	event.Log(s.log, event.ProcessStopped)
 	return nil
 }
 
+// closeTime bounds the closing of what a graceful stop left over. The process ends with it, so nothing has to wait for the
+// last goroutine, and the platform kills a process that outlives its grace period.
+const closeTime = 200 * time.Millisecond
+
+// close ends all interfaces and loops at once.
+func (s *Sidecar) close(servers []*khttp.Server) {
+	s.stop()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, srv := range servers {
+			_ = srv.Close() // nothing that counts is left on them
+		}
+		s.entry.Close()
+		s.pool.Close()
+	}()
+	timer := time.NewTimer(closeTime)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
 // listen opens all interfaces and serves them.
 func (s *Sidecar) listen(h Handlers) ([]*khttp.Server, error) {
 	peers := http.NewServeMux()
