Shed at the entry what a service of the chain would refuse

The thresholds of the product's admission now come back with responses and stop requests at their entry node in the order of the whole chain's priority. Work of chains goes before new work at a target by an order of its own instead of an offset on the priority, so that thresholds compare.

--- a/internal/process/admission/limits.go
+++ b/internal/process/admission/limits.go
@@ -17,6 +17,9 @@
 	// LongWaitRank is the rank from which work may wait longer: in a queue of longQueue times the length and for up to
 	// half of the time that is left to it. Zero: none.
 	LongWaitRank uint8
+	// WorkedFirst puts work for which earlier hops have worked before all other work, whatever its rank. Where it waits in
+	// line with new work, a surge of new requests of the highest rank uses up the time of every chain in progress.
+	WorkedFirst bool
 }
 
 // longQueue is the length of the queue for work of LongWaitRank, as a multiple of the normal one. At 95 % load by orders
--- a/internal/process/admission/queue.go
+++ b/internal/process/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"context"
 	"slices"
 )
@@ -14,18 +15,39 @@
 	refusal *Refusal
 }
 
-// queue holds waiters in the order in which they run: rank (highest first), then deadline (earliest first), then arrival.
-// It is a sorted slice, because it is short and the position of new work is needed anyway.
+// queue holds waiters in the order in which they run: with workedFirst those that earlier hops have worked for, then rank
+// (highest first), then deadline (earliest first), then arrival. It is a sorted slice, because it is short and the position
+// of new work is needed anyway.
 type queue struct {
-	items []*waiter
+	items       []*waiter
+	workedFirst bool
 }
 
 func (q *queue) len() int { return len(q.items) }
 
+// class compares two waiters without their times: it is positive if a goes before b.
+func (q *queue) class(a, b *waiter) int {
+	if q.workedFirst && a.work.Worked != b.work.Worked {
+		if a.work.Worked {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(a.work.Priority.Rank(), b.work.Priority.Rank())
+}
+
+// displaces reports whether new work takes the place of a waiter when the queue is full.
+func (q *queue) displaces(w Work, wt *waiter) bool {
+	if c := q.class(&waiter{work: w}, wt); c != 0 {
+		return c > 0
+	}
+	return wt.work.Priority < w.Priority
+}
+
 // before reports whether a runs before b, which arrived earlier.
-func before(a, b *waiter) bool {
-	if ra, rb := a.work.Priority.Rank(), b.work.Priority.Rank(); ra != rb {
-		return ra > rb
+func (q *queue) before(a, b *waiter) bool {
+	if c := q.class(a, b); c != 0 {
+		return c > 0
 	}
 	if b.work.Deadline.IsZero() {
 		return !a.work.Deadline.IsZero()
@@ -38,7 +60,7 @@
 	lo, hi := 0, len(q.items)
 	for lo < hi {
 		mid := (lo + hi) / 2
-		if before(wt, q.items[mid]) {
+		if q.before(wt, q.items[mid]) {
 			hi = mid
 		} else {
 			lo = mid + 1
@@ -57,17 +79,15 @@
 	return wt
 }
 
-// lowest returns the position of the waiter with the lowest priority, or -1. All waiters of the lowest rank are at the
-// end.
+// lowest returns the position of the waiter that matters least, or -1. All waiters of the lowest class are at the end.
 func (q *queue) lowest() int {
 	last := len(q.items) - 1
 	found := last
 	for i := last - 1; i >= 0; i-- {
-		p := q.items[i].work.Priority
-		if p.Rank() != q.items[last].work.Priority.Rank() {
+		if q.class(q.items[i], q.items[last]) != 0 {
 			break
 		}
-		if p < q.items[found].work.Priority {
+		if q.items[i].work.Priority < q.items[found].work.Priority {
 			found = i
 		}
 	}
--- a/internal/process/admission/wait.go
+++ b/internal/process/admission/wait.go
@@ -24,11 +24,11 @@
 	if c.queue.len() >= c.maxLength(w) {
 		c.meter.turnedAway++
 		lowest := c.queue.lowest()
-		if lowest < 0 || c.queue.items[lowest].work.Priority >= w.Priority {
+		if lowest < 0 || !c.queue.displaces(w, c.queue.items[lowest]) {
 			return nil, message.ReasonOverload
 		}
 		displaced := c.queue.remove(lowest)
-		invariant.Check(invariant.ShedOrder, displaced.work.Priority < w.Priority,
+		invariant.Check(invariant.ShedOrder, c.queue.displaces(w, displaced),
 			"work of priority %d was displaced by work of %d", displaced.work.Priority, w.Priority)
 		c.refuseWaiter(displaced, message.ReasonOverload)
 		at = c.queue.position(wt)
--- a/internal/process/engine/call.go
+++ b/internal/process/engine/call.go
@@ -170,6 +170,6 @@
 	}
 	e.cfg.Shedder.Learn(c.svc.Name, c.route.Name, r.Thresholds)
 	if c.parent != nil {
-		c.parent.learn(r.Thresholds)
+		c.parent.below.Learn(r.Thresholds)
 	}
 }
--- a/internal/process/engine/deliver.go
+++ b/internal/process/engine/deliver.go
@@ -57,7 +57,7 @@
 	e.running.end(run)
 	r.RetriesLeft = run.ledger.Close()
 	invariant.CheckErr(invariant.RetryConservation, run.ledger.Check())
-	r.Thresholds = run.thresholds()
+	r.Thresholds = run.below.Thresholds()
 	return r
 }
 
--- a/internal/process/engine/running.go
+++ b/internal/process/engine/running.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/retry"
 )
@@ -17,12 +18,13 @@
 	deadline time.Time
 	ledger   *retry.Ledger
 
+	below shed.Below // thresholds of the services that the target called
+
 	mu         sync.Mutex
-	below      map[string]message.Priority // thresholds of the services that the target called
-	open       int                         // calls of the target that have not ended
-	effects    bool                        // a call of the target was answered, or may have run
-	refusal    *message.Error              // of the last call that was not run
-	retryAfter time.Duration               // longest of the calls that were not run
+	open       int            // calls of the target that have not ended
+	effects    bool           // a call of the target was answered, or may have run
+	refusal    *message.Error // of the last call that was not run
+	retryAfter time.Duration  // longest of the calls that were not run
 }
 
 // beginCall counts a call that the target makes, which endCall must end.
@@ -45,29 +47,6 @@
 	r.retryAfter = max(r.retryAfter, resp.RetryAfter)
 }
 
-// learn records thresholds of services below.
-func (r *running) learn(thresholds []message.Threshold) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.below == nil {
-		r.below = make(map[string]message.Priority, len(thresholds))
-	}
-	for _, t := range thresholds {
-		r.below[t.Service] = max(r.below[t.Service], t.Priority)
-	}
-}
-
-// thresholds returns what was learned.
-func (r *running) thresholds() []message.Threshold {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []message.Threshold
-	for service, p := range r.below {
-		out = append(out, message.Threshold{Service: service, Priority: p})
-	}
-	return out
-}
-
 const runningShards = 64
 
 // runningTable finds the request that a call of the own target belongs to.
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -25,12 +25,14 @@
 	}
 	r := p.deliver(ctx, g, req)
 	r.Load = g.control.Load()
+	// A threshold of zero is reported too: it ends the shedding at the nodes above sooner than their memory of a higher one.
+	r.Thresholds = append(r.Thresholds, message.Threshold{Service: req.Service, Priority: g.control.Threshold()})
 	return r
 }
 
 func (p *Path) deliver(ctx context.Context, g *gate, req *message.Request) *message.Response {
 	permit, err := g.control.Acquire(ctx, admission.Work{
-		Priority: admissionPriority(req),
+		Priority: req.Priority,
 		Deadline: req.Deadline,
 		Worked:   req.Hop > 0,
 		MaxWait:  maxWait(req),
@@ -47,6 +49,7 @@
 		Cancelled: r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline,
 	})
 	p.runs.end(run)
+	r.Thresholds = run.below.Thresholds()
 	return r
 }
 
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -16,6 +16,7 @@
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/retry"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
@@ -45,6 +46,7 @@
 	Routes  *atomic.Pointer[routing.Table]
 	Peers   PeerSender
 	Pickers Pickers
+	Shed    *shed.Table
 	// Instance returns the instance of the target beside the node at the address.
 	Instance func(address string) string
 	// Unreachable is told of nodes that cannot be reached.
@@ -123,12 +125,10 @@
 	})
 }
 
-// Ranks of requests at the admission of a target. Work that belongs to a chain goes before new work, because the hops above
-// have worked for it already; within both, the chain's route decides.
+// Ranks of chains by the priority of the route on which they began.
 const (
-	topRank      = 100
-	rankStep     = 10
-	calledOffset = 128
+	topRank  = 100
+	rankStep = 10
 )
 
 // priorityOf returns the priority of a request on a route. It is kept on the whole chain.
@@ -136,14 +136,6 @@
 	return message.NewPriority(uint8(max(1, topRank-rankStep*r.Priority)), requestID(attempt))
 }
 
-// admissionPriority returns the priority at the admission of the target.
-func admissionPriority(req *message.Request) message.Priority {
-	if req.Hop == 0 {
-		return req.Priority
-	}
-	return req.Priority + calledOffset<<8
-}
-
 // requestID derives the ID of a request from the caller's name of the attempt.
 func requestID(attempt string) message.ID {
 	var id message.ID
--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
@@ -70,7 +71,7 @@
 	routes.Store(table)
 	n := &node{}
 	n.path = New(Config{
-		Address: "self", Service: "store", Routes: routes, Peers: n, Pickers: set,
+		Address: "self", Service: "store", Routes: routes, Peers: n, Pickers: set, Shed: shed.New(),
 		Instance:    func(address string) string { return "i-" + address },
 		Unreachable: func(address string, _ *message.Error) { n.unreachable = append(n.unreachable, address) },
 		Log:         slog.New(slog.NewTextHandler(io.Discard, nil)),
@@ -224,7 +225,7 @@
 
 func (n *node) open(slots int, target Target) {
 	n.path.Open("menu", "i-1", admission.New(admission.Limits{
-		Slots: slots, Connections: slots, QueueLength: slots, QueueMaxWait: 100 * time.Millisecond,
+		Slots: slots, Connections: slots, QueueLength: slots, QueueMaxWait: 100 * time.Millisecond, WorkedFirst: true,
 	}), target)
 }
 
@@ -279,7 +280,7 @@
 		menu := priorityOf(testRoutes[0], "x")
 		deliver("running", 0, menu)
 		deliver("new order", 0, order)
-		n.path.gate.Load().control.SetLimits(admission.Limits{Slots: 1, Connections: 1, QueueLength: 3, QueueMaxWait: time.Second})
+		n.path.gate.Load().control.SetLimits(admission.Limits{Slots: 1, Connections: 1, QueueLength: 3, QueueMaxWait: time.Second, WorkedFirst: true})
 		deliver("call of a menu read", 2, menu)
 		deliver("call of an order", 1, order)
 		done.Wait()
@@ -308,6 +309,33 @@
 	})
 }
 
+// Guards against a surge over a slow deep service that is shed only after the hops above have worked: the thresholds of the
+// services below come back with answers and stop requests at their entry node, the lowest ranks first, and calls last.
+func TestSurgeOverADeepServiceIsShedAtTheEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNode(t, 2)
+		threshold := priorityOf(testRoutes[0], "x").TopOfRank() // the deep service sheds menu reads
+		n.answers = []*message.Response{{
+			Outcome: message.Answered, Status: http.StatusOK,
+			Thresholds: []message.Threshold{{Service: "profiles", Priority: threshold}},
+		}}
+		n.path.Serve(t.Context(), request("/menu/1", "first"))
+		r := n.path.Serve(t.Context(), request("/menu/1", "second"))
+		require.Equal(t, message.NotRun, r.Outcome)
+		require.Equal(t, message.StepShed, r.Err.Step)
+		require.Positive(t, r.RetryAfter)
+		require.Len(t, n.sent, 1)
+		require.Equal(t, message.Answered, n.path.Serve(t.Context(), request("/order/1", "order")).Outcome)
+
+		run := n.path.runs.begin(delivered("root", 0, priorityOf(testRoutes[0], "root")))
+		require.Equal(t, message.Answered, n.path.Serve(t.Context(), request("/menu/1", "root.1")).Outcome,
+			"a call is not shed by a threshold within its rank")
+		require.Empty(t, run.below.Thresholds())
+		time.Sleep(2 * time.Second)
+		require.Equal(t, message.Answered, n.path.Serve(t.Context(), request("/menu/1", "later")).Outcome)
+	})
+}
+
 // Guards against requests that wait longer than their chain allows.
 func TestWaitIsAShareOfTheTimeLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/mesh/parents.go
+++ b/internal/process/mesh/parents.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
@@ -17,6 +18,7 @@
 	deadline time.Time
 	refused  atomic.Int32 // calls that were not run
 	failed   atomic.Int32 // calls that ended in another failure
+	below    shed.Below   // thresholds of the services that the target called
 }
 
 // runs finds the run that a call of the own target belongs to. Targets name a call after the attempt that they run, followed
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -50,13 +50,42 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	r := p.attempts(ctx, c)
+	r := p.shed(c)
+	if r == nil {
+		r = p.attempts(ctx, c)
+	}
 	if c.parent != nil {
 		c.parent.note(r)
 	}
 	return r
 }
 
+// shed refuses a request that a service of its chain would refuse, before any work is done for it. Behind the entry node a
+// threshold sheds whole ranks only: within a rank it is an estimate for new requests, and a call that is shed after the hops
+// above have worked loses their work.
+func (p *Path) shed(c *call) *message.Response {
+	priority := c.req.Priority
+	if c.parent != nil {
+		priority = priority.TopOfRank()
+	}
+	ok, blocking, after := p.cfg.Shed.Admit(c.service, c.route.Name, priority)
+	if ok {
+		return nil
+	}
+	return p.refuse(message.ReasonOverload, message.StepShed, after, "service %q sheds priority %d", blocking, priority)
+}
+
+// learn takes the thresholds of the services below and passes them on to the hop above.
+func (p *Path) learn(c *call, r *message.Response) {
+	if len(r.Thresholds) == 0 {
+		return
+	}
+	p.cfg.Shed.Learn(c.service, c.route.Name, r.Thresholds)
+	if c.parent != nil {
+		c.parent.below.Learn(r.Thresholds)
+	}
+}
+
 // note records the end of a call that the run has made.
 func (r *run) note(resp *message.Response) {
 	switch {
@@ -172,6 +201,7 @@
 	down.Instance = p.cfg.Instance(target.Address)
 	r := p.send(ctx, target.Address, &down)
 	done(result(r))
+	p.learn(c, r)
 	if r.Reason == message.ReasonConnection && r.Err != nil && r.Err.Peer == target.Address && target.Address != p.cfg.Address {
 		p.cfg.Unreachable(target.Address, r.Err)
 	}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -23,6 +23,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/metrics"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/report"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
@@ -146,6 +147,7 @@
 		Routes:      &s.routes,
 		Peers:       s.pool,
 		Pickers:     s.pickers,
+		Shed:        shed.New(),
 		Instance:    s.instanceAt,
 		Unreachable: s.unreachable,
 		Log:         s.log,
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -73,6 +73,7 @@
 		Connections:  connections,
 		QueueLength:  max(1, int(queueShare*float64(st.Slots))),
 		QueueMaxWait: defaultQueueWait,
+		WorkedFirst:  true,
 	}
 }
 
