Pull a configuration over links only without a feed; register in two store calls

Now a node that hears of a newer one waits for its own feed, asks one node at a time, and gets it compressed.

--- a/internal/process/sidecar/learn.go
+++ b/internal/process/sidecar/learn.go
@@ -15,8 +15,8 @@
 	// storeTimeout bounds one call of the store, which answers in milliseconds when it is well.
 	storeTimeout = 1500 * time.Millisecond
 	// feedWait is the mean time for which a feed waits. A connection of the feed that has gone silent is noticed after it;
-	// meanwhile other nodes pass changes on.
-	feedWait = 8 * time.Second
+	// meanwhile other nodes pass changes on. The store keeps 20 s of history.
+	feedWait = 14 * time.Second
 	// firstStorePause and maxStorePause bound the pause after a failed call.
 	firstStorePause = 200 * time.Millisecond
 	maxStorePause   = 2 * time.Second
@@ -75,23 +75,18 @@
 	}
 }
 
-// tryRegister writes the node's row if it is missing, and introduces the node to all others.
+// tryRegister writes the node's row and introduces the node to all others.
 func (s *Sidecar) tryRegister() (int, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
 	defer cancel()
-	rows, err := s.opts.Nodes.List(ctx, "", maxNodes)
+	// The value is for people who look into the store; the key says everything.
+	_, err := s.opts.Nodes.Put(ctx, s.settings.PeerAddress, []byte(s.settings.Node), platform.Condition{})
 	if err != nil {
 		return 0, err
 	}
-	if !hasRow(rows, s.settings.PeerAddress) {
-		// The value is for people who look into the store; the key says everything.
-		_, err := s.opts.Nodes.Put(ctx, s.settings.PeerAddress, []byte(s.settings.Node), platform.Condition{})
-		if err != nil {
-			return 0, err
-		}
-		if rows, err = s.opts.Nodes.List(ctx, "", maxNodes); err != nil {
-			return 0, err
-		}
+	rows, err := s.opts.Nodes.List(ctx, "", maxNodes)
+	if err != nil {
+		return 0, err
 	}
 	for _, row := range rows {
 		if row.Key != s.settings.PeerAddress {
@@ -102,15 +97,6 @@
 	return len(rows), nil
 }
 
-func hasRow(rows []platform.Row, key string) bool {
-	for _, r := range rows {
-		if r.Key == key {
-			return true
-		}
-	}
-	return false
-}
-
 // deregister removes the node's row, so that later nodes do not look for it.
 func (s *Sidecar) deregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
--- /dev/null
+++ b/internal/process/sidecar/pull.go
@@ -0,0 +1,80 @@
+package sidecar
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+)
+
+const (
+	// pullPatience is the time for which a node that hears of a newer configuration waits for its feed. It must leave time
+	// within the operators' bound of two seconds, and asking at once would send every configuration over the links too.
+	pullPatience = 600 * time.Millisecond
+	// pullInterval is the time after which a configuration that was asked for is asked for again.
+	pullInterval = 700 * time.Millisecond
+	// maxConfig bounds an unpacked configuration, in bytes.
+	maxConfig = 64 << 20
+)
+
+// puller decides when to ask another node for a configuration. It is used by one goroutine.
+type puller struct {
+	version uint64 // newest version heard of
+	heard   time.Time
+	asked   time.Time
+}
+
+// wants reports whether to ask a node for its configuration now.
+func (p *puller) wants(now time.Time, own, theirs uint64) bool {
+	if theirs <= own {
+		return false
+	}
+	if theirs > p.version {
+		p.version, p.heard = theirs, now
+	}
+	if own > 0 && now.Sub(p.heard) < pullPatience || now.Sub(p.asked) < pullInterval {
+		return false
+	}
+	p.asked = now
+	return true
+}
+
+// packConfig returns the configuration in force in the form in which nodes hand it to each other, or nil.
+func (s *Sidecar) packConfig() []byte {
+	table := s.routes.Load()
+	if table == nil {
+		return nil
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is constant
+	}
+	_, _ = w.Write(table.Raw) // a buffer takes everything
+	_ = w.Close()
+	return b.Bytes()
+}
+
+func (s *Sidecar) unpackConfig(packed []byte, from string) {
+	body, err := unpack(packed)
+	if err != nil {
+		event.Log(s.log, event.RoutesRejected, slog.String("source", "peer "+from), slog.String("error", err.Error()))
+		return
+	}
+	s.applyConfig(body, "peer "+from)
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxConfig+1))
+	if err != nil {
+		return nil, fmt.Errorf("unpack configuration: %w", err)
+	}
+	if len(body) > maxConfig {
+		return nil, fmt.Errorf("unpack configuration: more than %d bytes", maxConfig)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/process/sidecar/pull_test.go
@@ -0,0 +1,39 @@
+package sidecar
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a large configuration that crosses the links many times although every node gets it from its own feed, and
+// against a node whose feed has gone silent and that never asks.
+func TestConfigurationIsPulledOnceAndOnlyWithoutAFeed(t *testing.T) {
+	var p puller
+	now := time.Unix(1000, 0)
+	require.False(t, p.wants(now, 4, 4))
+	require.False(t, p.wants(now, 4, 8), "the feed may bring it in a moment")
+	now = now.Add(pullPatience)
+	require.True(t, p.wants(now, 4, 8))
+	require.False(t, p.wants(now.Add(time.Millisecond), 4, 8), "another node was asked just now")
+	require.True(t, p.wants(now.Add(pullInterval), 4, 8), "the node that was asked has not answered")
+	require.False(t, p.wants(now.Add(2*pullInterval), 8, 8))
+	require.Less(t, pullPatience+pullInterval, 2*time.Second, "the operators' bound for a configuration")
+}
+
+// Guards against a node that starts while the store is away and waits for a feed that cannot come.
+func TestNodeWithoutConfigurationAsksAtOnce(t *testing.T) {
+	var p puller
+	require.True(t, p.wants(time.Unix(1000, 0), 0, 8))
+}
+
+// Guards against a peer whose message unpacks to more memory than the process has.
+func TestUnpackIsBounded(t *testing.T) {
+	_, err := unpack([]byte("no deflate"))
+	require.Error(t, err)
+	body, err := unpack(nil)
+	require.Error(t, err)
+	require.Empty(t, bytes.TrimSpace(body))
+}
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -152,6 +152,9 @@
 	s.leaving.Store(true)
 	s.entry.Retire()
 	gone := s.tracker.State(start).Phase != report.PhaseReady
+	if gone {
+		s.background.Go(s.deregister) // the store may be down, and the stop does not wait for it
+	}
 	handedOver, closed := false, false
 	for {
 		elapsed := time.Since(start)
@@ -174,7 +177,4 @@
 		}
 		time.Sleep(drainPoll)
 	}
-	if gone {
-		s.deregister()
-	}
 }
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -90,6 +90,7 @@
 	leaving atomic.Bool
 	settled atomic.Bool // the node's own state before a restart is known, or nobody remembers it
 	inbox   chan inboundMessage
+	puller  puller        // used by the loop that receives messages
 	retry   chan struct{} // wakes the loop that reaches nodes that were down
 
 	targetMu sync.Mutex // held while the state of the target is applied
--- a/internal/process/sidecar/spread.go
+++ b/internal/process/sidecar/spread.go
@@ -11,7 +11,6 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/directory"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
-	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
 )
 
 // viewMessage is what nodes tell each other of the directory and the configuration.
@@ -19,8 +18,9 @@
 	Digest  uint64             `cbor:"1,keyasint"`           // of the sender's directory
 	Version uint64             `cbor:"2,keyasint"`           // of the sender's configuration
 	Members []directory.Member `cbor:"3,keyasint,omitempty"` // entries that the receiver may lack
-	Config  []byte             `cbor:"4,keyasint,omitempty"` // configuration that the receiver lacks
+	Config  []byte             `cbor:"4,keyasint,omitempty"` // configuration that the receiver asked for, compressed
 	Ask     bool               `cbor:"5,keyasint,omitempty"` // the sender wants the entries that it lacks
+	Pull    bool               `cbor:"6,keyasint,omitempty"` // the sender wants the configuration
 }
 
 type inboundMessage struct {
@@ -135,7 +135,7 @@
 	s.reachable(in.from)
 	s.merge(msg.Members)
 	if len(msg.Config) > 0 {
-		s.applyConfig(msg.Config, "peer "+in.from)
+		s.unpackConfig(msg.Config, in.from)
 	}
 	s.answer(in.from, msg)
 }
@@ -143,17 +143,17 @@
 // answer sends what the other node lacks, and asks for what this one lacks.
 func (s *Sidecar) answer(to string, msg viewMessage) {
 	reply := s.message()
-	table := s.routes.Load()
-	behind := table != nil && routing.Version(msg.Version) < table.Version
-	if behind {
-		reply.Config = table.Raw
+	if msg.Pull {
+		reply.Config = s.packConfig()
 	}
 	differs := msg.Digest != reply.Digest
 	if msg.Ask || differs && len(msg.Members) == 0 {
 		reply.Members = s.directory.All()
 	}
 	reply.Ask = differs && !msg.Ask && len(msg.Members) == 0
-	if behind || len(reply.Members) > 0 || msg.Version > reply.Version && len(msg.Config) == 0 {
+	reply.Pull = s.puller.wants(time.Now(), reply.Version, msg.Version)
+	older := msg.Version < reply.Version && !msg.Pull // the other node may have lost its feed
+	if older || reply.Pull || len(reply.Config) > 0 || len(reply.Members) > 0 {
 		s.send(to, reply)
 	}
 }
