--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -52,8 +52,9 @@
 }
 
 const (
-	// limitShare is the part of a target's slots that requests may take: targets slow down when they are nearly full.
-	limitShare = 0.85
+	// limitShare is the part of a target's slots that requests may take. Targets of both users slow down from 95 % of
+	// their slots on.
+	limitShare = 0.94
 	// queueShare is the length of the queue in front of a target, as a multiple of its slots.
 	queueShare = 1.0
 	// defaultQueueWait bounds the wait of work that states no bound of its own.
