Let reads move on from a target that fails by itself

The node beside the target knows whether a call of the run was refused or failed and says so with the answer. Reads then go to another target within max_attempts and the retry budget; if that does not work out, the answer that is there is delivered.

--- a/internal/connection/wire/convert.go
+++ b/internal/connection/wire/convert.go
@@ -49,6 +49,7 @@
 		Header:      r.Header,
 		RetryAfter:  uint64(max(r.RetryAfter.Milliseconds(), 0)),
 		RetriesLeft: r.RetriesLeft,
+		BelowFailed: r.BelowFailed,
 		InFlight:    r.Load.InFlight,
 		Limit:       r.Load.Limit,
 		BodySize:    uint64(len(r.Body)),
@@ -116,6 +117,7 @@
 		Header:      f.Header,
 		RetryAfter:  time.Duration(f.RetryAfter) * time.Millisecond,
 		RetriesLeft: f.RetriesLeft,
+		BelowFailed: f.BelowFailed,
 		Load:        message.Load{InFlight: f.InFlight, Limit: f.Limit},
 	}
 	if f.ErrStep != "" {
--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -118,6 +118,7 @@
 	Limit       int         `cbor:"14,keyasint,omitempty"`
 	BodySize    uint64      `cbor:"15,keyasint,omitempty"` // bytes of the whole body
 	Part        []byte      `cbor:"16,keyasint,omitempty"` // first part of the body
+	BelowFailed bool        `cbor:"17,keyasint,omitempty"`
 }
 
 // Cancel says that nobody waits for the response of a stream any more.
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -50,6 +50,7 @@
 	})
 	p.runs.end(run)
 	r.Thresholds = run.below.Thresholds()
+	r.BelowFailed = run.refused.Load() > 0 || run.failed.Load() > 0
 	return r
 }
 
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -16,6 +16,7 @@
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/retry"
@@ -52,6 +53,7 @@
 	// Unreachable is told of nodes that cannot be reached.
 	Unreachable func(address string, cause *message.Error)
 	Log         *slog.Logger
+	Limiter     *event.Limiter // bounds the lines on single requests
 }
 
 // Path serves requests.
--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
@@ -75,6 +76,7 @@
 		Instance:    func(address string) string { return "i-" + address },
 		Unreachable: func(address string, _ *message.Error) { n.unreachable = append(n.unreachable, address) },
 		Log:         slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Limiter:     event.NewLimiter(1),
 	})
 	return n
 }
@@ -193,6 +195,33 @@
 	require.Positive(t, r.RetryAfter)
 }
 
+func failed(belowFailed bool) *message.Response {
+	return &message.Response{Outcome: message.Answered, Status: http.StatusInternalServerError, BelowFailed: belowFailed}
+}
+
+// Guards against reads that are lost to a target which fails a part of its requests while it says that it is healthy.
+func TestReadMovesOnFromATargetThatFails(t *testing.T) {
+	n := newNode(t, 3)
+	n.answers = []*message.Response{failed(false)}
+	require.Equal(t, http.StatusOK, n.path.Serve(t.Context(), request("/menu/1", "a")).Status)
+	require.NotEqual(t, n.to[0], n.to[1])
+
+	n.sent, n.answers = nil, []*message.Response{failed(false), refusedBy(message.ReasonOverload), refusedBy(message.ReasonOverload)}
+	r := n.path.Serve(t.Context(), request("/menu/1", "b"))
+	require.Equal(t, message.Answered, r.Outcome, "the answer that is there is delivered")
+	require.Equal(t, http.StatusInternalServerError, r.Status)
+}
+
+// Guards against repeats that meet the same failure again: of orders, and of requests whose chain has failed further down.
+func TestFailureIsNotRepeatedWhereThatIsUselessOrUnsafe(t *testing.T) {
+	n := newNode(t, 3)
+	n.answers = []*message.Response{failed(false)}
+	require.Equal(t, http.StatusInternalServerError, n.path.Serve(t.Context(), request("/order/1", "a")).Status)
+	n.answers = []*message.Response{failed(true)}
+	require.Equal(t, http.StatusInternalServerError, n.path.Serve(t.Context(), request("/menu/1", "b")).Status)
+	require.Len(t, n.sent, 2)
+}
+
 // Guards against "not run" after an earlier attempt of the same request may have run.
 func TestDoubtOutlastsALaterRefusal(t *testing.T) {
 	n := newNode(t, 4)
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
@@ -138,19 +140,27 @@
 	bucket := p.bucket(c.service)
 	bucket.Earn()
 	doubt := false
+	var failure *message.Response // an answer of a target that reports its own failure
 	for {
 		r := p.attempt(ctx, c)
+		if r.Outcome != message.Answered && failure != nil {
+			return failure // says more than that another attempt did not work out
+		}
 		doubt = doubt || r.Outcome == message.Unknown
 		arrived := r.Outcome != message.NotRun || r.Reason == message.ReasonTargetUnable
 		if arrived {
 			c.sent++
 		}
-		if r.Outcome == message.Answered || ctx.Err() != nil || !p.again(c, r) {
+		if ctx.Err() != nil || !p.again(c, r) {
 			return final(r, doubt)
 		}
+		if r.Outcome == message.Answered {
+			failure = r
+		}
 		if arrived && !bucket.Take() {
 			return final(r, doubt)
 		}
+		p.repeated(c, r)
 		invariant.Check(invariant.SingleExecution, c.route.Idempotent || !doubt,
 			"request %s may have run and is tried again", c.req.Attempt)
 	}
@@ -174,8 +184,26 @@
 	case message.Unknown:
 		return c.route.Idempotent && r.Reason == message.ReasonConnection && c.sent < c.route.MaxAttempts
 	default:
-		return false
+		return c.route.Idempotent && ownFailure(r) && c.sent < c.route.MaxAttempts
+	}
+}
+
+// ownFailure reports whether an answer is a failure of its target alone. Targets can fail a part of their requests while
+// they say that they are healthy.
+func ownFailure(r *message.Response) bool {
+	return r.Outcome == message.Answered && r.Status == http.StatusInternalServerError && !r.BelowFailed
+}
+
+// repeated logs that a request goes to another target.
+func (p *Path) repeated(c *call, r *message.Response) {
+	if !p.cfg.Log.Enabled(context.Background(), event.RequestRepeated.Level) {
+		return
+	}
+	attrs := []slog.Attr{
+		slog.String("id", c.req.Attempt), slog.String("service", c.service), slog.Int("sent", c.sent),
+		slog.String("tried", c.tried[len(c.tried)-1]), slog.String("reason", r.Reason.String()), slog.Int("status", r.Status),
 	}
+	p.cfg.Limiter.Log(p.cfg.Log, event.RequestRepeated, attrs...)
 }
 
 // final makes the last response truthful for all attempts: if an earlier one may have run, so may the request.
@@ -222,7 +250,7 @@
 func result(r *message.Response) balance.Result {
 	return balance.Result{
 		Failed: r.Reason == message.ReasonConnection || r.Reason == message.ReasonTargetUnable ||
-			r.Outcome == message.Unknown && r.Reason == message.ReasonDeadline,
+			r.Outcome == message.Unknown && r.Reason == message.ReasonDeadline || ownFailure(r),
 		Refused:   r.Outcome == message.NotRun && r.Reason == message.ReasonOverload,
 		Leaving:   r.Outcome == message.NotRun && r.Reason == message.ReasonLeaving,
 		Cancelled: r.Reason == message.ReasonCancelled,
--- a/internal/process/sidecar/handlers.go
+++ b/internal/process/sidecar/handlers.go
@@ -32,7 +32,7 @@
 	resp := h.s.path.Serve(ctx, req)
 	took := time.Since(r.Arrived)
 	h.s.metrics.Request(faceEntry, resp, took)
-	h.s.requests.ended(req, resp, took, h.s.version())
+	h.s.logEnd(req, resp, took)
 	return h.s.opts.Codec.EncodeAnswer(req, resp)
 }
 
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -85,7 +85,8 @@
 	tracker   *report.Tracker
 	entry     *entry.Server
 	metrics   *metrics.Metrics
-	requests  *requestLog
+	failures  *event.Limiter // lines on requests that were refused, repeated or failed
+	samples   *event.Limiter // lines on requests that were answered
 
 	leaving atomic.Bool
 	settled atomic.Bool // the node's own state before a restart is known, or nobody remembers it
@@ -126,6 +127,8 @@
 		tracker:  report.NewTracker(),
 		inbox:    make(chan inboundMessage, inboxSize),
 		retry:    make(chan struct{}, 1),
+		failures: event.NewLimiter(failuresPerSecond),
+		samples:  event.NewLimiter(samplesPerSecond),
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	incarnation := uint64(s.started.UnixMilli())
@@ -152,9 +155,9 @@
 		Instance:    s.instanceAt,
 		Unreachable: s.unreachable,
 		Log:         s.log,
+		Limiter:     s.failures,
 	})
 	s.entry = entry.NewServer(entryHandler{s}, int(descriptorShare*float64(max(s.settings.Descriptors, 1000))))
-	s.requests = newRequestLog(s.log)
 	var err error
 	if s.metrics, err = metrics.New(s.gauges); err != nil {
 		return nil, fmt.Errorf("sidecar: %w", err)
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -59,6 +59,9 @@
 	Reason     Reason        // why the request was not run
 	RetryAfter time.Duration // when to come back; zero when a retry is of no use
 
+	// BelowFailed says that a call which the target made for the request was refused or failed: the answer says nothing
+	// about the target, and another target would meet the same.
+	BelowFailed bool
 	RetriesLeft int         // unused part of the retries that were handed down
 	Thresholds  []Threshold // shedding thresholds of the services below this hop
 	Load        Load        // load of the target that answered
