Shut the way to a target that opens no connections

Cause: requests were handed to a crashed target one by one until the choice of targets had learned it at every node, and a dark one held each of them for half a second. Two refused connections in a row now shut the way, a report that counts or a connection opens it, and an overdue report is followed by a look.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 lint:
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+	scripts/check-wire.sh
 
 clean:
 	rm -rf $(BIN) .run
--- a/internal/process/report/report.go
+++ b/internal/process/report/report.go
@@ -58,6 +58,9 @@
 // report every 1.5 s.
 const lapse = 8 * time.Second
 
+// quiet is the silence after which a ready target is worth a look: one report is overdue by more than the usual delay.
+const quiet = 2500 * time.Millisecond
+
 // Tracker keeps the newest state of the target.
 type Tracker struct {
 	mu    sync.Mutex
@@ -130,6 +133,13 @@
 	return false
 }
 
+// Quiet reports whether the target counts as ready and has not reported for some time, though not long enough to lapse.
+func (t *Tracker) Quiet(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state.Phase == PhaseReady && now.Sub(t.state.At) > quiet
+}
+
 // State returns the state. A target that has been silent for too long is not ready.
 func (t *Tracker) State(now time.Time) State {
 	t.mu.Lock()
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -88,11 +88,12 @@
 	failures  *event.Limiter // lines on requests that were refused, repeated or failed
 	samples   *event.Limiter // lines on requests that were answered
 
-	leaving atomic.Bool
-	settled atomic.Bool // the node's own state before a restart is known, or nobody remembers it
-	inbox   chan inboundMessage
-	puller  puller        // used by the loop that receives messages
-	retry   chan struct{} // wakes the loop that reaches nodes that were down
+	leaving  atomic.Bool
+	doubtful atomic.Bool // the target opens no connections
+	settled  atomic.Bool // the node's own state before a restart is known, or nobody remembers it
+	inbox    chan inboundMessage
+	puller   puller        // used by the loop that receives messages
+	retry    chan struct{} // wakes the loop that reaches nodes that were down
 
 	targetMu sync.Mutex // held while the state of the target is applied
 	serving  string     // instance that the path is open for; empty: none
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/targetconn"
@@ -21,8 +23,20 @@
 
 // target exchanges requests with the target beside the node. It implements mesh.Target.
 type target struct {
-	pool  *targetconn.Pool
-	codec Codec
+	pool   exchanger
+	codec  Codec
+	closed func() // told when the target opens no connections
+
+	refused atomic.Int32 // connections in a row that were not opened
+}
+
+// maxRefused is the number of connections in a row that a target may fail to open. A single one can be lost while its queue
+// of new connections is full.
+const maxRefused = 2
+
+// exchanger is the part of targetconn.Pool that a target needs.
+type exchanger interface {
+	Do(ctx context.Context, x *targetconn.Exchange) (*targetconn.Answer, error)
 }
 
 // Do implements mesh.Target.
@@ -35,6 +49,7 @@
 		MaxBody: maxAnswer,
 	})
 	if err == nil {
+		t.refused.Store(0)
 		return t.codec.DecodeAnswer(req, a)
 	}
 	reason := message.ReasonConnection
@@ -46,6 +61,9 @@
 	}
 	var failed *targetconn.Error
 	if errors.As(err, &failed) && !failed.Sent {
+		if ctx.Err() == nil && t.refused.Add(1) >= maxRefused {
+			t.closed()
+		}
 		return message.Refuse(reason, message.Errorf(message.StepRun, req.Instance, "%v", err))
 	}
 	return message.Doubt(reason, message.Errorf(message.StepRun, req.Instance, "%v", err))
@@ -85,7 +103,11 @@
 		event.Log(s.log, event.ReportRejected, slog.String("error", err.Error()))
 		return err
 	}
-	switch verdict := s.tracker.Observe(r, time.Now()); verdict {
+	verdict := s.tracker.Observe(r, time.Now())
+	if verdict != report.Ignored {
+		s.doubtful.Store(false) // it runs
+	}
+	switch verdict {
 	case report.Replaced:
 		event.Log(s.log, event.TargetReplaced, slog.String("instance", r.Instance), slog.Int64("born", r.Born),
 			slog.Int64("sequence", r.Sequence), slog.String("phase", r.Phase.String()), slog.Int("slots", r.Slots))
@@ -113,7 +135,7 @@
 	s.targetMu.Lock()
 	defer s.targetMu.Unlock()
 	st := s.tracker.State(time.Now())
-	open := st.Phase == report.PhaseReady && s.settled.Load() && !s.leaving.Load()
+	open := st.Phase == report.PhaseReady && s.settled.Load() && !s.leaving.Load() && !s.doubtful.Load()
 	id := ""
 	if open {
 		id = fmt.Sprintf("%s/%d", st.Instance, st.Born)
@@ -122,7 +144,7 @@
 	case id == s.serving:
 	case open:
 		s.path.Open(st.Service, st.Instance, admission.New(s.limitsOf(st)),
-			&target{targetconn.NewPool(st.Address), s.opts.Codec})
+			&target{pool: targetconn.NewPool(st.Address), codec: s.opts.Codec, closed: s.doubtTarget})
 	default:
 		s.path.Shut()
 	}
@@ -130,6 +152,33 @@
 	s.publishTarget(st, open)
 }
 
+// doubtTarget shuts the way to a target that opens no connection, until it does again.
+func (s *Sidecar) doubtTarget() {
+	if s.doubtful.Swap(true) {
+		return
+	}
+	event.Log(s.log, event.TargetConnections, slog.String("target", s.settings.TargetAddress))
+	go s.applyTarget() // the caller is a request of the target that is being shut
+}
+
+// probeTimeout bounds the opening of a connection to the target, which runs on the same VM.
+const probeTimeout = 200 * time.Millisecond
+
+// lookAtTarget opens a connection to a target that is in doubt or overdue with its report. A target that was lost without a
+// word shows at once that way, while reports may be late by seconds.
+func (s *Sidecar) lookAtTarget() {
+	if !s.doubtful.Load() && !s.tracker.Quiet(time.Now()) {
+		return
+	}
+	conn, err := net.DialTimeout("tcp", s.settings.TargetAddress, probeTimeout)
+	if err != nil {
+		s.doubtTarget()
+		return
+	}
+	_ = conn.Close() // nothing was written
+	s.doubtful.Store(false)
+}
+
 // publishTarget writes the target's state to the node's own entry and spreads it if it changed.
 func (s *Sidecar) publishTarget(st report.State, open bool) {
 	phase := st.Phase
@@ -169,6 +218,7 @@
 		if !s.settled.Load() && time.Since(s.started) >= settleTime {
 			s.settled.Store(true)
 		}
+		s.lookAtTarget()
 		s.applyTarget()
 	}
 }
--- a/internal/process/sidecar/target_test.go
+++ b/internal/process/sidecar/target_test.go
@@ -1,12 +1,17 @@
 package sidecar
 
 import (
+	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/targetconn"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/report"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
 )
 
@@ -29,3 +34,33 @@
 	l := s.limitsOf(report.State{Report: report.Report{Service: "royalty", Slots: 36}})
 	require.Equal(t, 4, l.Connections)
 }
+
+// unreachableTarget opens no connection.
+type unreachableTarget struct{ tries int }
+
+func (u *unreachableTarget) Do(context.Context, *targetconn.Exchange) (*targetconn.Answer, error) {
+	u.tries++
+	return nil, &targetconn.Error{Err: errors.New("connection refused")}
+}
+
+type plainCodec struct{ Codec }
+
+func (plainCodec) EncodeRequest(*message.Request, time.Time) []byte { return nil }
+
+// Guards against requests that are handed to a crashed target one by one until its reports are overdue: refused connections
+// shut the way to it, and what met them was not run.
+func TestRefusedConnectionsShutTheWayToTheTarget(t *testing.T) {
+	shut := 0
+	tg := &target{pool: &unreachableTarget{}, codec: plainCodec{}, closed: func() { shut++ }}
+	tg.Do(t.Context(), &message.Request{})
+	require.Zero(t, shut, "one connection can be lost")
+	r := tg.Do(t.Context(), &message.Request{})
+	require.Equal(t, message.NotRun, r.Outcome)
+	require.Equal(t, message.ReasonConnection, r.Reason)
+	require.Equal(t, 1, shut)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.Equal(t, message.ReasonCancelled, tg.Do(ctx, &message.Request{}).Reason)
+	require.Equal(t, 1, shut, "a caller that left says nothing about the target")
+}
