Give new requests a tenth of a target's slots; let callers that come back go first

While calls wait too, new work now gets a tenth of the slots; and within a rank, callers that come back go before those that come for the first time, since a second refusal loses them.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -91,6 +91,7 @@
 	limits    Limits
 	leaving   bool
 	inFlight  int
+	inNew     int // requests in flight for which no earlier hop has worked
 	limit     int // present limit on requests in flight
 	queue     queue
 	latency   estimate
@@ -116,6 +117,7 @@
 // Permit is the right to run one request at the target. It must be released once.
 type Permit struct {
 	c        *Controller
+	worked   bool
 	released atomic.Bool
 }
 
@@ -133,7 +135,7 @@
 		return nil, c.refuseLocked(reason)
 	}
 	if c.queue.len() == 0 && c.inFlight < c.limit {
-		p := c.grant()
+		p := c.grant(w)
 		c.publish()
 		c.mu.Unlock()
 		return p, nil
@@ -196,7 +198,7 @@
 	c := p.c
 	c.mu.Lock()
 	now := c.advance()
-	c.inFlight--
+	c.free(p)
 	c.meter.depart(r)
 	c.latency.add(r)
 	c.dispatch(now)
--- a/internal/process/admission/queue.go
+++ b/internal/process/admission/queue.go
@@ -79,6 +79,11 @@
 	return wt
 }
 
+// firstNew returns the position of the first waiter for which no earlier hop has worked, or -1.
+func (q *queue) firstNew() int {
+	return slices.IndexFunc(q.items, func(wt *waiter) bool { return !wt.work.Worked })
+}
+
 // lowest returns the position of the waiter that matters least, or -1. All waiters of the lowest class are at the end.
 func (q *queue) lowest() int {
 	last := len(q.items) - 1
--- a/internal/process/admission/wait.go
+++ b/internal/process/admission/wait.go
@@ -91,8 +91,8 @@
 		c.refuseWaiter(c.queue.remove(at), reason)
 	} else if wt.permit != nil && reason != message.ReasonOverload {
 		wt.permit.released.Store(true)
+		c.free(wt.permit)
 		wt.permit, wt.refusal = nil, c.refusal(reason)
-		c.inFlight--
 		c.dispatch(now)
 	}
 	c.publish()
@@ -105,18 +105,37 @@
 }
 
 // grant takes a slot.
-func (c *Controller) grant() *Permit {
+func (c *Controller) grant(w Work) *Permit {
 	c.inFlight++
+	if !w.Worked {
+		c.inNew++
+	}
 	invariant.Check(invariant.InFlightBounded, c.inFlight <= c.limits.ceiling(),
 		"%d requests in flight, %d allowed", c.inFlight, c.limits.ceiling())
 	invariant.Check(invariant.LeavingRefuses, !c.leaving, "work admitted after leaving")
-	return &Permit{c: c}
+	return &Permit{c: c, worked: w.Worked}
+}
+
+// free gives the slot of a permit back.
+func (c *Controller) free(p *Permit) {
+	c.inFlight--
+	if !p.worked {
+		c.inNew--
+	}
+}
+
+// next returns the position of the waiter that gets the next free slot.
+func (c *Controller) next() int {
+	if !c.limits.WorkedFirst || float64(c.inNew) >= c.limits.NewShare*float64(c.limit) {
+		return 0
+	}
+	return max(0, c.queue.firstNew())
 }
 
 // dispatch gives free slots to the queue.
 func (c *Controller) dispatch(now time.Duration) {
 	for c.inFlight < c.limit && c.queue.len() > 0 {
-		wt := c.queue.remove(0)
+		wt := c.queue.remove(c.next())
 		if reason := contextReason(wt.ctx); reason != message.ReasonNone {
 			c.refuseWaiter(wt, reason)
 			continue
@@ -126,7 +145,7 @@
 			c.refuseWaiter(wt, message.ReasonDeadline)
 			continue
 		}
-		wt.permit = c.grant()
+		wt.permit = c.grant(wt.work)
 		close(wt.ready)
 	}
 }
--- /dev/null
+++ b/internal/process/admission/worked_test.go
@@ -0,0 +1,48 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a surge of chains that starves the requests which begin at their deepest service: while calls keep
+// arriving faster than the target ends them, new work still gets its share of the slots, and no more.
+func TestChainsDoNotStarveNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots, share = 10, 0.2
+		c := New(Limits{Slots: slots, Connections: slots, QueueLength: 2 * slots, QueueMaxWait: 50 * time.Millisecond,
+			WorkedFirst: true, NewShare: share})
+		var mu sync.Mutex
+		ended := map[bool]int{}
+		var done sync.WaitGroup
+		arrive := func(worked bool) {
+			done.Go(func() {
+				p, err := c.Acquire(context.Background(), Work{Priority: 20000, Worked: worked, MaxWait: 50 * time.Millisecond})
+				if err != nil {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+				p.Release(Result{Latency: 20 * time.Millisecond})
+				mu.Lock()
+				ended[worked]++
+				mu.Unlock()
+			})
+		}
+		for range 1000 { // one call a millisecond, twice what the target can end, and one new request in two
+			arrive(true)
+			if time.Now().UnixMilli()%2 == 0 {
+				arrive(false)
+			}
+			time.Sleep(time.Millisecond)
+		}
+		done.Wait()
+		total := ended[true] + ended[false]
+		require.Greater(t, total, 450, "the target is busy")
+		require.InDelta(t, share, float64(ended[false])/float64(total), 0.05)
+	})
+}
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -133,9 +133,16 @@
 	rankStep = 10
 )
 
-// priorityOf returns the priority of a request on a route. It is kept on the whole chain.
-func priorityOf(r *routing.Route, attempt string) message.Priority {
-	return message.NewPriority(uint8(max(1, topRank-rankStep*r.Priority)), requestID(attempt))
+// priorityOf returns the priority of a request on a route. It is kept on the whole chain. Within its rank, a caller that
+// comes back goes before those that come for the first time: it has waited already, and is lost if it is refused again.
+func priorityOf(r *routing.Route, attempt string, returned bool) message.Priority {
+	p := message.NewPriority(uint8(max(1, topRank-rankStep*r.Priority)), requestID(attempt))
+	const half = 1 << 7
+	low := p & (1<<8 - 1) / 2
+	if returned {
+		low += half
+	}
+	return p&^(1<<8-1) | low
 }
 
 // requestID derives the ID of a request from the caller's name of the attempt.
--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -82,7 +82,7 @@
 }
 
 func request(path, attempt string) *message.Request {
-	return &message.Request{Host: "h", Method: http.MethodGet, Path: path, Attempt: attempt, Deadline: time.Now().Add(5 * time.Second)}
+	return &message.Request{Host: "h", Method: http.MethodGet, Path: path, Attempt: attempt, Arrived: time.Now(), Deadline: time.Now().Add(5 * time.Second)}
 }
 
 func refusedBy(reason message.Reason) *message.Response {
@@ -305,8 +305,8 @@
 			done.Go(func() { n.path.Deliver(t.Context(), delivered(attempt, hop, p)) })
 			synctest.Wait()
 		}
-		order := priorityOf(testRoutes[1], "x")
-		menu := priorityOf(testRoutes[0], "x")
+		order := priorityOf(testRoutes[1], "x", false)
+		menu := priorityOf(testRoutes[0], "x", false)
 		deliver("running", 0, menu)
 		deliver("new order", 0, order)
 		n.path.gate.Load().control.SetLimits(admission.Limits{Slots: 1, Connections: 1, QueueLength: 3, QueueMaxWait: time.Second, WorkedFirst: true})
@@ -321,7 +321,7 @@
 func TestCallBelongsToItsChain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNode(t, 1)
-		parent := delivered("9c41", 1, priorityOf(testRoutes[1], "root"))
+		parent := delivered("9c41", 1, priorityOf(testRoutes[1], "root", false))
 		target := &slowTarget{calls: func(*message.Request) {
 			n.path.Serve(t.Context(), request("/profile/1", "9c41.1"))
 			n.path.Serve(t.Context(), request("/profile/1", "foreign.1"))
@@ -343,7 +343,7 @@
 func TestSurgeOverADeepServiceIsShedAtTheEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNode(t, 2)
-		threshold := priorityOf(testRoutes[0], "x").TopOfRank() // the deep service sheds menu reads
+		threshold := priorityOf(testRoutes[0], "x", false).TopOfRank() // the deep service sheds menu reads
 		n.answers = []*message.Response{{
 			Outcome: message.Answered, Status: http.StatusOK,
 			Thresholds: []message.Threshold{{Service: "profiles", Priority: threshold}},
@@ -356,7 +356,7 @@
 		require.Len(t, n.sent, 1)
 		require.Equal(t, message.Answered, n.path.Serve(t.Context(), request("/order/1", "order")).Outcome)
 
-		run := n.path.runs.begin(delivered("root", 0, priorityOf(testRoutes[0], "root")))
+		run := n.path.runs.begin(delivered("root", 0, priorityOf(testRoutes[0], "root", false)))
 		require.Equal(t, message.Answered, n.path.Serve(t.Context(), request("/menu/1", "root.1")).Outcome,
 			"a call is not shed by a threshold within its rank")
 		require.Empty(t, run.below.Thresholds())
@@ -365,6 +365,24 @@
 	})
 }
 
+// Guards against callers that are refused each time they come back while those who come for the first time are served: under
+// abusive or patient retries alike, who has waited goes first within its rank.
+func TestCallerThatComesBackGoesFirst(t *testing.T) {
+	n := newNode(t, 1)
+	serve := func(attempt string, left time.Duration) message.Priority {
+		req := request("/menu/1", attempt)
+		req.Deadline = req.Arrived.Add(left)
+		n.path.Serve(t.Context(), req)
+		return n.sent[len(n.sent)-1].Priority
+	}
+	for i := range 50 {
+		fresh := serve("fresh"+strconv.Itoa(i), 5*time.Second)
+		back := serve("back"+strconv.Itoa(i), 4500*time.Millisecond)
+		require.Greater(t, back, fresh)
+		require.Equal(t, back.Rank(), fresh.Rank())
+	}
+}
+
 // Guards against requests that wait longer than their chain allows.
 func TestWaitIsAShareOfTheTimeLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -109,6 +109,7 @@
 		return nil, p.refuse(message.ReasonNoService, message.StepConfigure, 0, "version %d has no route for %s %s", table.Version, req.Host, req.Path)
 	}
 	now := time.Now()
+	returned := !req.Deadline.IsZero() && route.Returned(req.Deadline.Sub(req.Arrived))
 	c := &call{req: req, route: route, service: route.Next(), started: now}
 	req.ID = requestID(req.Attempt)
 	req.Service = c.service
@@ -122,7 +123,7 @@
 	}
 	c.parent = p.runs.parent(req.Attempt)
 	if c.parent == nil {
-		req.Priority, req.Hop = priorityOf(route, req.Attempt), 0
+		req.Priority, req.Hop = priorityOf(route, req.Attempt, returned), 0
 		return c, nil
 	}
 	req.Priority, req.Hop = c.parent.priority, c.parent.hop+1
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -73,6 +73,9 @@
 	// limitShare is the part of a target's slots that requests may take. Targets of both users slow down from 95 % of
 	// their slots on.
 	limitShare = 0.94
+	// newShare is the part of a target's slots that new requests get while calls of chains wait too. At the deepest services
+	// of both users, the requests that begin there take an eighth of the slots at the usual load.
+	newShare = 0.1
 	// queueShare is the length of the queue in front of a target, as a multiple of its slots.
 	queueShare = 1.0
 	// defaultQueueWait bounds the wait of work that states no bound of its own.
@@ -93,6 +96,7 @@
 		QueueLength:  max(1, int(queueShare*float64(st.Slots))),
 		QueueMaxWait: defaultQueueWait,
 		WorkedFirst:  true,
+		NewShare:     newShare,
 	}
 }
 
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -32,10 +32,11 @@
 
 	// Fields of requests that are forwarded transparently; empty otherwise.
 
-	Host     string // authority that the caller addressed
-	Attempt  string // the caller's own name of this attempt, echoed by the target
-	Instance string // the only instance of the target that may run the request
-	Caller   string // service of the machine on which the request began
+	Arrived  time.Time // at this node; not sent to others
+	Host     string    // authority that the caller addressed
+	Attempt  string    // the caller's own name of this attempt, echoed by the target
+	Instance string    // the only instance of the target that may run the request
+	Caller   string    // service of the machine on which the request began
 }
 
 // Mode tells the receiving node what to do with a request from a peer.
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -66,6 +66,20 @@
 	Split       []Share
 
 	position []atomic.Int64 // credit of each share, in units of weight
+	patience atomic.Int64   // longest time that a caller has stated, in nanoseconds
+}
+
+// returnedShare is the part of the callers' patience from which on a caller counts as one that has waited before.
+const returnedShare = 0.985
+
+// Returned reports whether a caller who states that it will wait for the given time has waited before: it then has less time
+// than callers of the route have at first.
+func (r *Route) Returned(left time.Duration) bool {
+	longest := r.patience.Load()
+	for int64(left) > longest && !r.patience.CompareAndSwap(longest, int64(left)) {
+		longest = r.patience.Load()
+	}
+	return float64(left) < returnedShare*float64(longest)
 }
 
 // Share is one service of a route with its weight.
