--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -247,8 +247,14 @@
 		}
 	}
 	if hr.ContentLength > 0 {
+		if !c.srv.hold(hr.ContentLength) {
+			return nil, errMemory
+		}
 		body := make([]byte, hr.ContentLength)
 		_, err := io.ReadFull(hr.Body, body)
+		if err != nil {
+			c.srv.held.Add(-hr.ContentLength)
+		}
 		return body, err
 	}
 	body, err := io.ReadAll(io.LimitReader(hr.Body, int64(limits.BodyBytes)+1))
@@ -259,10 +265,15 @@
 		return nil, err
 	case len(body) > limits.BodyBytes:
 		return nil, &RejectError{http.StatusRequestEntityTooLarge, "body exceeds its limit"}
+	case !c.srv.hold(int64(len(body))):
+		return nil, errMemory
 	}
 	return body, nil
 }
 
+// errMemory rejects a request while the bodies of others take all the memory for bodies.
+var errMemory = &RejectError{http.StatusServiceUnavailable, "no memory for the body at present"}
+
 // proceed asks the caller for a body that it holds back, once the requests before it are answered.
 func (c *conn) proceed() error {
 	c.mu.Lock()
@@ -281,6 +292,7 @@
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
+		c.srv.held.Add(-int64(len(r.Payload)))
 		return false
 	}
 	before := c.tail
@@ -294,6 +306,7 @@
 		defer close(done)
 		defer c.srv.active.Add(-1)
 		a := c.srv.handler.Serve(c.ctx, r)
+		c.srv.held.Add(-int64(len(r.Payload)))
 		if before != nil {
 			<-before
 		}
--- a/internal/connection/entry/entry.go
+++ b/internal/connection/entry/entry.go
@@ -42,7 +42,7 @@
 type Handler interface {
 	// Serve answers a request. Its context ends when the caller has left.
 	Serve(ctx context.Context, r *Request) *Answer
-	// Reject makes the answer of a request that cannot be read, with a status from 400 to 499.
+	// Reject makes the answer of a request that is not taken: a status from 400 to 499, or 503 for lack of memory.
 	Reject(status int, detail string) *Answer
 	// Limits returns the limits in force.
 	Limits() Limits
@@ -63,7 +63,9 @@
 type Server struct {
 	handler  Handler
 	maxConns int
+	maxHeld  int64 // bytes of bodies of requests that run
 
+	held    atomic.Int64
 	active  atomic.Int64 // requests that were read and not answered
 	last    atomic.Int64 // UnixNano of the last request
 	closing atomic.Bool
@@ -74,9 +76,18 @@
 	done      sync.WaitGroup
 }
 
-// NewServer returns a server that keeps at most maxConns connections.
-func NewServer(h Handler, maxConns int) *Server {
-	return &Server{handler: h, maxConns: maxConns, conns: map[*conn]struct{}{}}
+// NewServer returns a server that keeps at most maxConns connections, and at most maxHeld bytes of bodies at a time.
+func NewServer(h Handler, maxConns int, maxHeld int64) *Server {
+	return &Server{handler: h, maxConns: maxConns, maxHeld: maxHeld, conns: map[*conn]struct{}{}}
+}
+
+// hold takes memory for a body and reports whether there was enough.
+func (s *Server) hold(n int64) bool {
+	if s.held.Add(n) <= s.maxHeld {
+		return true
+	}
+	s.held.Add(-n)
+	return false
 }
 
 // Serve accepts connections until the listener is closed.
--- a/internal/connection/entry/entry_test.go
+++ b/internal/connection/entry/entry_test.go
@@ -51,7 +51,7 @@
 func connect(t *testing.T) (net.Conn, *bufio.Reader, *handler, *Server) {
 	t.Helper()
 	h := &handler{}
-	s := NewServer(h, 10)
+	s := NewServer(h, 10, 1500)
 	caller, served := net.Pipe()
 	s.start(served)
 	t.Cleanup(func() {
@@ -181,11 +181,44 @@
 	}
 }
 
+// Guards against bodies that together take more memory than the process has: a request that finds no room is refused at once,
+// and the room is free again after the answers of the others.
+func TestBodiesAreBoundedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &handler{}
+		s := NewServer(h, 10, 1500)
+		open := func() (net.Conn, *bufio.Reader) {
+			caller, served := net.Pipe()
+			s.start(served)
+			return caller, bufio.NewReader(caller)
+		}
+		post := "POST /1s/a HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("x", 1000)
+		one, fromOne := open()
+		write(t, one, post)
+		synctest.Wait()
+		two, fromTwo := open()
+		go func() { _, _ = io.WriteString(two, post) }()
+		status, _, _ := read(t, fromTwo)
+		require.Equal(t, 503, status)
+		require.Len(t, h.seen, 1)
+		status, _, _ = read(t, fromOne)
+		require.Equal(t, 200, status)
+		three, fromThree := open()
+		write(t, three, post)
+		status, _, _ = read(t, fromThree)
+		require.Equal(t, 200, status)
+		for _, c := range []net.Conn{one, two, three} {
+			_ = c.Close()
+		}
+		s.Close()
+	})
+}
+
 // Guards against a full server that leaves new callers waiting while idle connections hold the room.
 func TestIdleConnectionMakesRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := &handler{}
-		s := NewServer(h, 2)
+		s := NewServer(h, 2, 1500)
 		var callers []net.Conn
 		for i := range 3 {
 			caller, served := net.Pipe()
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -43,7 +43,7 @@
 		CommandFailed,
 		ConfigApplied, ConfigConfirmed, ConfigUnconfirmed, ConfigForwarded, ConfigConflict, ConfigUnusable,
 		ChangeAccepted, ChangeRefused, ChangeTakenOver, ChangeSuperseded, AuditDropped,
-		RequestRefused, RequestUnknown, RequestRepeated, RequestFailed, RequestSampled, LinesSuppressed,
+		RequestRefused, RequestUnknown, RequestRepeated, RequestFailed, RequestSampled, LinesSuppressed, RequestRejected,
 		TargetReplaced, TargetChanged, TargetSilent, ReportRejected, PeerUnreachable, PeerReachable,
 		RoutesApplied, RoutesRejected, StoreLost, StoreRegained, NodeRegistered, SettingsReloaded, SettingsUnusable,
 		MemberChanged, SpreadFailed, TargetConnections,
--- a/internal/process/event/mesh.go
+++ b/internal/process/event/mesh.go
@@ -9,6 +9,7 @@
 	RequestRepeated = Event{802, slog.LevelInfo, "request sent to another target", ""}
 	RequestFailed   = Event{803, slog.LevelInfo, "target answered with a failure", "Look for calls of the same id that were refused or failed."}
 	RequestSampled  = Event{804, slog.LevelInfo, "request answered", ""}
+	RequestRejected = Event{806, slog.LevelWarn, "request cannot be served as it was sent", "Compare the limits of the configuration with what the caller sends."}
 	LinesSuppressed = Event{805, slog.LevelWarn, "request lines left out to bound the volume", ""}
 )
 
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -91,6 +91,13 @@
 	}
 }
 
+// SetLimits changes the limits of the target beside this node, if it takes work.
+func (p *Path) SetLimits(l admission.Limits) {
+	if g := p.gate.Load(); g != nil {
+		g.control.SetLimits(l)
+	}
+}
+
 // Load returns the load and the limit of the target beside this node.
 func (p *Path) Load() message.Load {
 	if g := p.gate.Load(); g != nil {
--- a/internal/process/sidecar/handlers.go
+++ b/internal/process/sidecar/handlers.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/entry"
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/link"
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
 )
@@ -38,11 +40,16 @@
 
 // Reject implements entry.Handler.
 func (h entryHandler) Reject(status int, detail string) *entry.Answer {
-	return &entry.Answer{
+	a := &entry.Answer{
 		Status: status,
 		Header: http.Header{"Content-Type": {"text/plain; charset=utf-8"}},
 		Body:   []byte(detail + "\n"),
 	}
+	if status == http.StatusServiceUnavailable {
+		a.Header.Set(message.HeaderRetryAfter, "1")
+	}
+	h.s.failures.Log(h.s.log, event.RequestRejected, slog.Int("status", status), slog.String("detail", detail))
+	return a
 }
 
 // Limits implements entry.Handler.
--- a/internal/process/sidecar/learn.go
+++ b/internal/process/sidecar/learn.go
@@ -178,4 +178,5 @@
 	}
 	event.Log(s.log, event.RoutesApplied, slog.Uint64("version", uint64(table.Version)),
 		slog.String("source", source), slog.Int("routes", table.Routes()))
+	s.path.SetLimits(s.limitsOf(s.tracker.State(time.Now())))
 }
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -109,6 +109,11 @@
 	inboxSize = 256
 	// descriptorShare is the part of the descriptors for connections of callers.
 	descriptorShare = 0.6
+	minDescriptors  = 1000
+	// bodyShare is the part of the memory for bodies of requests that run. A body is held by its connection, its encoded
+	// frame and the write to the target, so that three times as much is taken.
+	bodyShare = 0.15
+	minMemory = 128 << 20
 	// linkSilence is the time without a frame after which a link with waiting requests is given up. Requests have to be
 	// served within one to two seconds.
 	linkSilence       = 600 * time.Millisecond
@@ -158,7 +163,9 @@
 		Log:         s.log,
 		Limiter:     s.failures,
 	})
-	s.entry = entry.NewServer(entryHandler{s}, int(descriptorShare*float64(max(s.settings.Descriptors, 1000))))
+	s.entry = entry.NewServer(entryHandler{s},
+		int(descriptorShare*float64(max(s.settings.Descriptors, minDescriptors))),
+		int64(bodyShare*float64(max(s.settings.MemoryBytes, minMemory))))
 	var err error
 	if s.metrics, err = metrics.New(s.gauges); err != nil {
 		return nil, fmt.Errorf("sidecar: %w", err)
