Tell the refusal of the last target that was asked

The refusal of a target that was asked is told now; and a retry that found no target to go to is given back to the budget.

--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -222,6 +222,20 @@
 	require.Len(t, n.sent, 2)
 }
 
+// Guards against refusals whose cause is hidden: a service with one target left that is full is overloaded, not without
+// targets, and an attempt that may have run is not followed by "not run".
+func TestLastTargetsRefusalIsTold(t *testing.T) {
+	n := newNode(t, 1)
+	n.answers = []*message.Response{refusedBy(message.ReasonOverload)}
+	r := n.path.Serve(t.Context(), request("/menu/1", "a"))
+	require.Equal(t, message.ReasonOverload, r.Reason)
+	n.answers = []*message.Response{doubt(message.ReasonConnection)}
+	r = n.path.Serve(t.Context(), request("/menu/1", "b"))
+	require.Equal(t, message.Unknown, r.Outcome)
+	require.Equal(t, message.ReasonConnection, r.Reason)
+	require.Equal(t, message.ReasonNoTarget, newNode(t, 0).path.Serve(t.Context(), request("/menu/1", "c")).Reason)
+}
+
 // Guards against "not run" after an earlier attempt of the same request may have run.
 func TestDoubtOutlastsALaterRefusal(t *testing.T) {
 	n := newNode(t, 4)
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -142,8 +142,17 @@
 	bucket.Earn()
 	doubt := false
 	var failure *message.Response // an answer of a target that reports its own failure
+	var last *message.Response
+	repeating := false // the next attempt uses a retry of the budget
 	for {
-		r := p.attempt(ctx, c)
+		r, offered := p.attempt(ctx, c)
+		if !offered && last != nil {
+			r = last // says more than that no target is left
+			if repeating {
+				bucket.GiveBack()
+			}
+		}
+		last = r
 		if r.Outcome != message.Answered && failure != nil {
 			return failure // says more than that another attempt did not work out
 		}
@@ -152,13 +161,13 @@
 		if arrived {
 			c.sent++
 		}
-		if ctx.Err() != nil || !p.again(c, r) {
+		if !offered || ctx.Err() != nil || !p.again(c, r) {
 			return final(r, doubt)
 		}
 		if r.Outcome == message.Answered {
 			failure = r
 		}
-		if arrived && !bucket.Take() {
+		if repeating = arrived; repeating && !bucket.Take() {
 			return final(r, doubt)
 		}
 		p.repeated(c, r)
@@ -215,20 +224,20 @@
 	return r
 }
 
-// attempt makes one attempt.
-func (p *Path) attempt(ctx context.Context, c *call) *message.Response {
+// attempt makes one attempt. It reports false if there is no target to offer the request to.
+func (p *Path) attempt(ctx context.Context, c *call) (r *message.Response, offered bool) {
 	picker := p.cfg.Pickers.Picker(c.service)
 	if picker == nil {
-		return p.refuse(message.ReasonNoTarget, message.StepPick, returnTime(), "service %q has no target", c.service)
+		return p.refuse(message.ReasonNoTarget, message.StepPick, returnTime(), "service %q has no target", c.service), false
 	}
 	target, done, ok := picker.Pick(c.tried...)
 	if !ok {
-		return p.refuse(message.ReasonNoTarget, message.StepPick, returnTime(), "service %q has no target left", c.service)
+		return p.refuse(message.ReasonNoTarget, message.StepPick, returnTime(), "service %q has no target left", c.service), false
 	}
 	c.tried = append(c.tried, target.Address)
 	down := *c.req
 	down.Instance = p.cfg.Instance(target.Address)
-	r := p.send(ctx, target.Address, &down)
+	r = p.send(ctx, target.Address, &down)
 	done(result(r))
 	p.learn(c, r)
 	if r.Reason == message.ReasonConnection && r.Err != nil && r.Err.Peer == target.Address && target.Address != p.cfg.Address {
@@ -237,7 +246,7 @@
 	if r.Outcome == message.NotRun && r.RetryAfter == 0 {
 		r.RetryAfter = returnTime()
 	}
-	return r
+	return r, true
 }
 
 func (p *Path) send(ctx context.Context, address string, req *message.Request) *message.Response {
