--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -187,7 +187,11 @@
 	if left <= 0 {
 		return false
 	}
-	return c.inFlight == 0 || wait+c.latency.low <= left
+	needed := wait + c.latency.low
+	if c.limits.MixedWork {
+		needed = wait
+	}
+	return c.inFlight == 0 || needed <= left
 }
 
 // Release ends the request of the permit. Further calls have no effect.
--- a/internal/process/admission/limits.go
+++ b/internal/process/admission/limits.go
@@ -20,6 +20,9 @@
 	// WorkedFirst puts work for which earlier hops have worked before all other work, whatever its rank. Where it waits in
 	// line with new work, a surge of new requests of the highest rank uses up the time of every chain in progress.
 	WorkedFirst bool
+	// MixedWork says that the target runs kinds of work of very different length. What one kind needs then says nothing about
+	// the time left to another: short calls would be refused for the time that long requests take.
+	MixedWork bool
 	// NewShare is the part of the limit that new work gets, with WorkedFirst, while work of chains waits too. Without it, a
 	// surge of chains starves every request that begins at their deepest service.
 	NewShare float64
--- a/internal/process/admission/worked_test.go
+++ b/internal/process/admission/worked_test.go
@@ -46,3 +46,23 @@
 		require.InDelta(t, share, float64(ended[false])/float64(total), 0.05)
 	})
 }
+
+// Guards against short calls that are refused for want of time because the target mostly runs long requests, for example
+// after all targets have started cold: their chains have been worked for and still fit.
+func TestShortCallIsNotMeasuredByLongRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(Limits{Slots: 4, Connections: 4, QueueLength: 4, QueueMaxWait: 50 * time.Millisecond, MixedWork: true})
+		for range 20 {
+			p, err := c.Acquire(t.Context(), Work{Priority: 20000})
+			require.NoError(t, err)
+			time.Sleep(time.Second)
+			p.Release(Result{Latency: time.Second})
+		}
+		running, err := c.Acquire(t.Context(), Work{Priority: 20000})
+		require.NoError(t, err)
+		p, err := c.Acquire(t.Context(), Work{Priority: 20000, Worked: true, Deadline: time.Now().Add(500 * time.Millisecond)})
+		require.NoError(t, err)
+		p.Release(Result{Latency: 20 * time.Millisecond})
+		running.Release(Result{Latency: time.Second})
+	})
+}
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -97,6 +97,7 @@
 		QueueMaxWait: defaultQueueWait,
 		WorkedFirst:  true,
 		NewShare:     newShare,
+		MixedWork:    true,
 	}
 }
 
