--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 COMMANDS := $(notdir $(wildcard cmd/*))
 
-.PHONY: setup build run test fmt lint bench soak measure clean
+.PHONY: setup build run test fmt lint bench soak soak-sidecar measure clean
 
 setup:
 	$(GO) mod download
@@ -24,6 +24,11 @@
 soak:
 	$(GO) test -race -count=1 -timeout 0 -run '^TestSoak$$' -v ./test/process -soak.duration=$(SOAK_DURATION) -soak.seed=$(SOAK_SEED)
 
+# The same for the sidecar: one seed after the other, for example `make soak-sidecar SOAK_SEED=7 SOAK_SEEDS=50`.
+SOAK_SEEDS ?= 5
+soak-sidecar:
+	$(GO) test -race -count=1 -timeout 0 -run '^TestSoak$$' -v ./test/sidecar -soak.seed=$(SOAK_SEED) -soak.seeds=$(SOAK_SEEDS)
+
 fmt:
 	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt differs: $$out"; exit 1; fi
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,13 +13,15 @@
 	fi
 fi
 # The tests with real processes run last and alone: on a machine that other tests saturate, nodes miss heartbeats.
-processes=./test/process
-others=$("$go" list ./... | grep -v '/test/process$')
+processes="./test/process ./test/sidecar"
+others=$("$go" list ./... | grep -v '/test/')
 args=(-race -count=1)
 if [ -n "$skip" ]; then
 	args+=(-skip "$skip")
 fi
 status=0
 "$go" test "${args[@]}" $others || status=1
-"$go" test "${args[@]}" "$processes" || status=1
+for p in $processes; do
+	"$go" test "${args[@]}" "$p" || status=1
+done
 exit $status
