Split the attempts of a request; apply changed bounds on SIGHUP

Read as a newcomer: attempts, their record and the final response were one loop with four variables. A request that has reached its targets is not offered to a further one after a refusal either, which could have been one target more than the route allows. SIGHUP read the settings and applied none; grace period and retry burst are applied now.

--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -51,7 +51,7 @@
 	// Instance returns the instance of the target beside the node at the address.
 	Instance func(address string) string
 	// Unreachable is told of nodes that cannot be reached.
-	Unreachable func(address string, cause *message.Error)
+	Unreachable func(address string, cause error)
 	Log         *slog.Logger
 	Limiter     *event.Limiter // bounds the lines on single requests
 }
--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -74,7 +74,7 @@
 	n.path = New(Config{
 		Address: "self", Service: "store", Routes: routes, Peers: n, Pickers: set, Shed: shed.New(),
 		Instance:    func(address string) string { return "i-" + address },
-		Unreachable: func(address string, _ *message.Error) { n.unreachable = append(n.unreachable, address) },
+		Unreachable: func(address string, _ error) { n.unreachable = append(n.unreachable, address) },
 		Log:         slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Limiter:     event.NewLimiter(1),
 	})
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -38,10 +38,45 @@
 	route   *routing.Route
 	parent  *run // nil for a caller's request
 	service string
-	started time.Time
-	sent    int // attempts that may have reached a target
+	sent    int // attempts that reached a target, or may have
 	full    int // attempts that a full target refused
 	tried   []string
+
+	last    *message.Response // of the last target that was asked
+	failure *message.Response // an answer in which a target reports its own failure
+	doubt   bool              // an attempt may have run without an answer
+}
+
+// record takes the response of an attempt.
+func (c *call) record(r *message.Response) {
+	c.last = r
+	c.doubt = c.doubt || r.Outcome == message.Unknown
+	if arrived(r) {
+		c.sent++
+	}
+	if r.Reason == message.ReasonOverload {
+		c.full++
+	}
+	if ownFailure(r) {
+		c.failure = r
+	}
+}
+
+// result is the final response. A target's answer says more than a later attempt that did not work out, and if an attempt
+// may have run, so may the request.
+func (c *call) result() *message.Response {
+	if c.failure != nil && c.last.Outcome != message.Answered {
+		return c.failure
+	}
+	if c.doubt && c.last.Outcome == message.NotRun {
+		c.last.Outcome = message.Unknown
+	}
+	return c.last
+}
+
+// arrived reports whether an attempt reached a target, or may have. Such attempts count against the operators' bounds.
+func arrived(r *message.Response) bool {
+	return r.Outcome != message.NotRun || r.Reason == message.ReasonTargetUnable
 }
 
 // Serve answers a request of a caller or of the target beside this node.
@@ -110,7 +145,7 @@
 	}
 	now := time.Now()
 	returned := !req.Deadline.IsZero() && route.Returned(req.Deadline.Sub(req.Arrived))
-	c := &call{req: req, route: route, service: route.Next(), started: now}
+	c := &call{req: req, route: route, service: route.Next()}
 	req.ID = requestID(req.Attempt)
 	req.Service = c.service
 	req.Idempotent = route.Idempotent
@@ -140,61 +175,45 @@
 func (p *Path) attempts(ctx context.Context, c *call) *message.Response {
 	bucket := p.bucket(c.service)
 	bucket.Earn()
-	doubt := false
-	var failure *message.Response // an answer of a target that reports its own failure
-	var last *message.Response
-	repeating := false // the next attempt uses a retry of the budget
+	repeating := false // the attempt uses a retry of the budget
 	for {
 		r, offered := p.attempt(ctx, c)
-		if !offered && last != nil {
-			r = last // says more than that no target is left
+		if !offered {
 			if repeating {
 				bucket.GiveBack()
 			}
+			if c.last == nil {
+				return r
+			}
+			return c.result()
 		}
-		last = r
-		if r.Outcome != message.Answered && failure != nil {
-			return failure // says more than that another attempt did not work out
-		}
-		doubt = doubt || r.Outcome == message.Unknown
-		arrived := r.Outcome != message.NotRun || r.Reason == message.ReasonTargetUnable
-		if arrived {
-			c.sent++
-		}
-		if !offered || ctx.Err() != nil || !p.again(c, r) {
-			return final(r, doubt)
-		}
-		if r.Outcome == message.Answered {
-			failure = r
+		c.record(r)
+		if ctx.Err() != nil || !c.again(r) {
+			return c.result()
 		}
-		if repeating = arrived; repeating && !bucket.Take() {
-			return final(r, doubt)
+		if repeating = arrived(r); repeating && !bucket.Take() {
+			return c.result()
 		}
-		p.repeated(c, r)
-		invariant.Check(invariant.SingleExecution, c.route.Idempotent || !doubt,
+		p.logRepeat(c, r)
+		invariant.Check(invariant.SingleExecution, c.route.Idempotent || !c.doubt,
 			"request %s may have run and is tried again", c.req.Attempt)
 	}
 }
 
 // again reports whether another attempt can help and is safe.
-func (p *Path) again(c *call, r *message.Response) bool {
-	if len(c.tried) >= maxPicks {
+func (c *call) again(r *message.Response) bool {
+	if len(c.tried) >= maxPicks || c.sent >= c.route.MaxAttempts {
 		return false
 	}
-	switch r.Outcome {
-	case message.NotRun:
-		if r.Reason == message.ReasonOverload {
-			c.full++
-			return c.full < maxOverloads
-		}
-		if r.Reason == message.ReasonTargetUnable {
-			return c.sent < c.route.MaxAttempts
-		}
-		return r.Reason == message.ReasonConnection || r.Reason == message.ReasonLeaving
-	case message.Unknown:
-		return c.route.Idempotent && r.Reason == message.ReasonConnection && c.sent < c.route.MaxAttempts
+	switch {
+	case r.Outcome == message.Unknown:
+		return c.route.Idempotent && r.Reason == message.ReasonConnection
+	case r.Outcome == message.Answered:
+		return c.route.Idempotent && ownFailure(r)
+	case r.Reason == message.ReasonOverload:
+		return c.full < maxOverloads
 	default:
-		return c.route.Idempotent && ownFailure(r) && c.sent < c.route.MaxAttempts
+		return r.Reason == message.ReasonConnection || r.Reason == message.ReasonLeaving || r.Reason == message.ReasonTargetUnable
 	}
 }
 
@@ -204,8 +223,8 @@
 	return r.Outcome == message.Answered && r.Status == http.StatusInternalServerError && !r.BelowFailed
 }
 
-// repeated logs that a request goes to another target.
-func (p *Path) repeated(c *call, r *message.Response) {
+// logRepeat logs that a request goes to another target.
+func (p *Path) logRepeat(c *call, r *message.Response) {
 	if !p.cfg.Log.Enabled(context.Background(), event.RequestRepeated.Level) {
 		return
 	}
@@ -216,14 +235,6 @@
 	p.cfg.Limiter.Log(p.cfg.Log, event.RequestRepeated, attrs...)
 }
 
-// final makes the last response truthful for all attempts: if an earlier one may have run, so may the request.
-func final(r *message.Response, doubt bool) *message.Response {
-	if doubt && r.Outcome == message.NotRun {
-		r.Outcome = message.Unknown
-	}
-	return r
-}
-
 // attempt makes one attempt. It reports false if there is no target to offer the request to.
 func (p *Path) attempt(ctx context.Context, c *call) (r *message.Response, offered bool) {
 	picker := p.cfg.Pickers.Picker(c.service)
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -131,7 +131,7 @@
 	return servers, nil
 }
 
-// reload reads the settings again. Addresses and identity cannot change while the process runs.
+// reload reads the settings again. Of them, bounds can change while the process runs, addresses and identity cannot.
 func (s *Sidecar) reload() {
 	next, err := s.opts.Reload()
 	if err != nil {
@@ -139,6 +139,9 @@
 		return
 	}
 	event.Log(s.log, event.SettingsReloaded, slog.Bool("changed", next != s.settings))
+	s.settings.Grace = next.Grace // read by the goroutine of Run only
+	s.retryBurst.Store(&next.RetryBurst)
+	s.refreshTargets()
 }
 
 // drain stops gracefully: callers are sent elsewhere, other nodes stop using the target, and what runs ends.
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -88,12 +88,13 @@
 	failures  *event.Limiter // lines on requests that were refused, repeated or failed
 	samples   *event.Limiter // lines on requests that were answered
 
-	leaving  atomic.Bool
-	doubtful atomic.Bool // the target opens no connections
-	settled  atomic.Bool // the node's own state before a restart is known, or nobody remembers it
-	inbox    chan inboundMessage
-	puller   puller        // used by the loop that receives messages
-	retry    chan struct{} // wakes the loop that reaches nodes that were down
+	retryBurst atomic.Pointer[float64] // of all nodes, see Settings
+	leaving    atomic.Bool
+	doubtful   atomic.Bool // the target opens no connections
+	settled    atomic.Bool // the node's own state before a restart is known, or nobody remembers it
+	inbox      chan inboundMessage
+	puller     puller        // used by the loop that receives messages
+	retry      chan struct{} // wakes the loop that reaches nodes that were down
 
 	targetMu sync.Mutex // held while the state of the target is applied
 	serving  string     // instance that the path is open for; empty: none
@@ -136,6 +137,7 @@
 		failures: event.NewLimiter(failuresPerSecond),
 		samples:  event.NewLimiter(samplesPerSecond),
 	}
+	s.retryBurst.Store(&opts.Settings.RetryBurst)
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	incarnation := uint64(s.started.UnixMilli())
 	s.directory = directory.New(directory.Member{
@@ -181,7 +183,7 @@
 }
 
 // unreachable takes a node out of the choice of targets until it is reached again.
-func (s *Sidecar) unreachable(address string, cause *message.Error) {
+func (s *Sidecar) unreachable(address string, cause error) {
 	if !s.directory.SetDown(address, time.Now()) {
 		return
 	}
@@ -216,7 +218,7 @@
 		}
 	}
 	s.pickers.Update(targets)
-	s.path.SetRetryBurst(retryBurstUse * s.settings.RetryBurst / float64(max(1, s.directory.Size())))
+	s.path.SetRetryBurst(retryBurstUse * *s.retryBurst.Load() / float64(max(1, s.directory.Size())))
 }
 
 // Ready reports whether callers may be sent to this node.
--- a/internal/process/sidecar/spread.go
+++ b/internal/process/sidecar/spread.go
@@ -66,10 +66,7 @@
 		err = s.pool.SendControl(ctx, address, wire.ChannelView, payload)
 	}
 	if err != nil {
-		if s.directory.SetDown(address, time.Now()) {
-			event.Log(s.log, event.PeerUnreachable, slog.String("peer", address), slog.String("cause", err.Error()))
-			s.refreshTargets()
-		}
+		s.unreachable(address, err)
 		return err
 	}
 	s.reachable(address)
