--- a/test/sidecar/site_test.go
+++ b/test/sidecar/site_test.go
@@ -2,7 +2,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -242,7 +241,7 @@
 	for _, v := range s.vms {
 		require.Eventually(s.t, func() bool {
 			for i := range 5 {
-				if r := ask(v.ip, fmt.Sprintf("calm-%s-%d-%d", v.ip, time.Now().UnixNano(), i), fmt.Sprintf("/v%d/x", s.version), ""); r.status != 200 {
+				if r := ask(v.ip, fmt.Sprintf("calm-%s-%d-%d", v.ip, time.Now().UnixNano(), i), fmt.Sprintf("/v%d/x", s.version), ""); r.Status != 200 {
 					return false
 				}
 			}
@@ -253,39 +252,17 @@
 
 // result is what a caller has seen.
 type result struct {
+	standin.Result
 	attempt string
 	order   bool
-	status  int // 0: no answer
-	body    string
-	stamp   string
 }
 
 var callers = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
 
+// patience is what callers state that they wait.
+const patience = 3 * time.Second
+
 // ask sends a request to the node of a VM. With a body it is an order.
 func ask(ip, attempt, path, body string) result {
-	r := result{attempt: attempt, order: body != ""}
-	method := http.MethodGet
-	if r.order {
-		method = http.MethodPost
-	}
-	req, err := http.NewRequest(method, "http://"+at(ip, portCallers)+path, bytes.NewBufferString(body))
-	if err != nil {
-		return r
-	}
-	req.GetBody = nil // the client must not repeat a request by itself
-	req.Host = "site.example"
-	req.Header.Set("Attempt-Id", attempt)
-	req.Header.Set("Deadline-Ms", "3000")
-	resp, err := callers.Do(req)
-	if err != nil {
-		return r
-	}
-	defer resp.Body.Close()
-	var b bytes.Buffer
-	if _, err := b.ReadFrom(resp.Body); err != nil {
-		return r
-	}
-	r.status, r.body, r.stamp = resp.StatusCode, b.String(), resp.Header.Get("Server-Stamp")
-	return r
+	return result{standin.Ask(callers, at(ip, portCallers), "site.example", attempt, path, body, patience), attempt, body != ""}
 }
--- a/test/sidecar/soak_test.go
+++ b/test/sidecar/soak_test.go
@@ -181,23 +181,23 @@
 	}
 	statuses := map[int]int{}
 	for _, r := range results {
-		statuses[r.status]++
-		if r.status == http.StatusOK {
+		statuses[r.Status]++
+		if r.Status == http.StatusOK {
 			want := r.attempt + " /menu/x "
 			if r.order {
 				want = r.attempt + " /order/x order of " + r.attempt
 			}
-			assert.Equal(s.t, want, r.body)
-			assert.NotEmpty(s.t, r.stamp, "a success without a target's proof")
+			assert.Equal(s.t, want, r.Body)
+			assert.NotEmpty(s.t, r.Proof, "a success without a target's proof")
 			assert.Positive(s.t, runs[r.attempt], "answered, but run nowhere")
 		}
 		if r.order {
 			assert.LessOrEqual(s.t, runs[r.attempt], 1, "order %s", r.attempt)
-			if r.status == http.StatusServiceUnavailable {
+			if r.Status == http.StatusServiceUnavailable {
 				assert.Zero(s.t, runs[r.attempt], "order %s was refused and has run", r.attempt)
 			}
 		}
-		assert.NotContains(s.t, []int{400, 404, 413, 431}, r.status, "a proper request is denied")
+		assert.NotContains(s.t, []int{400, 404, 413, 431}, r.Status, "a proper request is denied")
 	}
 	s.t.Logf("%d requests, statuses %v", len(results), statuses)
 }
@@ -211,7 +211,7 @@
 	const requests = 200
 	served := 0
 	for n := range requests {
-		if r := s.randomRequest(rng, fmt.Sprintf("s%d-calm-n%d", seed, n)); r.status == http.StatusOK {
+		if r := s.randomRequest(rng, fmt.Sprintf("s%d-calm-n%d", seed, n)); r.Status == http.StatusOK {
 			served++
 		}
 	}
