Let an acknowledged drain outlive the process that acknowledged it

Cause, found by a new test of nodes with links and a store in memory: a restarted node introduces itself before it is told what others remember, its newer entry replaced the drain everywhere, and an old report made the target ready again. Others now keep what the earlier process said of a target that leaves until a newer report of it or another target comes, and tell the restarted node.

Further tests without network: discovery, spreading of a drain, start while the store is away, a silent feed, a node lost and back.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -38,6 +38,22 @@
 	return !m.Leaving && m.Phase == report.PhaseReady && m.Instance != "" && m.Service != ""
 }
 
+// left reports whether the target has said that it leaves.
+func (m *Member) left() bool { return m.Phase == report.PhaseDraining || m.Phase == report.PhaseGone }
+
+// remember keeps what an earlier process of the node said of a target that leaves, while the present one knows of no target
+// or has an older report of the same one: a drain that was acknowledged must outlive the process that acknowledged it.
+func (m *Member) remember(earlier Member) {
+	if !earlier.left() || m.left() || m.Incarnation == earlier.Incarnation {
+		return
+	}
+	same := m.Instance == earlier.Instance && m.Born == earlier.Born &&
+		(earlier.Phase == report.PhaseGone || m.Sequence <= earlier.Sequence)
+	if m.Instance == "" || same {
+		m.Instance, m.Born, m.Sequence, m.Phase = earlier.Instance, earlier.Born, earlier.Sequence, earlier.Phase
+	}
+}
+
 // newer reports whether a is newer than b; both are entries of one node.
 func newer(a, b Member) bool {
 	return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Revision, b.Revision)) > 0
@@ -82,7 +98,7 @@
 // Merged is the result of a merge.
 type Merged struct {
 	Changed []Member // entries that are new or newer
-	// Echo is an entry of this node from an earlier process, or nil. The node's own entry was made newer than it.
+	// Echo is what another node knows of this one from an earlier process, or nil. The node's own entry was made newer.
 	Echo *Member
 }
 
@@ -93,7 +109,8 @@
 	var out Merged
 	for _, m := range list {
 		if m.Address == d.self {
-			if own := d.members[d.self]; m.Incarnation != own.Incarnation {
+			own := d.members[d.self]
+			if m.Incarnation != own.Incarnation || m.left() && !own.left() && m.Revision <= own.Revision {
 				echo := m
 				out.Echo = &echo
 				if m.Incarnation > own.Incarnation {
@@ -107,6 +124,7 @@
 		if ok && !newer(m, have) {
 			continue
 		}
+		m.remember(have)
 		d.members[m.Address] = m
 		out.Changed = append(out.Changed, m)
 	}
--- /dev/null
+++ b/internal/process/sidecar/spread_test.go
@@ -0,0 +1,286 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/link"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/report"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
+)
+
+// pipe is one end of a connection in memory.
+type pipe struct {
+	in, out chan []byte
+	done    chan struct{}
+	once    *sync.Once
+}
+
+func newPipe() (*pipe, *pipe) {
+	a, b, done, once := make(chan []byte, 1024), make(chan []byte, 1024), make(chan struct{}), new(sync.Once)
+	return &pipe{a, b, done, once}, &pipe{b, a, done, once}
+}
+
+func (p *pipe) Read(ctx context.Context) ([]byte, error) {
+	select {
+	case b := <-p.in:
+		return b, nil
+	case <-p.done:
+		return nil, io.EOF
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (p *pipe) Write(_ context.Context, b []byte) error {
+	select {
+	case p.out <- append([]byte(nil), b...):
+		return nil
+	case <-p.done:
+		return io.ErrClosedPipe
+	}
+}
+
+func (p *pipe) Close() { p.once.Do(func() { close(p.done) }) }
+
+// cluster is a set of nodes with links and a store in memory.
+type cluster struct {
+	t *testing.T
+
+	mu     sync.Mutex
+	nodes  map[string]*Sidecar // by peer address; without those that are down
+	rows   map[string][]byte
+	config []byte
+	away   bool // the store cannot be used
+}
+
+var errAway = errors.Join(platform.ErrUnavailable, errors.New("test"))
+
+// The cluster is its own store, for both tables.
+func (c *cluster) Get(context.Context, string) (platform.Row, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.away {
+		return platform.Row{}, errAway
+	}
+	return platform.Row{Value: c.config, Version: "1"}, nil
+}
+
+func (c *cluster) Put(_ context.Context, key string, value []byte, _ platform.Condition) (platform.Version, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.away {
+		return "", errAway
+	}
+	c.rows[key] = value
+	return "1", nil
+}
+
+func (c *cluster) List(context.Context, string, int) ([]platform.Row, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.away {
+		return nil, errAway
+	}
+	var rows []platform.Row
+	for key := range c.rows {
+		rows = append(rows, platform.Row{Key: key})
+	}
+	return rows, nil
+}
+
+func (c *cluster) Commit(context.Context, []platform.Write) ([]platform.Version, error) {
+	return nil, errAway
+}
+func (c *cluster) Delete(context.Context, string) error { return nil }
+
+// Follow never hears of a change, as a feed whose connection has gone silent.
+func (c *cluster) Follow(ctx context.Context, after platform.Version, wait time.Duration) ([]platform.Row, platform.Version, error) {
+	select {
+	case <-time.After(wait):
+		return nil, after, nil
+	case <-ctx.Done():
+		return nil, after, ctx.Err()
+	}
+}
+
+func (c *cluster) setAway(away bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.away = away
+}
+
+// start starts a node with all its loops.
+func (c *cluster) start(address, service string) *Sidecar {
+	c.t.Helper()
+	s, err := New(Options{
+		Settings: Settings{PeerAddress: address, Zone: "a", Service: service, TargetAddress: "target-" + address, RetryBurst: 48},
+		Log:      slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Nodes:    c, Operator: c, ConfigKey: "config",
+		DecodeConfig: func(body []byte) (*routing.Table, error) {
+			t, err := routing.New(routing.Version(body[0]), nil, nil, routing.DefaultLimits())
+			if err == nil {
+				t.Raw = body
+			}
+			return t, err
+		},
+	})
+	require.NoError(c.t, err)
+	s.pool = link.NewPool(link.Config{Self: link.Peer{Address: address}}, func(_ context.Context, to string) (link.Conn, error) {
+		c.mu.Lock()
+		peer := c.nodes[to]
+		c.mu.Unlock()
+		if peer == nil {
+			return nil, errors.New("connection refused")
+		}
+		ours, theirs := newPipe()
+		go func() { _ = peer.pool.Accept(context.Background(), theirs) }()
+		return ours, nil
+	}, linkHandler{s}, s.log)
+	c.mu.Lock()
+	c.nodes[address] = s
+	c.mu.Unlock()
+	for _, loop := range []func(){s.register, s.followConfig, s.spread, s.reach, s.watchTarget} {
+		s.background.Go(loop)
+	}
+	return s
+}
+
+// kill ends a node without a word.
+func (c *cluster) kill(address string) {
+	c.mu.Lock()
+	s := c.nodes[address]
+	delete(c.nodes, address)
+	c.mu.Unlock()
+	s.stop()
+	s.pool.Close()
+	s.background.Wait()
+}
+
+func run(t *testing.T, test func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{t: t, nodes: map[string]*Sidecar{}, rows: map[string][]byte{}, config: []byte{4}}
+		defer func() {
+			for address := range c.nodes {
+				c.kill(address)
+			}
+			time.Sleep(time.Minute) // timers of the last links run out
+		}()
+		test(t, c)
+	})
+}
+
+func (s *Sidecar) reportReady(sequence int64) error {
+	return s.Report(report.Report{Instance: "i-" + s.settings.PeerAddress, Born: 100, Sequence: sequence,
+		Service: s.settings.Service, Address: s.settings.TargetAddress, Phase: report.PhaseReady, Slots: 10})
+}
+
+// Guards against nodes that start together and do not find each other, or learn of targets only by chance.
+func TestNodesFindEachOtherAndTheirTargets(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		for _, address := range []string{"a", "b", "c", "d"} {
+			c.start(address, "menu")
+		}
+		time.Sleep(settleTime + time.Second)
+		for _, s := range c.nodes {
+			require.NoError(t, s.reportReady(1))
+		}
+		time.Sleep(50 * time.Millisecond)
+		for address, s := range c.nodes {
+			require.Len(t, s.directory.Targets()["menu"], 4, "node %s", address)
+		}
+	})
+}
+
+// Guards against requests that other nodes send to a target long after its drain was acknowledged.
+func TestDrainIsToldAtOnce(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		a, b := c.start("a", "menu"), c.start("b", "menu")
+		time.Sleep(settleTime + time.Second)
+		require.NoError(t, a.reportReady(1))
+		require.NoError(t, b.reportReady(1))
+		time.Sleep(50 * time.Millisecond)
+		require.NoError(t, a.Leave("i-a"))
+		time.Sleep(10 * time.Millisecond)
+		require.Len(t, b.directory.Targets()["menu"], 1)
+	})
+}
+
+// Guards against a drain that was acknowledged and is forgotten when the node is killed: an old report that arrives after
+// its restart must not bring work to the target.
+func TestRestartedNodeLearnsOfItsOwnDrain(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		a, b := c.start("a", "menu"), c.start("b", "menu")
+		time.Sleep(settleTime + time.Second)
+		require.NoError(t, a.reportReady(5))
+		time.Sleep(10 * time.Millisecond)
+		require.NoError(t, a.Leave("i-a"))
+		time.Sleep(10 * time.Millisecond)
+		c.kill("a")
+		time.Sleep(time.Second)
+		a = c.start("a", "menu")
+		require.NoError(t, a.reportReady(4), "sent before the drain")
+		time.Sleep(3 * time.Second)
+		require.Empty(t, a.directory.Targets()["menu"])
+		require.Empty(t, b.directory.Targets()["menu"])
+	})
+}
+
+// Guards against a node that starts while the store is away and serves nothing until it is back.
+func TestNodeStartsWhileTheStoreIsAway(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		a, _ := c.start("a", "menu"), c.start("b", "menu")
+		time.Sleep(settleTime + time.Second)
+		require.True(t, a.Ready())
+		c.kill("b")
+		c.setAway(true)
+		time.Sleep(time.Second)
+		b := c.start("b", "menu")
+		require.False(t, b.Ready())
+		require.NoError(t, b.reportReady(1))
+		time.Sleep(2 * time.Second)
+		require.True(t, b.Ready(), "the other node hands on the configuration")
+		require.Len(t, a.directory.Targets()["menu"], 1)
+		require.Len(t, b.directory.Targets()["menu"], 1)
+	})
+}
+
+// Guards against a node whose feed has gone silent and that keeps an old configuration, and against a version that goes back.
+func TestSilentFeedIsMadeUpForByOtherNodes(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		a, b := c.start("a", "menu"), c.start("b", "menu")
+		time.Sleep(settleTime + time.Second)
+		a.applyConfig([]byte{8}, "store") // the feed of a works, that of b is silent
+		time.Sleep(4 * time.Second)
+		require.Equal(t, routing.Version(8), b.version())
+		b.applyConfig([]byte{6}, "store")
+		require.Equal(t, routing.Version(8), b.version())
+	})
+}
+
+// Guards against requests for a node that has died, and against one that gets none after it is back.
+func TestLostNodeIsLeftOutUntilItIsBack(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		a, b := c.start("a", "menu"), c.start("b", "menu")
+		time.Sleep(settleTime + time.Second)
+		require.NoError(t, b.reportReady(1))
+		time.Sleep(10 * time.Millisecond)
+		require.Len(t, a.directory.Targets()["menu"], 1)
+		c.kill("b")
+		time.Sleep(4 * time.Second)
+		require.Empty(t, a.directory.Targets()["menu"])
+		b = c.start("b", "menu")
+		require.NoError(t, b.reportReady(2))
+		time.Sleep(2 * time.Second)
+		require.Len(t, a.directory.Targets()["menu"], 1)
+	})
+}
