Tell a restarted node of its own drain before it takes work

Traced: any message of another node ended the wait for what others remember, also one that said nothing of the node; a reply that could not be sent was never made up for, because digests left out what is remembered; and an entry of the same process replaced the memory.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -41,10 +41,10 @@
 // left reports whether the target has said that it leaves.
 func (m *Member) left() bool { return m.Phase == report.PhaseDraining || m.Phase == report.PhaseGone }
 
-// remember keeps what an earlier process of the node said of a target that leaves, while the present one knows of no target
-// or has an older report of the same one: a drain that was acknowledged must outlive the process that acknowledged it.
+// remember keeps what the node said earlier of a target that leaves, as long as it knows of no target or has no newer report
+// of the same one: a drain that was acknowledged must outlive the process that acknowledged it.
 func (m *Member) remember(earlier Member) {
-	if !earlier.left() || m.left() || m.Incarnation == earlier.Incarnation {
+	if !earlier.left() || m.left() {
 		return
 	}
 	same := m.Instance == earlier.Instance && m.Born == earlier.Born &&
@@ -242,9 +242,10 @@
 			continue // introduced only: nothing that could be passed on
 		}
 		_, _ = h.WriteString(m.Address) // a hash never fails
-		var b [16]byte
-		binary.BigEndian.PutUint64(b[:8], m.Incarnation)
-		binary.BigEndian.PutUint64(b[8:], m.Revision)
+		_, _ = h.WriteString(m.Instance)
+		b := [17]byte{byte(m.Phase)} // a remembered drain differs from what its node says
+		binary.BigEndian.PutUint64(b[1:9], m.Incarnation)
+		binary.BigEndian.PutUint64(b[9:], m.Revision)
 		_, _ = h.Write(b[:])
 	}
 	return h.Sum64()
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -58,6 +58,11 @@
 	require.Equal(t, report.PhaseGone, out.Echo.Phase)
 	require.Equal(t, int64(9), out.Echo.Sequence)
 	require.Empty(t, other.Targets()["menu"][1:], "only the other node's own target")
+	old := restarted.Update(func(m *Member) {
+		m.Instance, m.Phase, m.Service, m.Sequence = left.Instance, report.PhaseReady, "menu", 4
+	})
+	other.Merge([]Member{old})
+	require.Len(t, other.Targets()["menu"], 1, "the restarted node believes an old report before it is told")
 	next := restarted.Update(func(m *Member) { m.Instance, m.Phase, m.Service = "i-new", report.PhaseReady, "menu" })
 	other.Merge([]Member{next})
 	require.Len(t, other.Targets()["menu"], 2)
--- a/internal/process/report/report.go
+++ b/internal/process/report/report.go
@@ -125,7 +125,8 @@
 		t.ended[instance] = max(t.ended[instance], born)
 	}
 	have := &t.state
-	if have.Instance == "" || have.Instance == instance && have.Born == born && have.Phase == PhaseReady && have.Sequence <= sequence {
+	same := have.Instance == instance && have.Born == born
+	if have.Instance == "" || same && have.Phase == PhaseReady && (have.Sequence <= sequence || phase == PhaseGone) {
 		t.state.Instance, t.state.Born, t.state.Phase = instance, born, phase
 		t.state.Sequence = max(t.state.Sequence, sequence)
 		return true
--- a/internal/process/report/report_test.go
+++ b/internal/process/report/report_test.go
@@ -63,6 +63,11 @@
 	tr = NewTracker()
 	require.True(t, tr.Restore("i-1", 100, 6, PhaseGone))
 	require.Equal(t, Ignored, tr.Observe(ready("i-1", 100, 7), now))
+
+	tr = NewTracker()
+	tr.Observe(ready("i-1", 100, 8), now)
+	require.True(t, tr.Restore("i-1", 100, 6, PhaseGone), "an instance that has left is gone, whatever it reports later")
+	require.Equal(t, PhaseGone, tr.State(now).Phase)
 }
 
 // Guards against memory of a drain that stops a target which has started anew since.
--- a/internal/process/sidecar/learn.go
+++ b/internal/process/sidecar/learn.go
@@ -91,7 +91,7 @@
 	for _, row := range rows {
 		if row.Key != s.settings.PeerAddress {
 			s.directory.Introduce(row.Key)
-			s.send(row.Key, s.introduction())
+			s.send(row.Key, s.introduction(row.Key))
 		}
 	}
 	return len(rows), nil
--- a/internal/process/sidecar/spread.go
+++ b/internal/process/sidecar/spread.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -106,15 +107,19 @@
 		_, down := s.directory.Peers()
 		rand.Shuffle(len(down), func(i, j int) { down[i], down[j] = down[j], down[i] })
 		for _, address := range down[:min(reachWidth, len(down))] {
-			s.send(address, s.introduction())
+			s.send(address, s.introduction(address))
 		}
 	}
 }
 
-// introduction is the message to a node that may know nothing of this one.
-func (s *Sidecar) introduction() viewMessage {
+// introduction is the message to a node that may know nothing of this one. It holds what this node remembers of the other:
+// the other may have been restarted, and must not take work for a target whose drain it has acknowledged before.
+func (s *Sidecar) introduction(to string) viewMessage {
 	msg := s.message()
 	msg.Members = []directory.Member{s.directory.Self()}
+	if m, ok := s.directory.Member(to); ok && m.Incarnation != 0 {
+		msg.Members = append(msg.Members, m)
+	}
 	msg.Ask = true
 	return msg
 }
@@ -178,7 +183,8 @@
 	if e := merged.Echo; e != nil {
 		s.tracker.Restore(e.Instance, e.Born, e.Sequence, e.Phase)
 	}
-	if !s.settled.Swap(true) || merged.Echo != nil {
+	remembered := slices.ContainsFunc(list, func(m directory.Member) bool { return m.Address == s.settings.PeerAddress })
+	if remembered && !s.settled.Swap(true) || merged.Echo != nil {
 		s.applyTarget()
 	}
 }
--- a/internal/process/sidecar/spread_test.go
+++ b/internal/process/sidecar/spread_test.go
@@ -124,7 +124,7 @@
 	c.t.Helper()
 	s, err := New(Options{
 		Settings: Settings{PeerAddress: address, Zone: "a", Service: service, TargetAddress: "target-" + address, RetryBurst: 48},
-		Log:      slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Log:      slog.New(slog.NewTextHandler(testWriter{c.t}, nil)).With("node", address),
 		Nodes:    c, Operator: c, ConfigKey: "config",
 		DecodeConfig: func(body []byte) (*routing.Table, error) {
 			t, err := routing.New(routing.Version(body[0]), nil, nil, routing.DefaultLimits())
@@ -284,3 +284,7 @@
 		require.Len(t, a.directory.Targets()["menu"], 1)
 	})
 }
+
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(p []byte) (int, error) { w.t.Logf("%s", p); return len(p), nil }
