--- a/test/sidecar/site_test.go
+++ b/test/sidecar/site_test.go
@@ -80,7 +80,10 @@
 	version    uint64
 }
 
-const storeIP = "127.0.0.10"
+// network is a loopback network of this process, so that two runs on one machine do not meet.
+var network = fmt.Sprintf("127.%d.%d", 16+os.Getpid()/250%200, 1+os.Getpid()%250)
+
+var storeIP = network + ".10"
 
 func newSite(t *testing.T, vms int) *site {
 	t.Helper()
@@ -96,7 +99,7 @@
 	s.configure()
 	services := []string{"menu", "profile"}
 	for i := range vms {
-		v := &vm{t: t, ip: fmt.Sprintf("127.0.0.%d", 11+i), service: services[i%len(services)]}
+		v := &vm{t: t, ip: fmt.Sprintf("%s.%d", network, 11+i), service: services[i%len(services)]}
 		v.prepare(fmt.Sprintf("z%d", i/len(services)%2))
 		s.vms = append(s.vms, v)
 		t.Cleanup(v.close)
