--- a/internal/process/report/report.go
+++ b/internal/process/report/report.go
@@ -1,5 +1,6 @@
 // Package report keeps what the target beside a node says of itself: which instance runs, since when, and whether it takes
-// work. Reports can be late, out of order, repeated, or from an instance that has ended.
+// work. Its heartbeats can be late, out of order, repeated, or from an
+// instance that has ended.
 //
 // A Tracker is safe for concurrent use.
 package report
@@ -25,7 +26,7 @@
 	return [...]string{"unknown", "ready", "draining", "gone"}[min(int(p), 3)]
 }
 
-// Report is one report of a target.
+// Report is one heartbeat of a target: what it says of itself.
 type Report struct {
 	Instance string
 	Born     int64 // start of the instance, Unix milliseconds; orders instances
