--- a/cmd/wigeoncleat-sidecar/main.go
+++ b/cmd/wigeoncleat-sidecar/main.go
@@ -13,7 +13,6 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/urfave/cli/v3"
@@ -29,8 +28,6 @@
 	exitSettings = 2
 	// memoryShare is the part of the VM's memory that the runtime's collector tries not to exceed.
 	memoryShare = 0.7
-	// storeTimeout bounds one call of the platform's store.
-	storeTimeout = 1500 * time.Millisecond
 )
 
 func main() {
@@ -86,11 +83,11 @@
 }
 
 func assemble(settings sidecar.Settings, path string, log *slog.Logger) (*sidecar.Sidecar, error) {
-	nodes, err := platform.NewNodesTable(settings.StoreURL, storeTimeout)
+	nodes, err := platform.NewNodesTable(settings.StoreURL, sidecar.StoreTimeout)
 	if err != nil {
 		return nil, err
 	}
-	operator, err := platform.NewOperatorTable(settings.StoreURL, storeTimeout)
+	operator, err := platform.NewOperatorTable(settings.StoreURL, sidecar.StoreTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/sidecar/learn.go
+++ b/internal/process/sidecar/learn.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// storeTimeout bounds one call of the store, which answers in milliseconds when it is well.
-	storeTimeout = 1500 * time.Millisecond
+	// StoreTimeout bounds one call of the store, which answers in milliseconds when it is well.
+	StoreTimeout = 1500 * time.Millisecond
 	// feedWait is the mean time for which a feed waits. A connection of the feed that has gone silent is noticed after it;
 	// meanwhile other nodes pass changes on. The store keeps 20 s of history.
 	feedWait = 14 * time.Second
@@ -77,7 +77,7 @@
 
 // tryRegister writes the node's row and introduces the node to all others.
 func (s *Sidecar) tryRegister() (int, error) {
-	ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, StoreTimeout)
 	defer cancel()
 	// The value is for people who look into the store; the key says everything.
 	_, err := s.opts.Nodes.Put(ctx, s.settings.PeerAddress, []byte(s.settings.Node), platform.Condition{})
@@ -99,7 +99,7 @@
 
 // deregister removes the node's row, so that later nodes do not look for it.
 func (s *Sidecar) deregister() {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), StoreTimeout)
 	defer cancel()
 	if err := s.opts.Nodes.Delete(ctx, s.settings.PeerAddress); err != nil {
 		event.Log(s.log, event.StoreLost, slog.String("step", "deregister"), slog.String("error", err.Error()))
@@ -134,7 +134,7 @@
 
 // readConfig reads the whole configuration and returns the version from which the feed continues.
 func (s *Sidecar) readConfig() (platform.Version, error) {
-	ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, StoreTimeout)
 	defer cancel()
 	row, err := s.opts.Operator.Get(ctx, s.opts.ConfigKey)
 	if errors.Is(err, platform.ErrNotFound) {
