Say nothing more on a connection that has ended

Found by reading: if a connection ended with its last answer before its reader looked for the next request, the reader met the expired deadline and answered 408 to a request that nobody had sent. The new test fails without the change.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -88,7 +88,9 @@
 func (c *conn) read() error {
 	for {
 		limits := c.srv.handler.Limits()
-		if err := c.await(limits); err != nil {
+		if err := c.await(limits); errors.Is(err, errServerClosed) {
+			return c.watch()
+		} else if err != nil {
 			return err
 		}
 		r, err := c.readRequest(limits)
@@ -110,14 +112,14 @@
 	}
 }
 
-// await waits for the first byte of the next request.
+// await waits for the first byte of the next request. It fails with errServerClosed if none is taken any more.
 func (c *conn) await(limits Limits) error {
 	c.in.left = -1
 	c.mu.Lock()
 	c.reading = false
 	if c.closed {
 		c.mu.Unlock()
-		return c.watch()
+		return errServerClosed
 	}
 	c.idleDeadline(limits.IdleTimeout)
 	c.mu.Unlock()
--- a/internal/connection/entry/entry_test.go
+++ b/internal/connection/entry/entry_test.go
@@ -236,3 +236,18 @@
 		s.Close()
 	})
 }
+
+// Guards against an answer that nobody asked for: a connection that ended with its last answer, before its reader looked for
+// the next request, must not report that request as late.
+func TestEndedConnectionSaysNothingMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		caller, served := net.Pipe()
+		c := newConn(NewServer(&handler{}, 10, 1500), served)
+		c.closed = true
+		require.NoError(t, served.SetReadDeadline(time.Now()))
+		go c.run()
+		rest, err := io.ReadAll(caller)
+		require.NoError(t, err)
+		require.Empty(t, rest)
+	})
+}
