Ask for a newer configuration without waiting for another message

Thirty of 85 nodes were cut off until 13 s; their feeds were silent from then on. A node that heard of version 8 waited 0.6 s for its feed and then for whichever message came next, one a second on average, so that a few of thirty waited longer than the bound. Once a newer version is known, a timer asks the node that named it. The new test fails without the change.

--- a/internal/process/sidecar/pull.go
+++ b/internal/process/sidecar/pull.go
@@ -24,25 +24,39 @@
 // puller decides when to ask another node for a configuration. It is used by one goroutine.
 type puller struct {
 	version uint64 // newest version heard of
+	from    string // node that named it last
 	heard   time.Time
 	asked   time.Time
 }
 
-// wants reports whether to ask a node for its configuration now.
-func (p *puller) wants(now time.Time, own, theirs uint64) bool {
-	if theirs <= own {
-		return false
+// hear takes the version that another node has in force.
+func (p *puller) hear(now time.Time, own, theirs uint64, from string) {
+	if theirs <= own || theirs < p.version {
+		return
 	}
 	if theirs > p.version {
 		p.version, p.heard = theirs, now
 	}
-	if own > 0 && now.Sub(p.heard) < pullPatience || now.Sub(p.asked) < pullInterval {
+	p.from = from
+}
+
+// due reports whether to ask for the configuration now, and takes it as asked.
+func (p *puller) due(now time.Time, own uint64) bool {
+	if p.version <= own || own > 0 && now.Sub(p.heard) < pullPatience || now.Sub(p.asked) < pullInterval {
 		return false
 	}
 	p.asked = now
 	return true
 }
 
+// wait returns the time until asking may be due, or zero if nothing newer is known.
+func (p *puller) wait(now time.Time, own uint64) time.Duration {
+	if p.version <= own {
+		return 0
+	}
+	return max(time.Millisecond, pullPatience-now.Sub(p.heard), pullInterval-now.Sub(p.asked))
+}
+
 // packConfig returns the configuration in force in the form in which nodes hand it to each other, or nil.
 func (s *Sidecar) packConfig() []byte {
 	table := s.routes.Load()
--- a/internal/process/sidecar/pull_test.go
+++ b/internal/process/sidecar/pull_test.go
@@ -13,20 +13,26 @@
 func TestConfigurationIsPulledOnceAndOnlyWithoutAFeed(t *testing.T) {
 	var p puller
 	now := time.Unix(1000, 0)
-	require.False(t, p.wants(now, 4, 4))
-	require.False(t, p.wants(now, 4, 8), "the feed may bring it in a moment")
+	p.hear(now, 4, 4, "a")
+	require.False(t, p.due(now, 4))
+	require.Zero(t, p.wait(now, 4))
+	p.hear(now, 4, 8, "a")
+	require.False(t, p.due(now, 4), "the feed may bring it in a moment")
+	require.Equal(t, pullPatience, p.wait(now, 4))
 	now = now.Add(pullPatience)
-	require.True(t, p.wants(now, 4, 8))
-	require.False(t, p.wants(now.Add(time.Millisecond), 4, 8), "another node was asked just now")
-	require.True(t, p.wants(now.Add(pullInterval), 4, 8), "the node that was asked has not answered")
-	require.False(t, p.wants(now.Add(2*pullInterval), 8, 8))
+	require.True(t, p.due(now, 4))
+	p.hear(now, 4, 8, "b")
+	require.False(t, p.due(now.Add(time.Millisecond), 4), "another node was asked just now")
+	require.True(t, p.due(now.Add(pullInterval), 4), "the node that was asked has not answered")
+	require.False(t, p.due(now.Add(2*pullInterval), 8))
 	require.Less(t, pullPatience+pullInterval, 2*time.Second, "the operators' bound for a configuration")
 }
 
 // Guards against a node that starts while the store is away and waits for a feed that cannot come.
 func TestNodeWithoutConfigurationAsksAtOnce(t *testing.T) {
 	var p puller
-	require.True(t, p.wants(time.Unix(1000, 0), 0, 8))
+	p.hear(time.Unix(1000, 0), 0, 8, "a")
+	require.True(t, p.due(time.Unix(1000, 0), 0))
 }
 
 // Guards against a peer whose message unpacks to more memory than the process has.
--- a/internal/process/sidecar/spread.go
+++ b/internal/process/sidecar/spread.go
@@ -78,12 +78,19 @@
 func (s *Sidecar) spread() {
 	timer := time.NewTimer(compareInterval)
 	defer timer.Stop()
+	var pull <-chan time.Time // set while a newer configuration is known
 	for {
+		if wait := s.puller.wait(time.Now(), uint64(s.version())); wait > 0 && pull == nil {
+			pull = time.After(wait)
+		}
 		select {
 		case <-s.ctx.Done():
 			return
 		case m := <-s.inbox:
 			s.receive(m)
+		case <-pull:
+			pull = nil
+			s.pullNow()
 		case <-timer.C:
 			if up, _ := s.directory.Peers(); len(up) > 0 {
 				s.send(up[rand.IntN(len(up))], s.message())
@@ -93,6 +100,14 @@
 	}
 }
 
+// pullNow asks the node that named a newer configuration for it, if it is due. No other message has to come for that.
+func (s *Sidecar) pullNow() {
+	msg := s.message()
+	if msg.Pull = s.puller.due(time.Now(), msg.Version); msg.Pull {
+		s.send(s.puller.from, msg)
+	}
+}
+
 // reach tries nodes that are down, so that they get requests again once they are back.
 func (s *Sidecar) reach() {
 	ticker := time.NewTicker(reachInterval)
@@ -153,7 +168,8 @@
 		reply.Members = s.directory.All()
 	}
 	reply.Ask = differs && !msg.Ask && len(msg.Members) == 0
-	reply.Pull = s.puller.wants(time.Now(), reply.Version, msg.Version)
+	s.puller.hear(time.Now(), reply.Version, msg.Version, to)
+	reply.Pull = s.puller.due(time.Now(), reply.Version)
 	older := msg.Version < reply.Version && !msg.Pull // the other node may have lost its feed
 	if older || reply.Pull || len(reply.Config) > 0 || len(reply.Members) > 0 {
 		s.send(to, reply)
--- a/internal/process/sidecar/spread_test.go
+++ b/internal/process/sidecar/spread_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/link"
@@ -267,6 +268,28 @@
 	})
 }
 
+// Guards against a node that returns from a cut with a silent feed, hears once of a newer configuration, and then waits for
+// whichever message comes next: in a large deployment that can take seconds.
+func TestNewerConfigurationIsAskedForWithoutAnotherMessage(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		a, b := c.start("a", "menu"), c.start("b", "menu")
+		time.Sleep(settleTime + time.Second)
+		for range 20 {
+			next := a.version() + 1
+			a.applyConfig([]byte{byte(next)}, "store")
+			b.inbox <- inboundMessage{"a", mustMarshal(t, viewMessage{Digest: b.directory.Digest(), Version: uint64(next)})}
+			time.Sleep(pullPatience + pullInterval)
+			require.Equal(t, next, b.version())
+		}
+	})
+}
+
+func mustMarshal(t *testing.T, msg viewMessage) []byte {
+	b, err := cbor.Marshal(msg)
+	require.NoError(t, err)
+	return b
+}
+
 // Guards against requests for a node that has died, and against one that gets none after it is back.
 func TestLostNodeIsLeftOutUntilItIsBack(t *testing.T) {
 	run(t, func(t *testing.T, c *cluster) {
