Let calls of chains wait in a queue of their own

A chain that waits sends nothing else, so its calls cannot pile up; a refusal loses the chain and the work above.

Change: calls wait up to 0.3 of their time instead of 0.1, in a queue of three times the length. Calls and new requests no longer count against each other's length; a full queue of calls displaces calls only.

TestChainsWaitForADeepServiceInsteadOfFailing fails without the change: 8 of 16 chains lost.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -245,14 +245,21 @@
 	if changed {
 		c.trial.reset(l.ceiling(), now)
 	}
-	for c.queue.len() > l.QueueLength {
-		c.refuseWaiter(c.queue.remove(c.queue.lowest()), message.ReasonOverload)
-	}
+	c.trim()
 	c.limit = c.present(now)
 	c.dispatch(now)
 	c.publish()
 }
 
+// trim refuses the waiters that exceed the length of the queue.
+func (c *Controller) trim() {
+	for i := c.queue.len() - 1; i >= 0; i-- {
+		if w := c.queue.items[i].work; c.queue.competing(w) > c.maxLength(w) {
+			c.refuseWaiter(c.queue.remove(c.queue.lowest(w)), message.ReasonOverload)
+		}
+	}
+}
+
 // StartRamp starts the slow increase of the limit for a target that starts cold. What was measured before is forgotten.
 func (c *Controller) StartRamp() {
 	c.mu.Lock()
--- a/internal/process/admission/limits.go
+++ b/internal/process/admission/limits.go
@@ -18,7 +18,9 @@
 	// half of the time that is left to it. Zero: none.
 	LongWaitRank uint8
 	// WorkedFirst puts work for which earlier hops have worked before all other work, whatever its rank. Where it waits in
-	// line with new work, a surge of new requests of the highest rank uses up the time of every chain in progress.
+	// line with new work, a surge of new requests of the highest rank uses up the time of every chain in progress. Such work
+	// may wait in a queue of longQueue times the length: a chain makes no further calls while one of them waits, so its
+	// calls cannot pile up, and a refusal loses the whole chain.
 	WorkedFirst bool
 	// MixedWork says that the target runs kinds of work of very different length. What one kind needs then says nothing about
 	// the time left to another: short calls would be refused for the time that long requests take.
@@ -28,7 +30,7 @@
 	NewShare float64
 }
 
-// longQueue is the length of the queue for work of LongWaitRank, as a multiple of the normal one. At 95 % load by orders
+// longQueue is the length of the queue for work of LongWaitRank or of chains, as a multiple of the normal one. At 95 % load by orders
 // alone their waits often exceed the normal queue, and an order that is refused after work of the hops above is lost.
 const longQueue = 3
 
--- a/internal/process/admission/queue.go
+++ b/internal/process/admission/queue.go
@@ -84,9 +84,36 @@
 	return slices.IndexFunc(q.items, func(wt *waiter) bool { return !wt.work.Worked })
 }
 
-// lowest returns the position of the waiter that matters least, or -1. All waiters of the lowest class are at the end.
-func (q *queue) lowest() int {
+// worked returns the number of waiters at the front that earlier hops have worked for and that go before all others.
+func (q *queue) worked() int {
+	if !q.workedFirst {
+		return 0
+	}
+	if at := q.firstNew(); at >= 0 {
+		return at
+	}
+	return len(q.items)
+}
+
+// competing returns the number of waiters that count against the length of the queue for the work.
+func (q *queue) competing(w Work) int {
+	switch {
+	case !q.workedFirst:
+		return len(q.items)
+	case w.Worked:
+		return q.worked()
+	default:
+		return len(q.items) - q.worked()
+	}
+}
+
+// lowest returns the position of the waiter that matters least among those that compete with the work, or -1. All waiters of
+// the lowest class are at the end.
+func (q *queue) lowest(w Work) int {
 	last := len(q.items) - 1
+	if q.workedFirst && w.Worked {
+		last = q.worked() - 1
+	}
 	found := last
 	for i := last - 1; i >= 0; i-- {
 		if q.class(q.items[i], q.items[last]) != 0 {
--- a/internal/process/admission/wait.go
+++ b/internal/process/admission/wait.go
@@ -12,7 +12,7 @@
 func (c *Controller) enqueue(ctx context.Context, now time.Duration, w Work) (*waiter, message.Reason) {
 	wt := &waiter{ctx: ctx, work: w, ready: make(chan struct{})}
 	at := c.queue.position(wt)
-	wait := time.Duration(at+1) * c.latency.mean / time.Duration(c.limit)
+	wait := c.expectedWait(at, w)
 	if wait > c.maxWait(now, w) {
 		c.meter.turnedAway++
 		return nil, message.ReasonOverload
@@ -21,9 +21,9 @@
 		c.meter.turnedAway++
 		return nil, message.ReasonDeadline
 	}
-	if c.queue.len() >= c.maxLength(w) {
+	if c.queue.competing(w) >= c.maxLength(w) {
 		c.meter.turnedAway++
-		lowest := c.queue.lowest()
+		lowest := c.queue.lowest(w)
 		if lowest < 0 || !c.queue.displaces(w, c.queue.items[lowest]) {
 			return nil, message.ReasonOverload
 		}
@@ -37,6 +37,16 @@
 	return wt, message.ReasonNone
 }
 
+// expectedWait estimates the wait of work at a position of the queue. New work behind the calls of chains has slots of its own.
+func (c *Controller) expectedWait(at int, w Work) time.Duration {
+	wait := time.Duration(at+1) * c.latency.mean / time.Duration(c.limit)
+	if own := c.limits.NewShare * float64(c.limit); c.limits.WorkedFirst && !w.Worked && own > 0 {
+		ahead := at - c.queue.worked()
+		wait = min(wait, time.Duration(float64(ahead+1)/own*float64(c.latency.mean)))
+	}
+	return wait
+}
+
 // longWait reports whether the work may wait longer than other work.
 func (c *Controller) longWait(w Work) bool {
 	return c.limits.LongWaitRank > 0 && w.Priority.Rank() >= c.limits.LongWaitRank
@@ -56,7 +66,7 @@
 
 // maxLength returns the length of the queue from which the work is refused or displaces other work.
 func (c *Controller) maxLength(w Work) int {
-	if c.longWait(w) {
+	if c.longWait(w) || c.limits.WorkedFirst && w.Worked {
 		return longQueue * c.limits.QueueLength
 	}
 	return c.limits.QueueLength
--- a/internal/process/admission/worked_test.go
+++ b/internal/process/admission/worked_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
 // Guards against a surge of chains that starves the requests which begin at their deepest service: while calls keep
@@ -47,6 +49,47 @@
 	})
 }
 
+// Guards against calls that take the places of new work one after the other once their own part of the queue is full, and
+// against limits that shrink the queue of calls to that of new work.
+func TestCallsAndNewWorkHaveQueuesOfTheirOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := Limits{Slots: 1, Connections: 1, QueueLength: 2, QueueMaxWait: time.Minute, WorkedFirst: true, NewShare: 0.1}
+		c := New(l)
+		running := fillSlots(t, c)
+		ctx, leave := context.WithCancel(t.Context())
+		wait := func(worked bool, n int) []*outcome {
+			var all []*outcome
+			for range n {
+				all = append(all, queueUp(ctx, c, Work{Priority: 20000, Worked: worked, MaxWait: time.Minute}))
+			}
+			return all
+		}
+		refused := func(all []*outcome) int {
+			n := 0
+			for _, o := range all {
+				if o.reason() == message.ReasonOverload {
+					n++
+				}
+			}
+			return n
+		}
+		new, calls := wait(false, 3), wait(true, 8)
+		require.Equal(t, 1, refused(new))
+		require.Equal(t, 8-longQueue*l.QueueLength, refused(calls))
+		c.SetLimits(l)
+		synctest.Wait()
+		require.Equal(t, 1, refused(new))
+		require.Equal(t, 8-longQueue*l.QueueLength, refused(calls))
+		l.QueueLength = 1
+		c.SetLimits(l)
+		synctest.Wait()
+		require.Equal(t, 2, refused(new))
+		require.Equal(t, 8-longQueue, refused(calls))
+		leave()
+		running[0].Release(Result{Latency: time.Millisecond})
+	})
+}
+
 // Guards against short calls that are refused for want of time because the target mostly runs long requests, for example
 // after all targets have started cold: their chains have been worked for and still fit.
 func TestShortCallIsNotMeasuredByLongRequests(t *testing.T) {
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -12,8 +12,9 @@
 
 const (
 	// calledWaitShare and enteredWaitShare are the parts of the time left that a request may wait for a slot. The rest of
-	// its chain has to fit into what remains.
-	calledWaitShare  = 0.1
+	// its chain has to fit into what remains. A call that is refused loses the work of the hops above, so it waits longer
+	// than a request that can still be refused at no cost.
+	calledWaitShare  = 0.3
 	enteredWaitShare = 0.2
 )
 
--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -397,6 +397,40 @@
 	}
 }
 
+// Guards against a surge of chains over a deep service with few slots, in which nearly every chain loses one of its calls to
+// a full queue: a chain that waits sends nothing else, so its calls can wait where new requests are refused.
+func TestChainsWaitForADeepServiceInsteadOfFailing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const chains, callsEach, slots = 16, 5, 4
+		n := newNode(t, 0)
+		n.open(slots, &slowTarget{time: 30 * time.Millisecond})
+		var lost atomic.Int32
+		var done sync.WaitGroup
+		for i := range chains {
+			done.Go(func() {
+				for j := range callsEach {
+					call := delivered(strconv.Itoa(i)+"."+strconv.Itoa(j), 2, priorityOf(testRoutes[0], strconv.Itoa(i), false))
+					call.Deadline = time.Now().Add(700 * time.Millisecond)
+					if n.path.Deliver(t.Context(), call).Outcome != message.Answered {
+						lost.Add(1)
+						return
+					}
+				}
+			})
+		}
+		done.Wait()
+		require.Zero(t, lost.Load())
+		require.Equal(t, message.ReasonOverload, func() message.Reason {
+			for range 3 * slots {
+				done.Go(func() { n.path.Deliver(t.Context(), delivered("new", 0, 100)) })
+			}
+			synctest.Wait()
+			defer done.Wait()
+			return n.path.Deliver(t.Context(), delivered("another", 0, 100)).Reason
+		}(), "new requests do not get the longer queue")
+	})
+}
+
 // Guards against requests that wait longer than their chain allows.
 func TestWaitIsAShareOfTheTimeLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
