Use the users' bounds on retries where a deployment states none

Change: where neither ratio nor window is stated, the bounds of both users' deployments hold; a stated ratio of zero still means none. TestBoundOfZeroAllowsNoRepeats fails without it: 1 of 200 repeated instead of 20.

--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -40,7 +40,7 @@
 	Picker(service string) *balance.Picker // nil if the service never had a target
 }
 
-// Config holds the parts of a Path. All fields are required.
+// Config holds the parts of a Path. Fields are required unless they say what zero means.
 type Config struct {
 	Address string // of this node's peer interface
 	Service string // of this machine; the origin of every request that begins here
@@ -54,7 +54,7 @@
 	Unreachable func(address string, cause error)
 	Log         *slog.Logger
 	Limiter     *event.Limiter // bounds the lines on single requests
-	Retries     RetryBounds
+	Retries     RetryBounds    // zero: defaultRetries
 }
 
 // RetryBounds are the operators' bounds on the repeats to one service over all nodes.
@@ -63,6 +63,9 @@
 	Window time.Duration // over which both are counted
 }
 
+// defaultRetries are the bounds of deployments that state none: those of both users.
+var defaultRetries = RetryBounds{Ratio: 0.2, Window: 10 * time.Second}
+
 // Path serves requests.
 type Path struct {
 	cfg  Config
@@ -82,7 +85,12 @@
 }
 
 // New returns a path without a target.
-func New(cfg Config) *Path { return &Path{cfg: cfg, runs: newRuns()} }
+func New(cfg Config) *Path {
+	if cfg.Retries == (RetryBounds{}) {
+		cfg.Retries = defaultRetries
+	}
+	return &Path{cfg: cfg, runs: newRuns()}
+}
 
 // Open starts to take requests for an instance of the target beside this node.
 func (p *Path) Open(service, instance string, control *admission.Controller, target Target) {
--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -77,7 +77,6 @@
 		Unreachable: func(address string, _ error) { n.unreachable = append(n.unreachable, address) },
 		Log:         slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Limiter:     event.NewLimiter(1),
-		Retries:     RetryBounds{Ratio: 0.2, Window: 10 * time.Second},
 	})
 	return n
 }
@@ -186,6 +185,32 @@
 	})
 }
 
+// Guards against deployments that state no bound on retries and get none, and against a stated bound of zero that is taken
+// for one that is not stated.
+func TestBoundOfZeroAllowsNoRepeats(t *testing.T) {
+	for _, bounds := range []RetryBounds{{}, {Window: 10 * time.Second}} {
+		n := newNode(t, 4)
+		n.path = New(Config{
+			Address: "self", Service: "store", Routes: n.path.cfg.Routes, Peers: n, Pickers: n.path.cfg.Pickers, Shed: shed.New(),
+			Instance: n.path.cfg.Instance, Unreachable: n.path.cfg.Unreachable, Log: n.path.cfg.Log, Limiter: n.path.cfg.Limiter,
+			Retries: bounds,
+		})
+		const burst = 1
+		n.path.SetRetryBurst(burst)
+		repeats := 0
+		for i := range 200 {
+			n.sent, n.answers = nil, []*message.Response{doubt(message.ReasonConnection)}
+			n.path.Serve(t.Context(), request("/menu/1", strconv.Itoa(i)))
+			repeats += len(n.sent) - 1
+		}
+		if bounds == (RetryBounds{}) {
+			require.InDelta(t, 20, repeats, 3)
+		} else {
+			require.LessOrEqual(t, repeats, burst)
+		}
+	}
+}
+
 // Guards against requests that a target shed and that count as if they had never reached it: they draw on the same budget.
 func TestShedByTheTargetCountsAsArrival(t *testing.T) {
 	n := newNode(t, 6)
