Harm the links between nodes in the soak

The proxy of the soak stood before the store and the targets only. Links between nodes were cut by pauses and kills of processes, never delayed, reset, silenced or cut one way while both ends run.

A node can listen for other nodes elsewhere than at the address that it announces (--peer-listen), as behind a forwarder. Each VM of the soak has a proxy there.

--- a/cmd/wigeoncleat-sidecar/main.go
+++ b/cmd/wigeoncleat-sidecar/main.go
@@ -39,6 +39,10 @@
 				Name: "settings", Sources: cli.EnvVars(platform.SettingsVariable), Required: true,
 				Usage: "settings `FILE` (TOML), see docs/deployment.md",
 			},
+			&cli.StringFlag{
+				Name:  "peer-listen",
+				Usage: "listen at `ADDRESS` for other nodes, who reach it through a forwarder at the address of the settings",
+			},
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "lowest `LEVEL` that is logged: debug, info, warn or error"},
 		},
 		Action: run,
@@ -58,6 +62,7 @@
 	if err != nil {
 		return err
 	}
+	settings.PeerListen = c.String("peer-listen")
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(c.String("log-level"))); err != nil {
 		return fmt.Errorf("log level: %w", err)
@@ -99,7 +104,11 @@
 		Operator:     operator,
 		ConfigKey:    platform.ConfigKey,
 		DecodeConfig: platform.DecodeConfig,
-		Reload:       func() (sidecar.Settings, error) { return platform.LoadSettings(path) },
+		Reload: func() (sidecar.Settings, error) {
+			next, err := platform.LoadSettings(path)
+			next.PeerListen = settings.PeerListen
+			return next, err
+		},
 	})
 }
 
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -106,7 +107,7 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{"peers", s.settings.PeerAddress, peers},
+		{"peers", cmp.Or(s.settings.PeerListen, s.settings.PeerAddress), peers},
 		{"readiness", s.settings.ReadinessAddress, h.Readiness},
 		{"reports", s.settings.ReportAddress, h.Reports},
 		{"metrics", net.JoinHostPort(s.settings.IP, MetricsPort), metricsMux},
--- a/test/sidecar/site_test.go
+++ b/test/sidecar/site_test.go
@@ -50,11 +50,12 @@
 	portReports   = 18306
 	portStore     = 18309
 	portProxy     = 18311
+	portListen    = 18313 // of the node, behind the proxy at portPeers
 )
 
 func at(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 
-// vm is a VM with its node, its target, and a proxy between the two.
+// vm is a VM with its node, its target, and proxies between the two and between other nodes and its node.
 type vm struct {
 	t       *testing.T
 	ip      string
@@ -68,7 +69,8 @@
 	stopped bool // by the test
 	target  *standin.Target
 	past    []*standin.Target
-	proxy   *standin.Proxy
+	proxy   *standin.Proxy // to the target
+	peers   *standin.Proxy // to the node, for other nodes
 }
 
 // site is a whole deployment on loopback.
@@ -171,6 +173,8 @@
 [terms.bounds]
 grace_s = 6
 retry_slack = 48
+retry_budget_ratio = 0.2
+budget_window_s = 10
 `, v.ip, v.ip, zone, at(v.ip, portProxy), v.service, at(v.ip, portPeers), at(v.ip, portCallers),
 		at(v.ip, portReadiness), at(v.ip, portReports), at(storeIP, portProxy))
 	require.NoError(v.t, os.WriteFile(v.file, []byte(text), 0o600))
@@ -178,6 +182,7 @@
 	v.log, err = os.Create(filepath.Join(dir, "log"))
 	require.NoError(v.t, err)
 	v.proxy = standin.NewProxy(listen(v.t, at(v.ip, portProxy)), at(v.ip, portTarget))
+	v.peers = standin.NewProxy(listen(v.t, at(v.ip, portPeers)), at(v.ip, portListen))
 }
 
 func (v *vm) startTarget() {
@@ -201,7 +206,7 @@
 func (v *vm) startNode() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.cmd = exec.Command(binary)
+	v.cmd = exec.Command(binary, "--peer-listen", at(v.ip, portListen))
 	v.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+v.file)
 	v.cmd.Stdout, v.cmd.Stderr = v.log, v.log
 	require.NoError(v.t, v.cmd.Start())
@@ -230,6 +235,7 @@
 	<-v.signal(syscall.SIGKILL, true)
 	v.stopTarget()
 	v.proxy.Close()
+	v.peers.Close()
 	if v.t.Failed() {
 		if text, err := os.ReadFile(v.log.Name()); err == nil {
 			v.t.Logf("log of %s:\n%s", v.ip, text[max(0, len(text)-8<<10):])
--- a/test/sidecar/soak_test.go
+++ b/test/sidecar/soak_test.go
@@ -113,7 +113,7 @@
 // fault injects one fault and ends it.
 func (s *site) fault(rng *rand.Rand, v *vm) {
 	some := func(most time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(most))) }
-	switch rng.IntN(10) {
+	switch rng.IntN(12) {
 	case 0: // the process dies
 		<-v.signal(syscall.SIGKILL, true)
 		time.Sleep(some(500 * time.Millisecond))
@@ -137,18 +137,14 @@
 	case 3:
 		v.signal(syscall.SIGHUP, false)
 	case 4: // the store cannot be reached, slowly answers, or answers are lost
-		s.storeProxy.Set([]standin.Fault{standin.Delayed, standin.Silent, standin.HalfCut, standin.Unwelcome}[rng.IntN(4)])
-		time.Sleep(some(2 * time.Second))
-		s.storeProxy.Set(standin.Pass)
-		s.storeProxy.Cut()
+		harm(rng, s.storeProxy, some(2*time.Second))
 	case 5:
 		s.store.Lose(1 + rng.IntN(3))
 		s.store.Refuse(429, http.StatusServiceUnavailable)
 	case 6: // connections to the target are harmed
-		v.proxy.Set([]standin.Fault{standin.Delayed, standin.Silent, standin.HalfCut, standin.Unwelcome}[rng.IntN(4)])
-		time.Sleep(some(time.Second))
-		v.proxy.Set(standin.Pass)
-		v.proxy.Cut()
+		harm(rng, v.proxy, some(time.Second))
+	case 10, 11: // links to the node are harmed, while it reaches the others
+		harm(rng, v.peers, some(2*time.Second))
 	case 7: // the target drains and another instance takes its place
 		if v.target.Drain(2 * time.Second) {
 			time.Sleep(drainBound + some(500*time.Millisecond))
@@ -165,6 +161,14 @@
 	}
 }
 
+// harm puts a fault on the connections of a proxy for a time, then resets them.
+func harm(rng *rand.Rand, p *standin.Proxy, d time.Duration) {
+	p.Set([]standin.Fault{standin.Delayed, standin.Silent, standin.HalfCut, standin.Unwelcome}[rng.IntN(4)])
+	time.Sleep(d)
+	p.Set(standin.Pass)
+	p.Cut()
+}
+
 // verify holds what callers have seen against what targets have run.
 func (s *site) verify(results []result) {
 	runs := map[string]int{}
