--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 COMMANDS := $(notdir $(wildcard cmd/*))
 
-.PHONY: setup build run test fmt lint bench soak soak-sidecar measure clean
+.PHONY: setup build run test fmt lint bench soak soak-sidecar measure measure-chains clean
 
 setup:
 	$(GO) mod download
@@ -44,3 +44,9 @@
 # Garbage collection takes a third of the time at the default of 100.
 measure:
 	@cd internal/measure && GOGC=300 $(GO) test -run '^TestMeasure$$' -count=1 -timeout 10m -measure -docs $(CURDIR)/docs
+
+# Runs the chains of both users' deployments in virtual time and prints the figures (docs/chains.md), for example
+# `make measure-chains CHAINS_LOAD=surge`.
+CHAINS_LOAD ?=
+measure-chains:
+	@$(GO) test ./internal/measure/chains -run '^TestMeasureChains$$' -count=1 -v -args -chains -chains.load "$(CHAINS_LOAD)" 2>/dev/null | grep worth | sort
--- /dev/null
+++ b/internal/measure/chains/site.go
@@ -0,0 +1,108 @@
+// Package chains runs the path of transparently forwarded requests for whole deployments in virtual time: the paths,
+// admission and choice of targets that production uses, over targets that hold a slot while they make their calls. A change
+// of them can be tried on the heavy loads of both users in seconds.
+//
+// A World must be created and run inside a testing/synctest bubble.
+package chains
+
+import "time"
+
+// Site describes a deployment.
+type Site struct {
+	Name     string
+	Zones    int           // availability zones
+	OneWay   time.Duration // between availability zones
+	ToCaller time.Duration // one way
+	Services []Service
+	Kinds    []Kind
+}
+
+// Service describes the targets of a service.
+type Service struct {
+	Name   string
+	Slots  int       // of each target
+	Speeds []float64 // of its targets
+	// KneeFactor is the factor on the time of work while more than kneeShare of the slots are taken; zero: 1.
+	KneeFactor float64
+}
+
+// kneeShare is the share of a target's slots above which it slows down.
+const kneeShare = 0.95
+
+// Kind describes requests of one kind.
+type Kind struct {
+	Name     string
+	Service  string
+	Rate     float64       // requests a second at a load of 1; zero: only called
+	Work     time.Duration // mean of the own work at a speed of 1
+	Spread   float64       // standard deviation of the logarithm of the work
+	Aim      time.Duration // time within which an answer is worth most
+	Deadline time.Duration // time that the caller waits, all attempts together
+	Timeout  time.Duration // of the route; zero: none
+	Worth    float64
+	Late     float64 // worth of a late answer
+	Priority int     // 0 is the most important
+	Once     bool    // must not run twice
+	Calls    []Calls
+}
+
+// Calls are calls that a request of a kind makes after its own work.
+type Calls struct {
+	Kind     string
+	Times    int
+	Together bool // at the same time instead of one after the other
+}
+
+// Haetsal returns the head office deployment of the franchise cafés.
+func Haetsal() Site {
+	const ms = time.Millisecond
+	return Site{
+		Name: "haetsal-hq", Zones: 4, OneWay: 500 * time.Microsecond, ToCaller: ms,
+		Services: []Service{
+			{Name: "menu", Slots: 36, Speeds: []float64{0.55, 1.2, 1.2, 1.2}},
+			{Name: "order", Slots: 36, Speeds: []float64{0.7, 0.7, 1.6, 0.7}},
+			{Name: "supply", Slots: 36, Speeds: []float64{0.5, 1, 1, 1.5}},
+			{Name: "royalty", Slots: 10, Speeds: []float64{0.6, 1, 1.4, 0.6}, KneeFactor: 1.3},
+		},
+		Kinds: []Kind{
+			{Name: "menu-read", Service: "menu", Rate: 38.7, Work: 220 * ms, Spread: 0.5, Aim: 1500 * ms, Deadline: 5000 * ms,
+				Timeout: 1200 * ms, Worth: 1, Late: 0.3, Priority: 2, Calls: []Calls{{"order-ledger", 1, true}}},
+			{Name: "stock-order", Service: "order", Rate: 17.9, Work: 290 * ms, Spread: 0.8, Aim: 2000 * ms, Deadline: 5000 * ms,
+				Timeout: 1500 * ms, Worth: 3, Late: 0.6, Priority: 0, Once: true, Calls: []Calls{{"depot-read", 2, true}}},
+			{Name: "supply-read", Service: "supply", Rate: 17.9, Work: 550 * ms, Spread: 0.8, Aim: 1500 * ms, Deadline: 6000 * ms,
+				Timeout: 3000 * ms, Worth: 1, Late: 0.3, Priority: 2},
+			{Name: "royalty-read", Service: "royalty", Rate: 5.88, Work: 880 * ms, Spread: 0.8, Aim: 2500 * ms, Deadline: 10000 * ms,
+				Timeout: 5000 * ms, Worth: 1, Late: 0.3, Priority: 2},
+			{Name: "order-ledger", Service: "order", Work: 15 * ms, Spread: 0.5, Deadline: 2500 * ms, Priority: 2, Calls: []Calls{{"depot-read", 1, false}}},
+			{Name: "depot-read", Service: "supply", Work: 15 * ms, Spread: 0.5, Deadline: 2000 * ms, Priority: 2, Calls: []Calls{{"store-profile", 4, false}}},
+			{Name: "store-profile", Service: "royalty", Work: 55 * ms, Spread: 0.5, Deadline: 700 * ms, Priority: 2},
+		},
+	}
+}
+
+// Gnomon returns the deployment of the sundial workshops.
+func Gnomon() Site {
+	const ms = time.Millisecond
+	return Site{
+		Name: "gnomon-qc", Zones: 3, OneWay: 500 * time.Microsecond, ToCaller: 3 * ms,
+		Services: []Service{
+			{Name: "catalogue", Slots: 139, Speeds: []float64{0.6, 1, 1.6, 0.6}},
+			{Name: "commissions", Slots: 185, Speeds: []float64{0.5, 1, 1.5}},
+			{Name: "orders", Slots: 185, Speeds: []float64{0.7, 0.7, 1.6}},
+			{Name: "charts", Slots: 39, Speeds: []float64{0.7, 0.7, 1.6}, KneeFactor: 1.3},
+		},
+		Kinds: []Kind{
+			{Name: "catalogue-read", Service: "catalogue", Rate: 273, Work: 90 * ms, Spread: 0.5, Aim: 1500 * ms, Deadline: 6000 * ms,
+				Worth: 1, Late: 0.5, Priority: 2, Calls: []Calls{{"gnomon-angle", 2, true}}},
+			{Name: "commission-place", Service: "commissions", Rate: 74.8, Work: 120 * ms, Spread: 0.3, Aim: 1500 * ms, Deadline: 6000 * ms,
+				Timeout: 800 * ms, Worth: 3, Late: 1, Priority: 0, Once: true, Calls: []Calls{{"stock-check", 2, true}}},
+			{Name: "order-status", Service: "orders", Rate: 101, Work: 220 * ms, Spread: 0.5, Aim: 600 * ms, Deadline: 2500 * ms,
+				Timeout: 1200 * ms, Worth: 1, Late: 0.5, Priority: 2},
+			{Name: "latitude-chart", Service: "charts", Rate: 38.3, Work: 360 * ms, Spread: 0.8, Aim: 1000 * ms, Deadline: 4000 * ms,
+				Timeout: 2000 * ms, Worth: 1, Late: 0.5, Priority: 2},
+			{Name: "gnomon-angle", Service: "commissions", Work: 15 * ms, Spread: 0.5, Deadline: 3000 * ms, Priority: 2, Calls: []Calls{{"stock-check", 1, false}}},
+			{Name: "stock-check", Service: "orders", Work: 15 * ms, Spread: 0.5, Deadline: 2500 * ms, Priority: 2, Calls: []Calls{{"engrave-queue", 5, false}}},
+			{Name: "engrave-queue", Service: "charts", Work: 22 * ms, Spread: 0.5, Deadline: 700 * ms, Priority: 2},
+		},
+	}
+}
--- /dev/null
+++ b/internal/measure/chains/world.go
@@ -0,0 +1,229 @@
+package chains
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/mesh"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
+)
+
+// World is a deployment with its nodes and targets.
+type World struct {
+	site  Site
+	kinds map[string]*Kind
+	nodes []*node
+	byAt  map[string]*node
+
+	mu   sync.Mutex
+	rng  *rand.Rand
+	runs map[string]int // runs of each attempt
+	ids  atomic.Int64
+}
+
+// node is a VM: the path of requests and its target.
+type node struct {
+	world   *World
+	address string
+	zone    int
+	service *Service
+	speed   float64
+	path    *mesh.Path
+	set     *balance.Set
+
+	busy atomic.Int64
+	slow atomic.Uint64 // factor on the time of work, in thousandths
+	shed atomic.Uint64 // share of requests that the target turns away, in thousandths
+}
+
+const thousand = 1000
+
+// localShare is the latency inside an availability zone as a share of that between zones.
+const localShare = 0.2
+
+// NewWorld builds a deployment. The limits of its targets are what the nodes of production set.
+func NewWorld(site Site, seed uint64, limits func(slots int) admission.Limits) (*World, error) {
+	w := &World{site: site, kinds: map[string]*Kind{}, byAt: map[string]*node{}, rng: rand.New(rand.NewPCG(seed, 1)), runs: map[string]int{}}
+	var routes []*routing.Route
+	for i := range site.Kinds {
+		k := &site.Kinds[i]
+		w.kinds[k.Name] = k
+		routes = append(routes, &routing.Route{
+			Name: k.Name, Host: "site", Prefix: "/" + k.Name + "/", Idempotent: !k.Once, Timeout: k.Timeout, Objective: k.Aim,
+			Priority: k.Priority, MaxAttempts: 2, Split: []routing.Share{{Service: k.Service, Weight: 1}},
+		})
+	}
+	var services []routing.Service
+	for _, s := range site.Services {
+		services = append(services, routing.Service{Name: s.Name})
+	}
+	table, err := routing.New(1, routes, services, routing.DefaultLimits())
+	if err != nil {
+		return nil, fmt.Errorf("routes of %s: %w", site.Name, err)
+	}
+	current := new(atomic.Pointer[routing.Table])
+	current.Store(table)
+	targets := map[string][]balance.Target{}
+	for i := range site.Services {
+		s := &site.Services[i]
+		for j, speed := range s.Speeds {
+			n := &node{world: w, address: s.Name + "-" + strconv.Itoa(j), zone: (i + j) % site.Zones, service: s, speed: speed}
+			n.slow.Store(thousand)
+			w.nodes = append(w.nodes, n)
+			w.byAt[n.address] = n
+			targets[s.Name] = append(targets[s.Name], balance.Target{Address: n.address, Zone: zoneName(n.zone), Slots: s.Slots})
+		}
+	}
+	for _, n := range w.nodes {
+		n.start(current, limits(n.service.Slots))
+		n.set.Update(targets)
+	}
+	return w, nil
+}
+
+func zoneName(zone int) string { return "zone-" + strconv.Itoa(zone) }
+
+func (n *node) start(routes *atomic.Pointer[routing.Table], limits admission.Limits) {
+	n.set = balance.NewSet(zoneName(n.zone), policy.New().Balance)
+	n.path = mesh.New(mesh.Config{
+		Address: n.address, Service: n.service.Name, Routes: routes, Peers: n, Pickers: n.set, Shed: shed.New(),
+		Instance:    func(address string) string { return address },
+		Unreachable: func(string, error) {},
+		Log:         slog.New(slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelError})),
+		Limiter:     event.NewLimiter(0),
+	})
+	n.path.Open(n.service.Name, n.address, admission.New(limits), n)
+}
+
+// Send implements mesh.PeerSender.
+func (n *node) Send(ctx context.Context, address string, req *message.Request) *message.Response {
+	to, way := n.world.byAt[address], n.world.site.OneWay
+	if to.zone == n.zone {
+		way = time.Duration(localShare * float64(way))
+	}
+	time.Sleep(way)
+	r := to.path.Deliver(ctx, req)
+	time.Sleep(way)
+	if ctx.Err() != nil && r.Outcome != message.NotRun {
+		return message.Doubt(message.ReasonDeadline, message.Errorf(message.StepAwait, address, "%v", ctx.Err()))
+	}
+	return r
+}
+
+// Do implements mesh.Target: the own work, then the calls, in one slot.
+func (n *node) Do(ctx context.Context, req *message.Request) *message.Response {
+	if n.world.random() < float64(n.shed.Load())/thousand {
+		return message.Refuse(message.ReasonTargetUnable, message.Errorf(message.StepRun, n.address, "turned away"))
+	}
+	busy := n.busy.Add(1)
+	defer n.busy.Add(-1)
+	n.world.began(req.Attempt)
+	kind := n.world.kinds[strings.Trim(req.Path, "/")]
+	work := n.world.workOf(kind) * float64(n.slow.Load()) / thousand / n.speed
+	if n.service.KneeFactor > 0 && float64(busy) > kneeShare*float64(n.service.Slots) {
+		work *= n.service.KneeFactor
+	}
+	ok := sleep(ctx, time.Duration(work))
+	for _, c := range kind.Calls {
+		ok = ok && n.call(ctx, req, c)
+	}
+	switch {
+	case ctx.Err() != nil:
+		return message.Doubt(message.ReasonDeadline, message.Errorf(message.StepRun, n.address, "%v", ctx.Err()))
+	case !ok:
+		return &message.Response{Outcome: message.Answered, Status: http.StatusInternalServerError}
+	}
+	return &message.Response{Outcome: message.Answered, Status: http.StatusOK}
+}
+
+// call makes the calls of one kind and reports whether all were answered.
+func (n *node) call(ctx context.Context, parent *message.Request, c Calls) bool {
+	var failed atomic.Bool
+	one := func() {
+		r := n.path.Serve(ctx, n.world.request(n.world.kinds[c.Kind], parent.Attempt+"."+n.world.nextID(), time.Now().Add(n.world.kinds[c.Kind].Deadline)))
+		if r.Outcome != message.Answered || r.Status != http.StatusOK {
+			failed.Store(true)
+		}
+	}
+	var all sync.WaitGroup
+	for range c.Times {
+		if c.Together {
+			all.Go(one)
+		} else if !failed.Load() {
+			one()
+		}
+	}
+	all.Wait()
+	return !failed.Load()
+}
+
+func (w *World) request(kind *Kind, attempt string, deadline time.Time) *message.Request {
+	return &message.Request{
+		Host: "site", Method: http.MethodGet, Path: "/" + kind.Name + "/", Attempt: attempt, Arrived: time.Now(), Deadline: deadline,
+	}
+}
+
+func (w *World) nextID() string { return strconv.FormatInt(w.ids.Add(1), 36) }
+
+func (w *World) random() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.Float64()
+}
+
+// workOf draws the time of work of a kind in nanoseconds, from a log-normal distribution with the kind's mean.
+func (w *World) workOf(k *Kind) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return float64(k.Work) * math.Exp(k.Spread*w.rng.NormFloat64()-k.Spread*k.Spread/2)
+}
+
+func (w *World) began(attempt string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs[attempt]++
+}
+
+// Runs returns how often an attempt has run.
+func (w *World) Runs(attempt string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[attempt]
+}
+
+// each calls a function for the targets of a service.
+func (w *World) each(service string, do func(n *node)) {
+	for _, n := range w.nodes {
+		if n.service.Name == service {
+			do(n)
+		}
+	}
+}
+
+// sleep waits for d and reports false if the context ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -90,10 +90,15 @@
 			connections = min(connections, svc.Connections)
 		}
 	}
+	return TargetLimits(st.Slots, connections)
+}
+
+// TargetLimits returns the admission limits of a target with the given slots and connections.
+func TargetLimits(slots, connections int) admission.Limits {
 	return admission.Limits{
-		Slots:        max(1, int(limitShare*float64(st.Slots))),
+		Slots:        max(1, int(limitShare*float64(slots))),
 		Connections:  connections,
-		QueueLength:  max(1, int(queueShare*float64(st.Slots))),
+		QueueLength:  max(1, int(queueShare*float64(slots))),
 		QueueMaxWait: defaultQueueWait,
 		WorkedFirst:  true,
 		NewShare:     newShare,
