Choose targets by the share of requests that they fail

Change: the score of a target grows with its share of failures, which fades with a half-life of 2 s, so that a target which is no longer chosen is tried again. A target of the own zone is left for another zone's where it fails 5 in 100 more.

Ruled out by trials: no half-life, which shuns a target for good after a few failures (TestEjectionIsBoundedAndDoubles failed).

TestPartlyFailingTargetGetsLess fails without the change: a target that fails 0.3 keeps 0.26 of the requests of four.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -66,6 +66,18 @@
 	outlierEvery   = 16
 	// latencyWeight is the number of responses over which latency is averaged.
 	latencyWeight = 16
+	// failureWeight is the number of results over which the share of failures is averaged.
+	failureWeight = 32
+	// failureHalfLife is the time in which a share of failures counts half as much, so that a target that is no longer chosen
+	// is tried again within seconds.
+	failureHalfLife = 2 * time.Second
+	// failureFloor is the share of failures below which targets are not told apart.
+	failureFloor = 0.02
+	// failureCost is what a failed request costs in requests of load: a target that fails a tenth of its requests is chosen
+	// like one with twice the load. A call that fails mostly loses its chain, and the retry that it uses is missing elsewhere.
+	failureCost = 10
+	// failureMargin is the share of failures by which a local target may exceed one of another zone and still be preferred.
+	failureMargin = 0.05
 	// maxEjectTime bounds the doubling, so that a repaired target returns within a minute.
 	maxEjectTime = time.Minute
 	// calmFactor is the number of initial ejection times without an ejection after which the time starts anew.
@@ -114,10 +126,11 @@
 	refused  atomic.Int64 // time of the last refusal
 	latency  atomic.Uint64
 	samples  atomic.Int64
-	failures atomic.Int64 // consecutive
-	ejected  atomic.Int64 // end of the ejection
-	leaving  atomic.Int64 // end of the time without picks after a refusal as leaving
-	rampFrom atomic.Int64 // start of the ramp; zero: none
+	failures atomic.Int64  // consecutive
+	failing  atomic.Uint64 // share of failures (float32) in the high half, time in milliseconds in the low half
+	ejected  atomic.Int64  // end of the ejection
+	leaving  atomic.Int64  // end of the time without picks after a refusal as leaving
+	rampFrom atomic.Int64  // start of the ramp; zero: none
 
 	ejectTime time.Duration // length of the last ejection; under the Picker's mutex
 }
@@ -306,7 +319,8 @@
 // score orders targets; lower is better. The reported load at most doubles a score, so that a false report attracts a
 // bounded excess of traffic.
 func (m *member) score(now int64) float64 {
-	return float64(m.inFlight.Load()+1) / m.size() * (1 + min(1, m.utilisation(now)))
+	load := float64(m.inFlight.Load()+1) / m.size() * (1 + min(1, m.utilisation(now)))
+	return load * (1 + failureCost*m.failureShare(now))
 }
 
 // fullness returns the larger of own and reported utilisation.
@@ -321,6 +335,9 @@
 	if m.busy(now) && remote.fullness(now) < spillMargin*m.fullness(now) {
 		return true
 	}
+	if m.failureShare(now) > remote.failureShare(now)+failureMargin {
+		return true
+	}
 	if m.samples.Load() < outlierSamples || remote.samples.Load() < outlierSamples {
 		return false
 	}
@@ -344,6 +361,7 @@
 	case r.Refused:
 		m.refused.Store(now)
 	case r.Failed:
+		m.count(true, now)
 		if m.failures.Add(1) >= int64(p.settings.Load().EjectFailures) {
 			p.eject(m, "failures")
 		}
@@ -351,6 +369,7 @@
 		if m.failures.Load() != 0 {
 			m.failures.Store(0)
 		}
+		m.count(false, now)
 		m.observe(time.Duration(now - start).Seconds())
 		if n := m.samples.Add(1); n >= outlierSamples && n%outlierEvery == 0 && p.outlier(m, now) {
 			p.eject(m, "latency")
@@ -358,6 +377,43 @@
 	}
 }
 
+// failureShare returns the share of failures among the latest results. Single failures count until they have faded; a target
+// that fails part of its requests while its health is good shows only here.
+func (s *state) failureShare(now int64) float64 {
+	if share := faded(s.failing.Load(), now); share >= failureFloor {
+		return share
+	}
+	return 0
+}
+
+// faded returns the share of failures that was stored, as it counts now.
+func faded(stored uint64, now int64) float64 {
+	share := float64(math.Float32frombits(uint32(stored >> 32)))
+	if share == 0 {
+		return 0
+	}
+	age := time.Duration(uint32(milliseconds(now)-uint32(stored))) * time.Millisecond
+	return share * math.Exp2(-float64(age)/float64(failureHalfLife))
+}
+
+func milliseconds(now int64) uint32 { return uint32(now / int64(time.Millisecond)) }
+
+// count adds a result to the share of failures.
+func (s *state) count(failed bool, now int64) {
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	for {
+		old := s.failing.Load()
+		was := faded(old, now)
+		next := float32(was + (value-was)/failureWeight)
+		if was == value || s.failing.CompareAndSwap(old, uint64(math.Float32bits(next))<<32|uint64(milliseconds(now))) {
+			return
+		}
+	}
+}
+
 // observe adds a latency to the moving average.
 func (s *state) observe(seconds float64) {
 	for {
--- a/internal/process/balance/balance_test.go
+++ b/internal/process/balance/balance_test.go
@@ -225,6 +225,55 @@
 	})
 }
 
+// Guards against targets that fail part of their requests while their health is good, never often enough in a row to be
+// ejected, and keep their share, also of their own zone's requests; and against shunning them for good.
+func TestPartlyFailingTargetGetsLess(t *testing.T) {
+	for _, zones := range [][]string{{"a"}, {"a", "b", "c", "d"}} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPicker("a", 1)
+			p.Update(site(4, 40, zones...))
+			rng := rand.New(rand.NewPCG(1, 2))
+			ask := func(n int, failing float64) (share float64) {
+				for range n {
+					target, done, _ := p.Pick()
+					time.Sleep(5 * time.Millisecond)
+					failed := target.Address == "t0" && rng.Float64() < failing
+					if target.Address == "t0" {
+						share += 1 / float64(n)
+					}
+					done(Result{Failed: failed, Load: message.Load{InFlight: 5, Limit: 40}})
+				}
+				return share
+			}
+			usual := ask(1000, 0)
+			require.Greater(t, usual, 0.2)
+			require.Less(t, ask(1000, 0.3), usual/3)
+			require.Empty(t, p.Ejected())
+			ask(2000, 0) // 10 s without failures
+			require.Greater(t, ask(1000, 0), 0.8*usual)
+		})
+	}
+}
+
+// Guards against load that shifts between targets which all fail alike.
+func TestEquallyFailingTargetsShareTheLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPicker("a", 1)
+		p.Update(site(4, 40, "a"))
+		rng := rand.New(rand.NewPCG(1, 2))
+		got := map[string]int{}
+		for range 4000 {
+			target, done, _ := p.Pick()
+			time.Sleep(5 * time.Millisecond)
+			got[target.Address]++
+			done(Result{Failed: rng.Float64() < 0.1, Load: message.Load{InFlight: 5, Limit: 40}})
+		}
+		for address, n := range got {
+			require.InDelta(t, 1000, n, 1000.0/3, address)
+		}
+	})
+}
+
 // Guards against slow targets that keep their share, and against ejecting a target that is only slower than others.
 func TestOutlierLatency(t *testing.T) {
 	for factor, ejected := range map[time.Duration]bool{4: false, 10: true} {
