--- a/internal/measure/chains/load.go
+++ b/internal/measure/chains/load.go
@@ -25,6 +25,7 @@
 	Service func(s Site) string
 	Slow    float64 // factor on the time of work; zero: 1
 	Shed    float64 // share of requests that targets turn away
+	Lose    float64 // share of answers that targets break off
 	One     bool    // only the first target
 }
 
@@ -47,6 +48,8 @@
 		{Name: "surge", Text: "1.8 times the load for 10 s.", Length: 20 * time.Second, Rate: surge(1.8)},
 		{Name: "surge-slow-target", Text: "1.6 times the load for 10 s while one target of the deepest service is six times as slow.", Length: 20 * time.Second, Rate: surge(1.6),
 			Events: []Event{{At: start, Service: Deepest, Slow: 6, One: true}, {At: start + length, Service: Deepest, One: true}}},
+		{Name: "lost-answers", Text: "One target of the deepest service breaks off 0.3 of its answers for 10 s.", Length: 20 * time.Second, Rate: surge(1),
+			Events: []Event{{At: start, Service: Deepest, Lose: 0.3, One: true}, {At: start + length, Service: Deepest, One: true}}},
 		{Name: "shedding-targets", Text: "1.6 times the load for 10 s while the targets of the deepest service turn away 0.55 of their requests.", Length: 20 * time.Second, Rate: surge(1.6),
 			Events: []Event{{At: start, Service: Deepest, Shed: 0.55}, {At: start + length, Service: Deepest}}},
 	}
@@ -109,6 +112,7 @@
 		first = false
 		n.slow.Store(uint64(slow * thousand))
 		n.shed.Store(uint64(e.Shed * thousand))
+		n.lose.Store(uint64(e.Lose * thousand))
 	})
 }
 
--- a/internal/measure/chains/world.go
+++ b/internal/measure/chains/world.go
@@ -50,6 +50,7 @@
 	busy atomic.Int64
 	slow atomic.Uint64 // factor on the time of work, in thousandths
 	shed atomic.Uint64 // share of requests that the target turns away, in thousandths
+	lose atomic.Uint64 // share of answers that the target breaks off, in thousandths
 }
 
 const thousand = 1000
@@ -134,6 +135,9 @@
 	busy := n.busy.Add(1)
 	defer n.busy.Add(-1)
 	n.world.began(req.Attempt)
+	if n.world.random() < float64(n.lose.Load())/thousand {
+		return message.Doubt(message.ReasonConnection, message.Errorf(message.StepRun, n.address, "broken off"))
+	}
 	kind := n.world.kinds[strings.Trim(req.Path, "/")]
 	work := n.world.workOf(kind) * float64(n.slow.Load()) / thousand / n.speed
 	if n.service.KneeFactor > 0 && float64(busy) > kneeShare*float64(n.service.Slots) {
