Keep a late clock reading from turning the retry window back

Found by reading: a goroutine that had read the time before another one started a new half window could start the old one again, and the counts of both were lost. No run has shown it.

--- a/internal/process/admission/worked_test.go
+++ b/internal/process/admission/worked_test.go
@@ -73,17 +73,17 @@
 			}
 			return n
 		}
-		new, calls := wait(false, 3), wait(true, 8)
-		require.Equal(t, 1, refused(new))
+		fresh, calls := wait(false, 3), wait(true, 8)
+		require.Equal(t, 1, refused(fresh))
 		require.Equal(t, 8-longQueue*l.QueueLength, refused(calls))
 		c.SetLimits(l)
 		synctest.Wait()
-		require.Equal(t, 1, refused(new))
+		require.Equal(t, 1, refused(fresh))
 		require.Equal(t, 8-longQueue*l.QueueLength, refused(calls))
 		l.QueueLength = 1
 		c.SetLimits(l)
 		synctest.Wait()
-		require.Equal(t, 2, refused(new))
+		require.Equal(t, 2, refused(fresh))
 		require.Equal(t, 8-longQueue, refused(calls))
 		leave()
 		running[0].Release(Result{Latency: time.Millisecond})
--- a/internal/request/retry/bucket.go
+++ b/internal/request/retry/bucket.go
@@ -80,7 +80,7 @@
 // advance starts a new half window if the present one has passed.
 func (r *recent) advance() {
 	turn, old := int64(time.Since(r.origin)/r.half), r.turn.Load()
-	if turn == old || !r.turn.CompareAndSwap(old, turn) {
+	if turn <= old || !r.turn.CompareAndSwap(old, turn) {
 		return
 	}
 	n := r.now.Swap(0)
