Measure silence of links by the steady clock

A jump forward by 0.6 s made every link with waiting requests of that VM seem silent; one backward hid a silent link for as long.

TestInstantsFollowTheSteadyClock fails without the change. An unused time of the last request goes with it.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -303,7 +303,6 @@
 	c.reading = false
 	c.mu.Unlock()
 	c.srv.active.Add(1)
-	c.srv.last.Store(r.Arrived.UnixNano())
 	go func() {
 		defer close(done)
 		defer c.srv.active.Add(-1)
--- a/internal/connection/entry/entry.go
+++ b/internal/connection/entry/entry.go
@@ -67,7 +67,6 @@
 
 	held    atomic.Int64
 	active  atomic.Int64 // requests that were read and not answered
-	last    atomic.Int64 // UnixNano of the last request
 	closing atomic.Bool
 
 	mu        sync.Mutex
@@ -148,9 +147,6 @@
 // Active returns the number of requests that were read and not answered.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
-// LastRequest returns the time of the last request.
-func (s *Server) LastRequest() time.Time { return time.Unix(0, s.last.Load()) }
-
 // Connections returns the number of open connections.
 func (s *Server) Connections() int {
 	s.mu.Lock()
--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -186,6 +186,17 @@
 	})
 }
 
+// Guards against links that are taken for silent, or never, after the time of day has jumped: times without the steady clock
+// follow it.
+func TestInstantsFollowTheSteadyClock(t *testing.T) {
+	r, w := newReader(nil, Peer{}, nil), newWriter(nil)
+	r.last.mark()
+	w.last.mark()
+	for _, at := range []time.Time{r.heard(), w.last.time()} {
+		require.NotEqual(t, at.Round(0), at, "%v has no reading of the steady clock", at)
+	}
+}
+
 // Guards against work that goes on for a caller that has left.
 func TestCancelReachesTheHandler(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/connection/link/reader.go
+++ b/internal/connection/link/reader.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync/atomic"
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
@@ -15,17 +14,15 @@
 	conn Conn
 	peer Peer
 	log  *slog.Logger
-	last atomic.Int64 // UnixNano of the last frame, at first of the start
+	last instant // last frame, at first the start
 }
 
 func newReader(conn Conn, peer Peer, log *slog.Logger) *reader {
-	r := &reader{conn: conn, peer: peer, log: log}
-	r.last.Store(time.Now().UnixNano())
-	return r
+	return &reader{conn: conn, peer: peer, log: log, last: instant{origin: time.Now()}}
 }
 
 // heard returns the time of the last frame.
-func (r *reader) heard() time.Time { return time.Unix(0, r.last.Load()) }
+func (r *reader) heard() time.Time { return r.last.time() }
 
 // run hands the frames to the function until the connection is closed, a frame is invalid or the function fails.
 func (r *reader) run(handle func(wire.Frame) error) error {
@@ -36,7 +33,7 @@
 		if err != nil {
 			return err
 		}
-		r.last.Store(time.Now().UnixNano())
+		r.last.mark()
 		f, err := wire.Decode(b)
 		if err != nil {
 			event.Log(r.log, event.FrameInvalid, slog.String("peer", r.peer.Address), slog.String("error", err.Error()))
--- a/internal/connection/link/writer.go
+++ b/internal/connection/link/writer.go
@@ -31,7 +31,8 @@
 // costs the library several allocations and a timer for each frame; stalled shows a write that does not end.
 type writer struct {
 	conn    Conn
-	started atomic.Int64 // UnixNano of the start of the present write, zero if there is none
+	last    instant     // start of the last write
+	writing atomic.Bool // it has not ended
 
 	mu     sync.Mutex
 	queue  []*outgoing
@@ -40,7 +41,7 @@
 }
 
 func newWriter(conn Conn) *writer {
-	return &writer{conn: conn, wake: make(chan struct{}, 1)}
+	return &writer{conn: conn, last: instant{origin: time.Now()}, wake: make(chan struct{}, 1)}
 }
 
 // enqueue queues a message and reports false if the writer is closed, in which case nothing is written.
@@ -96,8 +97,9 @@
 }
 
 func (w *writer) write(o *outgoing) error {
-	w.started.Store(time.Now().UnixNano())
-	defer w.started.Store(0)
+	w.last.mark()
+	w.writing.Store(true)
+	defer w.writing.Store(false)
 	for _, b := range o.frames {
 		if err := w.conn.Write(context.Background(), b); err != nil {
 			return err
@@ -108,11 +110,10 @@
 
 // stalled returns how long the present message has been written.
 func (w *writer) stalled(now time.Time) time.Duration {
-	started := w.started.Load()
-	if started == 0 {
+	if !w.writing.Load() {
 		return 0
 	}
-	return now.Sub(time.Unix(0, started))
+	return now.Sub(w.last.time())
 }
 
 func (w *writer) close() {
