Ping a peer that has not heard from this node

A side that runs requests ends a link on which it has heard nothing for 0.8 s. The dialer pinged only when it heard nothing itself. At the end of a graceful stop no new requests come while answers still go back every moment: the dialer hears enough, says nothing, and the other side ends the link with all that still runs.

Change: the dialer pings while requests wait and it has either heard or said nothing for an interval.

--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -186,6 +186,32 @@
 	})
 }
 
+// Guards against requests that are lost at the end of a graceful stop: no new request comes, answers still go back every
+// moment, so that neither side seems silent to the dialer, and the other side hears nothing for longer than its limit.
+func TestAnswersDoNotKeepTheDialerQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &testHandler{fn: func(ctx context.Context, req *message.Request) *message.Response {
+			select {
+			case <-time.After(time.Until(req.Deadline) - time.Minute):
+				return echo(ctx, req)
+			case <-ctx.Done():
+				return message.Doubt(message.ReasonCancelled, nil)
+			}
+		}}
+		pr := newPair(h)
+		defer pr.close()
+		var all sync.WaitGroup
+		for i := range 20 { // answers every 200 ms for 4 s
+			all.Go(func() {
+				r := pr.dialer.Send(t.Context(), "b", newRequest(nil, time.Minute+time.Duration(i)*200*time.Millisecond))
+				require.Equal(t, message.Answered, r.Outcome, "request %d: %v", i, r.Err)
+			})
+		}
+		all.Wait()
+		require.Equal(t, 1, pr.dials)
+	})
+}
+
 // Guards against links that are taken for silent, or never, after the time of day has jumped: times without the steady clock
 // follow it.
 func TestInstantsFollowTheSteadyClock(t *testing.T) {
--- a/internal/connection/link/outbound.go
+++ b/internal/connection/link/outbound.go
@@ -332,7 +332,8 @@
 	}
 }
 
-// heartbeat pings the peer while calls wait and nothing is heard, and ends the link when it is silent or idle.
+// heartbeat pings the peer while calls wait and nothing is heard or nothing was said, and ends the link when it is silent or
+// idle. A peer that answers hears nothing either: it would take the link for silent and drop what it still runs.
 func (o *outbound) heartbeat(ctx context.Context) error {
 	ticker := time.NewTicker(o.cfg.HeartbeatInterval)
 	defer ticker.Stop()
@@ -348,7 +349,7 @@
 				return errStalled
 			case waiting && silent >= o.cfg.HeartbeatTimeout:
 				return errSilent
-			case waiting && silent >= o.cfg.HeartbeatInterval:
+			case waiting && max(silent, o.writer.quiet(now)) >= o.cfg.HeartbeatInterval:
 				sequence++
 				o.post(&wire.Ping{Sequence: sequence})
 			case !waiting && idle >= o.cfg.IdleTimeout:
--- a/internal/connection/link/writer.go
+++ b/internal/connection/link/writer.go
@@ -116,6 +116,9 @@
 	return now.Sub(w.last.time())
 }
 
+// quiet returns how long nothing was written.
+func (w *writer) quiet(now time.Time) time.Duration { return now.Sub(w.last.time()) }
+
 func (w *writer) close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
