Bound the bytes that a target can make the node hold

Cause: targetconn read heads, informational responses and trailers without a bound, and each body up to 16 MiB of its own.

Change: all heads of one exchange share 32 KiB, bodies of answers take from one budget of the process (a tenth of its memory) as their bytes arrive, and a stated length takes nothing by itself. An exchange that passes a bound ends at once with its connection closed and counts as a failure of its target. Bodies of requests use the same budget type, also those sent in chunks, which were counted only after they had been read. Heads of the store and of targets of the product's own interface are bounded too (the library's default is 10 MiB).

Ruled out: a bound of 64 KiB on heads, which with 139 slots of short header lines held 55 MB once parsed.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
 )
 
 // conn is one connection of a caller.
@@ -202,9 +204,10 @@
 	if hr.ContentLength > int64(limits.BodyBytes) {
 		return nil, &RejectError{http.StatusRequestEntityTooLarge, "body exceeds its limit"}
 	}
-	r := &Request{Request: hr, Arrived: arrived}
+	r := &Request{Request: hr, Arrived: arrived, memory: c.srv.bodies.Hold()}
 	if hr.ContentLength != 0 {
-		if r.Payload, err = c.readBody(hr, limits); err != nil {
+		if err = c.readBody(r, limits); err != nil {
+			r.memory.Release()
 			return nil, err
 		}
 	}
@@ -241,36 +244,28 @@
 	return n
 }
 
-func (c *conn) readBody(hr *http.Request, limits Limits) ([]byte, error) {
+func (c *conn) readBody(r *Request, limits Limits) error {
+	hr := r.Request
 	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
 	if strings.EqualFold(hr.Header.Get("Expect"), "100-continue") {
 		if err := c.proceed(); err != nil {
-			return nil, err
-		}
-	}
-	if hr.ContentLength > 0 {
-		if !c.srv.hold(hr.ContentLength) {
-			return nil, errMemory
-		}
-		body := make([]byte, hr.ContentLength)
-		_, err := io.ReadFull(hr.Body, body)
-		if err != nil {
-			c.srv.held.Add(-hr.ContentLength)
+			return err
 		}
-		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(hr.Body, int64(limits.BodyBytes)+1))
+	body, err := r.memory.ReadAll(hr.Body, hr.ContentLength, limits.BodyBytes)
 	switch {
-	case err != nil && !isNetError(err) && !errors.Is(err, io.ErrUnexpectedEOF):
-		return nil, &RejectError{http.StatusBadRequest, err.Error()}
-	case err != nil:
-		return nil, err
-	case len(body) > limits.BodyBytes:
-		return nil, &RejectError{http.StatusRequestEntityTooLarge, "body exceeds its limit"}
-	case !c.srv.hold(int64(len(body))):
-		return nil, errMemory
+	case err == nil:
+		r.Payload = body
+		return nil
+	case errors.Is(err, memory.ErrBudget):
+		return errMemory
+	case errors.Is(err, memory.ErrSize):
+		return &RejectError{http.StatusRequestEntityTooLarge, "body exceeds its limit"}
+	case isNetError(err), errors.Is(err, io.ErrUnexpectedEOF):
+		return err
+	default:
+		return &RejectError{http.StatusBadRequest, err.Error()}
 	}
-	return body, nil
 }
 
 // errMemory rejects a request while the bodies of others take all the memory for bodies.
@@ -294,7 +289,7 @@
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
-		c.srv.held.Add(-int64(len(r.Payload)))
+		r.memory.Release()
 		return false
 	}
 	before := c.tail
@@ -307,11 +302,12 @@
 		defer close(done)
 		defer c.srv.active.Add(-1)
 		a := c.srv.handler.Serve(c.ctx, r)
-		c.srv.held.Add(-int64(len(r.Payload)))
+		r.memory.Release()
 		if before != nil {
 			<-before
 		}
 		c.answer(r.Request, a)
+		a.Memory.Release()
 	}()
 	return true
 }
--- a/internal/connection/entry/entry.go
+++ b/internal/connection/entry/entry.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
 )
 
 // Request is one request with its whole body.
@@ -21,6 +23,8 @@
 	*http.Request
 	Payload []byte
 	Arrived time.Time // when its first byte was read
+
+	memory *memory.Hold // counts the payload
 }
 
 // Answer is the final response of a request.
@@ -28,6 +32,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	Memory *memory.Hold // released once the answer was written or dropped; may be nil
 }
 
 // Limits bounds what a caller may send.
@@ -63,9 +68,8 @@
 type Server struct {
 	handler  Handler
 	maxConns int
-	maxHeld  int64 // bytes of bodies of requests that run
+	bodies   *memory.Budget // of requests that run
 
-	held    atomic.Int64
 	active  atomic.Int64 // requests that were read and not answered
 	closing atomic.Bool
 
@@ -77,16 +81,7 @@
 
 // NewServer returns a server that keeps at most maxConns connections, and at most maxHeld bytes of bodies at a time.
 func NewServer(h Handler, maxConns int, maxHeld int64) *Server {
-	return &Server{handler: h, maxConns: maxConns, maxHeld: maxHeld, conns: map[*conn]struct{}{}}
-}
-
-// hold takes memory for a body and reports whether there was enough.
-func (s *Server) hold(n int64) bool {
-	if s.held.Add(n) <= s.maxHeld {
-		return true
-	}
-	s.held.Add(-n)
-	return false
+	return &Server{handler: h, maxConns: maxConns, bodies: memory.NewBudget(maxHeld), conns: map[*conn]struct{}{}}
 }
 
 // Serve accepts connections until the listener is closed.
--- a/internal/connection/link/capacity_test.go
+++ b/internal/connection/link/capacity_test.go
@@ -36,7 +36,7 @@
 		go func() { _ = srv.Serve(l) }()
 		t.Cleanup(func() { _ = srv.Close() })
 	}
-	before := memory()
+	before := memoryInUse()
 	dialer := NewPool(Config{Self: Peer{Address: "dialer"}, DialTimeout: 10 * time.Second}, WebSocketDialer(http.DefaultClient), handler, log)
 	for _, a := range addresses {
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
@@ -44,7 +44,7 @@
 		cancel()
 		require.Equal(t, "answered", r.Outcome.String(), "%v", r.Err)
 	}
-	after := memory()
+	after := memoryInUse()
 	t.Logf("%d links: %d bytes a link, both ends", *capacityLinks, (after-before)/uint64(*capacityLinks))
 	dialer.Close()
 	for _, p := range pools {
@@ -53,7 +53,7 @@
 }
 
 // memory returns the heap and stacks in use.
-func memory() uint64 {
+func memoryInUse() uint64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
--- a/internal/connection/link/outbound.go
+++ b/internal/connection/link/outbound.go
@@ -12,6 +12,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
@@ -43,6 +44,7 @@
 	response chan *message.Response // capacity 1
 	head     *message.Response      // response whose body is not whole yet
 	body     *wire.Assembly
+	memory   *memory.Hold // counts the body
 }
 
 // handshake exchanges the hello frames on a new connection.
@@ -180,7 +182,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	c := &call{id: req.ID, out: &outgoing{frames: frames}, response: make(chan *message.Response, 1)}
+	c := &call{id: req.ID, out: &outgoing{frames: frames}, response: make(chan *message.Response, 1), memory: req.Memory}
 	if !o.writer.enqueue(c.out) {
 		return 0, nil, nil
 	}
@@ -271,6 +273,9 @@
 		return
 	}
 	body, err := wire.NewAssembly(f.BodySize, f.Part, o.cfg.MaxBody)
+	if err == nil && !c.memory.Take(int64(f.BodySize)) {
+		err = memory.ErrBudget
+	}
 	if err != nil {
 		o.refuse(f.Stream, err)
 		return
--- /dev/null
+++ b/internal/connection/targetconn/endless_test.go
@@ -0,0 +1,183 @@
+package targetconn
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/metrics"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
+)
+
+const ownHead = "HTTP/1.1 200 OK\r\nId: a\r\n"
+
+// endlessAnswers are the ways in which a faulty target sends bytes until its caller closes: a start, and what follows it again
+// and again.
+var endlessAnswers = map[string]struct{ start, again string }{
+	"one header line":         {ownHead + "X: ", strings.Repeat("x", 1<<10)},
+	"many header lines":       {ownHead, "X: y\r\n"},
+	"status line":             {"HTTP/1.1 200 ", strings.Repeat("O", 1<<10)},
+	"informational responses": {"", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"},
+	"chunks":                  {ownHead + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"},
+	"chunk extension":         {ownHead + "Transfer-Encoding: chunked\r\n\r\n1;x=", strings.Repeat("x", 1<<10)},
+	"chunk extensions":        {ownHead + "Transfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("x", 1<<10) + "\r\nx\r\n"},
+	"trailers":                {ownHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+	"body without length":     {ownHead + "\r\n", strings.Repeat("x", 1<<10)},
+	"answers to others":       {"", answer("b", strings.Repeat("x", 1<<10))},
+	"body of another":         {"HTTP/1.1 200 OK\r\nId: b\r\n\r\n", strings.Repeat("x", 1<<10)},
+	"no protocol":             {"", "\x00\xff"},
+}
+
+func endless(start, again string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		b := []byte(start)
+		for {
+			if _, err := c.Write(b); err != nil {
+				return
+			}
+			b = []byte(strings.Repeat(again, 1+4096/len(again)))
+		}
+	}
+}
+
+// Guards against a node that reads without end what a faulty target sends until its caller closes: the exchange ends by itself
+// after a bounded number of bytes, with its connection closed.
+func TestBytesWithoutEndEndTheExchange(t *testing.T) {
+	for name, a := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeTarget{scripts: []func(net.Conn, *bufio.Reader){endless(a.start, a.again)}}
+				p := f.pool()
+				_, err := do(t, p, "a")
+				var failed *Error
+				require.ErrorAs(t, err, &failed)
+				require.True(t, failed.Sent, "the target may have run it")
+				require.NotErrorIs(t, err, context.DeadlineExceeded, "only the deadline ended it")
+				require.Empty(t, p.idle)
+			})
+		})
+	}
+}
+
+// Guards against an answer whose bytes come one by one, so that no bound is ever reached: the deadline ends it.
+func TestDripFeedEndsAtTheDeadline(t *testing.T) {
+	for name, start := range map[string]string{
+		"head": ownHead + "X: ", "body": ownHead + "Content-Length: 1000\r\n\r\n", "chunks": ownHead + "Transfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeTarget{scripts: []func(net.Conn, *bufio.Reader){func(c net.Conn, br *bufio.Reader) {
+					readOne(t, br)
+					_, err := io.WriteString(c, start)
+					for err == nil {
+						time.Sleep(100 * time.Millisecond)
+						_, err = io.WriteString(c, "1")
+					}
+				}}}
+				began := time.Now()
+				_, err := do(t, f.pool(), "a")
+				require.ErrorIs(t, err, context.DeadlineExceeded)
+				require.Equal(t, 5*time.Second, time.Since(began))
+				time.Sleep(time.Second) // the target notices the closed connection
+			})
+		})
+	}
+}
+
+// Guards against a node that is killed for its memory while every slot of a target sends without end: 139 slots at the largest
+// target of the users, on a VM with 184 MB.
+func TestMemoryIsBoundedWhileEverySlotSendsWithoutEnd(t *testing.T) {
+	const slots, allowed, held = 139, 16 << 20, 48 << 20
+	budget := memory.NewBudget(allowed)
+	before := liveHeap()
+	var wg sync.WaitGroup
+	for name, a := range endlessAnswers {
+		for range slots {
+			wg.Go(func() {
+				f := &fakeTarget{scripts: []func(net.Conn, *bufio.Reader){endless(a.start, a.again)}}
+				h := budget.Hold()
+				defer h.Release()
+				x := exchange("a")
+				x.MaxBody, x.Memory = 16<<20, h
+				_, err := f.pool().Do(t.Context(), x)
+				require.Error(t, err, name)
+			})
+		}
+		done := make(chan struct{})
+		go func() { wg.Wait(); close(done) }()
+		for running := true; running; {
+			select {
+			case <-done:
+				running = false
+			case <-time.After(5 * time.Millisecond):
+			}
+			require.Less(t, liveHeap()-before, int64(held), name)
+		}
+	}
+	require.Zero(t, budget.Used())
+}
+
+// liveHeap collects garbage and returns the bytes of the heap that are in use.
+func liveHeap() int64 {
+	runtime.GC()
+	s := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(s)
+	return int64(s[0].Value.Uint64())
+}
+
+// Guards against bytes of any kind that make the reader of answers panic, hang, or return an answer that is not whole.
+func FuzzAnswer(f *testing.F) {
+	for _, a := range endlessAnswers {
+		f.Add([]byte(a.start+a.again), 3)
+	}
+	f.Add([]byte(answer("a", "body")), 1)
+	f.Add([]byte(ownHead+"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), 7)
+	f.Fuzz(func(t *testing.T, bytes []byte, piece int) {
+		ours, theirs := net.Pipe()
+		go func() {
+			defer theirs.Close()
+			br := bufio.NewReader(theirs)
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			for step := max(1, piece&0xff); len(bytes) > 0; {
+				n := min(step, len(bytes))
+				if _, err := theirs.Write(bytes[:n]); err != nil {
+					return
+				}
+				bytes = bytes[n:]
+			}
+		}()
+		p := NewPool("target")
+		p.dial = func(context.Context) (net.Conn, error) { return ours, nil }
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		a, err := p.Do(ctx, exchange("a"))
+		if err != nil {
+			require.NotErrorIs(t, err, context.DeadlineExceeded)
+			return
+		}
+		require.Equal(t, "a", a.Header.Get("Id"))
+		require.LessOrEqual(t, len(a.Body), exchange("a").MaxBody)
+		if stated := a.Header.Get("Content-Length"); stated != "" && a.Header.Get("Transfer-Encoding") == "" {
+			var n int
+			if _, err := fmt.Sscan(stated, &n); err == nil {
+				require.Len(t, a.Body, n)
+			}
+		}
+	})
+}
--- a/internal/connection/targetconn/targetconn.go
+++ b/internal/connection/targetconn/targetconn.go
@@ -18,6 +18,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
 )
 
 // Exchange is one request with the rules for its answer.
@@ -31,6 +33,8 @@
 	Owns func(http.Header) bool
 	// MaxBody bounds the body of the answer, in bytes.
 	MaxBody int
+	// Memory counts the body of the answer; nil: not counted.
+	Memory *memory.Hold
 }
 
 // Answer is a complete answer.
@@ -68,13 +72,17 @@
 	// meanwhile, because the target may answer before it has read everything.
 	inlineWrite = 2 << 10
 	readBuffer  = 4 << 10
+	// maxHead bounds the bytes of all heads and trailers that arrive for one exchange, those of informational responses and of
+	// skipped answers included. HTTP servers commonly accept heads of 8 to 32 KiB; parsed, short lines take ten times as much.
+	maxHead = 32 << 10
 )
 
 // Errors of exchanges.
 var (
-	ErrBodySize = errors.New("body of the answer exceeds its limit")
-	ErrForeign  = errors.New("only answers to other requests arrived")
-	errUnread   = errors.New("bytes arrived before the request was sent")
+	ErrAnswerSize = errors.New("answer exceeds its limit")
+	ErrForeign    = errors.New("only answers to other requests arrived")
+
+	errInformational = errors.New("too many informational responses")
 )
 
 // Pool keeps the connections to one target.
@@ -116,6 +124,7 @@
 
 type conn struct {
 	nc    net.Conn
+	in    meter
 	br    *bufio.Reader
 	since time.Time     // start of the present idle time
 	limit time.Duration // longest idle time
@@ -165,7 +174,9 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), limit: maxIdle}, nil
+	c := &conn{nc: nc, in: meter{r: nc}, limit: maxIdle}
+	c.br = bufio.NewReaderSize(&c.in, readBuffer)
+	return c, nil
 }
 
 func (p *Pool) pop() *conn {
@@ -245,16 +256,19 @@
 // readAnswer reads the answer to the request and skips those to earlier ones.
 func (c *conn) readAnswer(x *Exchange) (a *Answer, keep bool, err error) {
 	req := &http.Request{Method: x.Method}
+	heads := maxHead // bytes that heads and trailers may still take
 	for skipped := 0; skipped <= maxSkipped; {
-		resp, err := c.readFinal(req)
+		resp, err := c.readFinal(req, &heads)
 		if err != nil {
 			return nil, false, err
 		}
-		body, err := readBody(resp, x.MaxBody)
+		c.in.left = bodyAllowance(x.MaxBody) + heads
+		owned := x.Owns(resp.Header)
+		body, err := readBody(resp, x, owned)
 		if err != nil {
 			return nil, false, err
 		}
-		if x.Owns(resp.Header) {
+		if owned {
 			c.learnLimit(resp.Header)
 			return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, !resp.Close && framed(resp), nil
 		}
@@ -266,37 +280,55 @@
 	return nil, false, ErrForeign
 }
 
-func (c *conn) readFinal(req *http.Request) (*http.Response, error) {
+// bodyAllowance returns the bytes on the connection that a body may take. The library bounds the framing of chunks to less than
+// the chunks themselves, beyond a constant.
+func bodyAllowance(limit int) int { return 2*limit + maxHead }
+
+// readFinal reads the next head that is not informational. What it reads is taken from the allowance for heads.
+func (c *conn) readFinal(req *http.Request, heads *int) (*http.Response, error) {
 	for range maxInformational {
+		c.in.left = max(0, *heads-c.br.Buffered()) // what is in the buffer may hold the whole head
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
 			return nil, err
 		}
+		*heads = c.in.left // without what the buffer holds of the body, which is little
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
-	return nil, errUnread
+	return nil, errInformational
+}
+
+// meter fails once the allowed number of bytes was read, so that nothing is read without end.
+type meter struct {
+	r    io.Reader
+	left int
 }
 
-func readBody(resp *http.Response, limit int) ([]byte, error) {
+func (m *meter) Read(p []byte) (int, error) {
+	if m.left <= 0 {
+		return 0, ErrAnswerSize
+	}
+	n, err := m.r.Read(p[:min(len(p), m.left)])
+	m.left -= n
+	return n, err
+}
+
+// readBody reads the body of an answer. The body of an answer to another request is dropped as it arrives.
+func readBody(resp *http.Response, x *Exchange, owned bool) ([]byte, error) {
 	defer resp.Body.Close()
-	if resp.ContentLength > int64(limit) {
-		return nil, ErrBodySize
+	if resp.Request.Method == http.MethodHead {
+		return nil, nil
 	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		if resp.Request.Method == http.MethodHead {
-			return nil, nil
-		}
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
+	if owned {
+		return x.Memory.ReadAll(resp.Body, resp.ContentLength, x.MaxBody)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
-	if err == nil && len(body) > limit {
-		err = ErrBodySize
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, int64(x.MaxBody)+1))
+	if err == nil && n > int64(x.MaxBody) {
+		err = memory.ErrSize
 	}
-	return body, err
+	return nil, err
 }
 
 // framed reports whether the end of the answer was marked by something other than the end of the connection.
--- a/internal/connection/wire/convert.go
+++ b/internal/connection/wire/convert.go
@@ -145,8 +145,7 @@
 		a.body = first
 		return a, nil
 	}
-	a.body = make([]byte, 0, size)
-	return a, a.Add(0, first)
+	return a, a.Add(0, first) // grows as parts arrive: a stated size takes no memory
 }
 
 // Add appends a part.
--- a/internal/process/node/targettransport.go
+++ b/internal/process/node/targettransport.go
@@ -15,6 +15,7 @@
 	// targetIdleTimeout is shorter than the idle timeouts that servers usually have, so that a request rarely meets a
 	// connection that its target has just closed.
 	targetIdleTimeout = 15 * time.Second
+	maxResponseHead   = 32 << 10 // bytes; see maxHead of package targetconn
 
 	locationHeader = "Location"
 	// heldLocationHeader holds the value of locationHeader while a response passes the client of the library.
@@ -44,6 +45,8 @@
 		MaxIdleConnsPerHost: 1024,
 		IdleConnTimeout:     targetIdleTimeout,
 		DisableCompression:  true, // bodies pass unchanged
+		// The library's default is 10 MiB for each response.
+		MaxResponseHeaderBytes: maxResponseHead,
 	}}
 }
 
--- a/internal/process/platform/client.go
+++ b/internal/process/platform/client.go
@@ -18,7 +18,8 @@
 
 const (
 	// maxResponse bounds the memory that one response can take. It holds the largest policy body with room to spare.
-	maxResponse = 16 << 20
+	maxResponse     = 16 << 20
+	maxResponseHead = 64 << 10 // bytes
 	// maxIdleConnections keeps connections for the usual concurrency of one node: a few claims and the head row.
 	maxIdleConnections = 8
 	idleTimeout        = 30 * time.Second
@@ -45,6 +46,8 @@
 		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
+		// The library's default of 10 MiB is too much for a node of some hundred MB.
+		MaxResponseHeaderBytes: maxResponseHead,
 		// HTTP/1.1 only: the rules on what was provably not sent are those of its connections.
 		Protocols: new(http.Protocols),
 	}
--- a/internal/process/sidecar/handlers.go
+++ b/internal/process/sidecar/handlers.go
@@ -31,11 +31,14 @@
 		}
 		return h.Reject(reject.Status, reject.Detail)
 	}
+	req.Memory = h.s.answers.Hold()
 	resp := h.s.path.Serve(ctx, req)
 	took := time.Since(r.Arrived)
 	h.s.metrics.Request(faceEntry, resp, took)
 	h.s.logEnd(req, resp, took)
-	return h.s.opts.Codec.EncodeAnswer(req, resp)
+	a := h.s.opts.Codec.EncodeAnswer(req, resp)
+	a.Memory = req.Memory
+	return a
 }
 
 // Reject implements entry.Handler.
@@ -78,6 +81,8 @@
 // HandleRequest implements link.Handler.
 func (h linkHandler) HandleRequest(ctx context.Context, _ link.Peer, req *message.Request) *message.Response {
 	start := time.Now()
+	req.Memory = h.s.answers.Hold()
+	defer req.Memory.Release()
 	r := h.s.path.Deliver(ctx, req)
 	h.s.metrics.Request(facePeer, r, time.Since(start))
 	return r
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -24,6 +24,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/report"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
@@ -84,6 +85,7 @@
 	directory *directory.Directory
 	tracker   *report.Tracker
 	entry     *entry.Server
+	answers   *memory.Budget // bodies of answers that the node holds
 	metrics   *metrics.Metrics
 	failures  *event.Limiter // lines on requests that were refused, repeated or failed
 	samples   *event.Limiter // lines on requests that were answered
@@ -115,6 +117,9 @@
 	// frame and the write to the target, so that three times as much is taken.
 	bodyShare = 0.15
 	minMemory = 128 << 20
+	// answerShare is the part of the memory for bodies of answers. An answer is held once as it was read and once more in the
+	// frames or the buffer in which it is written, beside the requests.
+	answerShare = 0.1
 	// linkSilence is the time without a frame after which a link with waiting requests is given up. Requests have to be
 	// served within one to two seconds.
 	linkSilence       = 600 * time.Millisecond
@@ -137,6 +142,7 @@
 		failures: event.NewLimiter(failuresPerSecond),
 		samples:  event.NewLimiter(samplesPerSecond),
 	}
+	s.answers = memory.NewBudget(int64(answerShare * float64(max(s.settings.MemoryBytes, minMemory))))
 	s.retryBurst.Store(&opts.Settings.RetryBurst)
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	incarnation := uint64(s.started.UnixMilli())
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -47,6 +47,7 @@
 		Fresh:   !req.Idempotent,
 		Owns:    func(h http.Header) bool { return t.codec.Owns(req, h) },
 		MaxBody: maxAnswer,
+		Memory:  req.Memory,
 	})
 	if err == nil {
 		t.refused.Store(0)
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -8,6 +8,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
 )
 
 // Request is one call of one service.
@@ -37,6 +39,8 @@
 	Attempt  string    // the caller's own name of this attempt, echoed by the target
 	Instance string    // the only instance of the target that may run the request
 	Caller   string    // service of the machine on which the request began
+
+	Memory *memory.Hold // counts the bodies of answers that this node holds for the request; nil: not counted
 }
 
 // Mode tells the receiving node what to do with a request from a peer.
