Spread views by zone and digest, and let few nodes follow the store

Cause: control grew with the square of the nodes and more. Each node introduced itself to all and got the whole view back, sent each change to all, sent the whole view again wherever two digests differed, and sorted and hashed the whole directory for every message. Each node followed the operator's table itself.

Change: - the directory keeps sums of hashes in 64 buckets; a digest costs the same at any size, and a comparison exchanges only the buckets that differ; - a node tells its availability zone directly and two relays in each other zone, which gather for 10 ms and pass on; a node that starts is introduced the same way and asks two others for their view; - two nodes of each zone follow the operator's table and hand configurations to their zone; one that cannot use the store says so and the next takes its place; nodes next in line watch those ahead; a node alone follows by itself; - a start costs two store calls (its row, the list) instead of four and a feed; - a control message on a link is a reason to miss its peer: on a connection that was lost without a word it vanished, and so did the next ones; - a restarted node that knows nothing does not tell another that there is nothing to remember, so that a drain outlives the kill of most nodes.

Ruled out: direct words to all nodes for drains. A drain binds at the node that acknowledged it; relays bring it to all others within some 20 ms.

Tests on 60 nodes in 3 zones in virtual time: store calls of a start and of five changes, a configuration everywhere within 100 ms, followers cut off (within 1.9 s) and killed, a drain with dying relays and a third of the nodes without the store, a kill of nine in ten nodes after drains.

--- a/internal/connection/link/outbound.go
+++ b/internal/connection/link/outbound.go
@@ -33,6 +33,7 @@
 	calls      map[uint64]*call
 	nextStream uint64
 	waitSince  time.Time // when the first of the present calls began
+	toldSince  time.Time // when the first control message since the last frame of the peer was sent; zero: none
 	lastUse    time.Time
 	closed     bool
 }
@@ -364,13 +365,21 @@
 	}
 }
 
-// quiet returns how long the peer has been silent while calls waited, whether calls wait, and how long none did.
+// quiet returns how long the peer has been silent while something waited for it, whether something does, and how long the link
+// was not used. A control message waits until the peer is heard: on a link that was lost without a word it would vanish, and
+// so would the next ones.
 func (o *outbound) quiet(now time.Time) (silent time.Duration, waiting bool, idle time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	since := o.reader.heard()
-	if o.waitSince.After(since) {
-		since = o.waitSince
+	heard := o.reader.heard()
+	if heard.After(o.toldSince) {
+		o.toldSince = time.Time{}
+	}
+	since := heard
+	for _, start := range []time.Time{o.waitSince, o.toldSince} {
+		if start.After(since) {
+			since = start
+		}
 	}
-	return now.Sub(since), len(o.calls) > 0, now.Sub(o.lastUse)
+	return now.Sub(since), len(o.calls) > 0 || !o.toldSince.IsZero(), now.Sub(o.lastUse)
 }
--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -92,11 +92,15 @@
 	return nil
 }
 
-// touch keeps the link from being closed as idle.
+// touch notes that a control message is sent: the link is in use, and the peer has to be heard after it.
 func (o *outbound) touch() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lastUse = time.Now()
+	now := time.Now()
+	o.lastUse = now
+	if o.toldSince.IsZero() {
+		o.toldSince = now
+	}
 }
 
 // link returns a usable link to the peer and dials one if there is none. Concurrent callers wait for the same dial.
--- /dev/null
+++ b/internal/process/directory/digest.go
@@ -0,0 +1,132 @@
+package directory
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is the number of parts into which the entries are divided to find those that differ. At 2,300 nodes a part holds 36.
+const Buckets = 64
+
+// Sums are the sums of the hashes of all entries, by bucket. They change with each entry at a constant cost.
+type Sums [Buckets]uint64
+
+func (s *Sums) add(m Member)      { s[bucket(m.Address)] += hash(m) }
+func (s *Sums) subtract(m Member) { s[bucket(m.Address)] -= hash(m) }
+
+func bucket(address string) int { return int(xxhash.Sum64String(address) % Buckets) }
+
+// hash returns the hash of an entry, or zero for a node that was introduced only: nothing of it could be passed on.
+func hash(m Member) uint64 {
+	if m.Incarnation == 0 {
+		return 0
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(m.Address) // a hash never fails
+	_, _ = h.WriteString(m.Instance)
+	b := [17]byte{byte(m.Phase)} // a remembered drain differs from what its node says
+	binary.BigEndian.PutUint64(b[1:9], m.Incarnation)
+	binary.BigEndian.PutUint64(b[9:], m.Revision)
+	_, _ = h.Write(b[:])
+	return h.Sum64()
+}
+
+// Digest returns a hash of all entries. Two nodes with the same digest have the same view.
+func (d *Directory) Digest() uint64 {
+	sums := d.Sums()
+	h := xxhash.New()
+	var b [8]byte
+	for _, sum := range sums {
+		binary.BigEndian.PutUint64(b[:], sum)
+		_, _ = h.Write(b[:])
+	}
+	return h.Sum64()
+}
+
+// Sums returns the hashes of all buckets.
+func (d *Directory) Sums() Sums {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sums
+}
+
+// Differing returns the buckets in which another node's sums differ from this one's.
+func (d *Directory) Differing(theirs []uint64) []int {
+	sums := d.Sums()
+	var out []int
+	for i := range sums {
+		if i >= len(theirs) || theirs[i] != sums[i] {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// In returns the entries of the given buckets in the order of their addresses.
+func (d *Directory) In(buckets []int) []Member {
+	var wanted [Buckets]bool
+	for _, b := range buckets {
+		if b >= 0 && b < Buckets {
+			wanted[b] = true
+		}
+	}
+	var out []Member
+	for _, m := range d.All() {
+		if m.Incarnation != 0 && wanted[bucket(m.Address)] {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Lacking returns those of the given buckets' entries of which a list holds none, or only an older one.
+func (d *Directory) Lacking(buckets []int, list []Member) []Member {
+	theirs := make(map[string]Member, len(list))
+	for _, m := range list {
+		theirs[m.Address] = m
+	}
+	return slices.DeleteFunc(d.In(buckets), func(m Member) bool {
+		have, ok := theirs[m.Address]
+		return ok && hash(have) == hash(m)
+	})
+}
+
+// Neighbours returns the nodes that can be reached: those of this node's availability zone, and the others by zone.
+func (d *Directory) Neighbours() (zone []string, others map[string][]string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	own := d.members[d.self].Zone
+	others = map[string][]string{}
+	for address, m := range d.members {
+		switch {
+		case address == d.self || d.isDown(address):
+		case m.Zone == own:
+			zone = append(zone, address)
+		default:
+			others[m.Zone] = append(others[m.Zone], address)
+		}
+	}
+	return zone, others
+}
+
+// Ahead returns the nodes before this one among those of its availability zone that can be reached and do not stop, in an order
+// on which all nodes agree.
+func (d *Directory) Ahead() []Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	self := d.members[d.self]
+	rank := xxhash.Sum64String(d.self)
+	var out []Member
+	for address, m := range d.members {
+		if m.Zone != self.Zone || m.Leaving || d.isDown(address) {
+			continue
+		}
+		if cmp.Or(cmp.Compare(xxhash.Sum64String(address), rank), cmp.Compare(address, d.self)) < 0 {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -7,14 +7,11 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wigeoncleat/wigeoncleat/internal/process/report"
 )
 
@@ -31,6 +28,7 @@
 	Slots       int          `cbor:"9,keyasint,omitempty"`
 	Phase       report.Phase `cbor:"10,keyasint,omitempty"`
 	Leaving     bool         `cbor:"11,keyasint,omitempty"` // the node itself stops
+	Cut         bool         `cbor:"12,keyasint,omitempty"` // the node cannot use the platform's store
 }
 
 // Serving reports whether the member's target takes work.
@@ -66,14 +64,28 @@
 	mu      sync.Mutex
 	members map[string]Member
 	down    map[string]time.Time // nodes that could not be reached, since when
+	sums    Sums                 // of members
 }
 
 // New returns a directory that holds the node's own entry.
 func New(self Member) *Directory {
-	return &Directory{
-		self:    self.Address,
-		members: map[string]Member{self.Address: self},
-		down:    map[string]time.Time{},
+	d := &Directory{self: self.Address, members: map[string]Member{}, down: map[string]time.Time{}}
+	d.put(self)
+	return d
+}
+
+// put stores an entry. The caller holds the mutex.
+func (d *Directory) put(m Member) {
+	d.drop(m.Address)
+	d.members[m.Address] = m
+	d.sums.add(m)
+}
+
+// drop removes an entry. The caller holds the mutex.
+func (d *Directory) drop(address string) {
+	if old, ok := d.members[address]; ok {
+		d.sums.subtract(old)
+		delete(d.members, address)
 	}
 }
 
@@ -91,7 +103,7 @@
 	m := d.members[d.self]
 	change(&m)
 	m.Revision++
-	d.members[d.self] = m
+	d.put(m)
 	return m
 }
 
@@ -115,7 +127,7 @@
 				out.Echo = &echo
 				if m.Incarnation > own.Incarnation {
 					own.Incarnation = m.Incarnation + 1
-					d.members[d.self] = own
+					d.put(own)
 				}
 			}
 			continue
@@ -125,20 +137,20 @@
 			continue
 		}
 		m.remember(have)
-		d.members[m.Address] = m
+		d.put(m)
 		out.Changed = append(out.Changed, m)
 	}
 	return out
 }
 
-// Introduce adds an address of which nothing else is known and reports whether it was new.
-func (d *Directory) Introduce(address string) bool {
+// Introduce adds an address of which only the availability zone is known, or nothing, and reports whether it was new.
+func (d *Directory) Introduce(address, zone string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, ok := d.members[address]; ok {
 		return false
 	}
-	d.members[address] = Member{Address: address}
+	d.put(Member{Address: address, Zone: zone})
 	return true
 }
 
@@ -147,7 +159,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if address != d.self {
-		delete(d.members, address)
+		d.drop(address)
 		delete(d.down, address)
 	}
 }
@@ -211,8 +223,10 @@
 
 // Targets returns the entries whose targets take work and whose nodes can be reached, by service.
 func (d *Directory) Targets() map[string][]Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	out := map[string][]Member{}
-	for _, m := range d.All() {
+	for _, m := range d.members {
 		if m.Serving() && !d.isDown(m.Address) {
 			out[m.Service] = append(out[m.Service], m)
 		}
@@ -220,9 +234,8 @@
 	return out
 }
 
+// isDown reports whether a node could not be reached. The caller holds the mutex.
 func (d *Directory) isDown(address string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	_, ok := d.down[address]
 	return ok
 }
@@ -233,20 +246,3 @@
 	defer d.mu.Unlock()
 	return len(d.members)
 }
-
-// Digest returns a hash of all entries. Two nodes with the same digest have the same view.
-func (d *Directory) Digest() uint64 {
-	h := xxhash.New()
-	for _, m := range d.All() {
-		if m.Incarnation == 0 {
-			continue // introduced only: nothing that could be passed on
-		}
-		_, _ = h.WriteString(m.Address) // a hash never fails
-		_, _ = h.WriteString(m.Instance)
-		b := [17]byte{byte(m.Phase)} // a remembered drain differs from what its node says
-		binary.BigEndian.PutUint64(b[1:9], m.Incarnation)
-		binary.BigEndian.PutUint64(b[9:], m.Revision)
-		_, _ = h.Write(b[:])
-	}
-	return h.Sum64()
-}
--- a/internal/process/directory/directory_test.go
+++ b/internal/process/directory/directory_test.go
@@ -88,8 +88,8 @@
 func TestIntroducedNodeIsNoTarget(t *testing.T) {
 	d := New(member("a", 1, 0))
 	digest := d.Digest()
-	require.True(t, d.Introduce("b"))
-	require.False(t, d.Introduce("b"))
+	require.True(t, d.Introduce("b", ""))
+	require.False(t, d.Introduce("b", ""))
 	require.Equal(t, digest, d.Digest())
 	require.Len(t, d.Targets()["menu"], 1)
 }
--- a/internal/process/sidecar/learn.go
+++ b/internal/process/sidecar/learn.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/process/directory"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
 )
@@ -15,8 +16,20 @@
 	// StoreTimeout bounds one call of the store, which answers in milliseconds when it is well.
 	StoreTimeout = 1500 * time.Millisecond
 	// feedWait is the mean time for which a feed waits. A connection of the feed that has gone silent is noticed after it;
-	// meanwhile other nodes pass changes on. The store keeps 20 s of history.
-	feedWait = 14 * time.Second
+	// meanwhile other followers pass changes on. The store keeps 20 s of history.
+	feedWait = 6 * time.Second
+	// followers is the number of nodes of an availability zone that follow the store; the others hear of changes from them.
+	// maxFollowers bounds those that try while others cannot use the store.
+	followers    = 2
+	maxFollowers = 4 * followers
+	// followCheck is the time between two looks at whether this node is a follower.
+	followCheck = 250 * time.Millisecond
+	// cutTime is the time for which a follower that cannot use the store leaves its place to another one.
+	cutTime = 4 * time.Second
+	// peerPatience is the time after its start in which a node that is no follower waits for the configuration from others.
+	peerPatience = 3 * time.Second
+	// registerPatience is the time after its start for which a node waits to see the others before it ranks itself.
+	registerPatience = time.Second
 	// firstStorePause and maxStorePause bound the pause after a failed call.
 	firstStorePause = 200 * time.Millisecond
 	maxStorePause   = 2 * time.Second
@@ -66,6 +79,7 @@
 		n, err := s.tryRegister()
 		state.note(err)
 		if err == nil {
+			s.registered.Store(true)
 			event.Log(s.log, event.NodeRegistered, slog.Int("nodes", n))
 			return
 		}
@@ -75,12 +89,11 @@
 	}
 }
 
-// tryRegister writes the node's row and introduces the node to all others.
+// tryRegister writes the node's row, reads those of others, and introduces the node.
 func (s *Sidecar) tryRegister() (int, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, StoreTimeout)
 	defer cancel()
-	// The value is for people who look into the store; the key says everything.
-	_, err := s.opts.Nodes.Put(ctx, s.settings.PeerAddress, []byte(s.settings.Node), platform.Condition{})
+	_, err := s.opts.Nodes.Put(ctx, s.settings.PeerAddress, []byte(s.settings.Zone), platform.Condition{})
 	if err != nil {
 		return 0, err
 	}
@@ -89,11 +102,9 @@
 		return 0, err
 	}
 	for _, row := range rows {
-		if row.Key != s.settings.PeerAddress {
-			s.directory.Introduce(row.Key)
-			s.send(row.Key, s.introduction(row.Key))
-		}
+		s.directory.Introduce(row.Key, string(row.Value))
 	}
+	s.introduce()
 	return len(rows), nil
 }
 
@@ -106,12 +117,43 @@
 	}
 }
 
-// followConfig keeps the configuration up to date.
+// follows reports whether this node is one of those that follow the store for its availability zone. A node that reaches no
+// other one is.
+func (s *Sidecar) follows() bool {
+	up := time.Since(s.started)
+	if !s.registered.Load() && up < registerPatience {
+		return false
+	}
+	ahead := s.directory.Ahead()
+	usable := 0
+	for _, m := range ahead {
+		if !m.Cut {
+			usable++
+		}
+	}
+	return usable < followers && len(ahead) < maxFollowers || s.routes.Load() == nil && up >= peerPatience
+}
+
+// setCut tells the other nodes whether this one can use the store.
+func (s *Sidecar) setCut(cut bool) {
+	if s.directory.Self().Cut == cut {
+		return
+	}
+	m := s.directory.Update(func(m *directory.Member) { m.Cut = cut })
+	s.broadcast(m)
+}
+
+// followConfig keeps the configuration up to date while this node is a follower.
 func (s *Sidecar) followConfig() {
 	state := storeState{log: s.log, step: "configuration"}
 	var wait backoff
 	var after platform.Version
 	for s.ctx.Err() == nil {
+		if !s.follows() {
+			after = ""
+			s.sleep(followCheck)
+			continue
+		}
 		var err error
 		if after == "" {
 			after, err = s.readConfig()
@@ -119,16 +161,40 @@
 			after, err = s.nextConfig(after)
 		}
 		if errors.Is(err, platform.ErrHistory) {
-			after = ""
+			after, err = "", nil // the history is short; the store itself works
 		}
 		state.note(err)
-		if err != nil {
-			if !wait.pause(s.ctx) {
-				return
-			}
+		if err == nil {
+			wait = backoff{}
 			continue
 		}
-		wait = backoff{}
+		s.leavePlace(&wait)
+	}
+}
+
+// leavePlace lets another node follow the store for a while, or tries again soon where there is none.
+func (s *Sidecar) leavePlace(wait *backoff) {
+	s.setCut(true)
+	if s.routes.Load() == nil || !s.hasNeighbours() {
+		wait.pause(s.ctx)
+	} else {
+		s.sleep(cutTime/2 + rand.N(cutTime))
+	}
+	s.setCut(false)
+}
+
+func (s *Sidecar) hasNeighbours() bool {
+	zone, _ := s.directory.Neighbours()
+	return len(zone) > 0
+}
+
+// sleep waits unless the process ends.
+func (s *Sidecar) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.ctx.Done():
 	}
 }
 
@@ -143,7 +209,7 @@
 	if err != nil {
 		return "", err
 	}
-	s.applyConfig(row.Value, "store")
+	s.takeConfig(row.Value)
 	return row.Version, nil
 }
 
@@ -154,23 +220,23 @@
 	}
 	for _, r := range rows {
 		if r.Key == s.opts.ConfigKey {
-			s.applyConfig(r.Value, "store")
+			s.takeConfig(r.Value)
 		}
 	}
 	return next, nil
 }
 
-// applyConfig puts a configuration in force unless it is older than the present one.
-func (s *Sidecar) applyConfig(body []byte, source string) {
+// applyConfig puts a configuration in force unless it is older than the present one, and reports whether it did.
+func (s *Sidecar) applyConfig(body []byte, source string) bool {
 	table, err := s.opts.DecodeConfig(body)
 	if err != nil {
 		event.Log(s.log, event.RoutesRejected, slog.String("source", source), slog.String("error", err.Error()))
-		return
+		return false
 	}
 	for {
 		old := s.routes.Load()
 		if old != nil && old.Version >= table.Version {
-			return
+			return false
 		}
 		if s.routes.CompareAndSwap(old, table) {
 			break
@@ -179,4 +245,22 @@
 	event.Log(s.log, event.RoutesApplied, slog.Uint64("version", uint64(table.Version)),
 		slog.String("source", source), slog.Int("routes", table.Routes()))
 	s.path.SetLimits(s.limitsOf(s.tracker.State(time.Now())))
+	return true
+}
+
+// takeConfig puts a configuration of the store in force and hands it to the nodes of this availability zone, where most do not
+// follow the store. Some nodes of other zones hear that there is a newer one: their own followers may be cut off from the store.
+func (s *Sidecar) takeConfig(body []byte) {
+	if !s.applyConfig(body, "store") {
+		return
+	}
+	zone, others := s.directory.Neighbours()
+	msg := s.message()
+	for _, address := range someOfEach(others, relays) {
+		s.send(address, msg)
+	}
+	msg.Config = s.packConfig()
+	for _, address := range zone {
+		s.send(address, msg)
+	}
 }
--- a/internal/process/sidecar/pull.go
+++ b/internal/process/sidecar/pull.go
@@ -79,7 +79,12 @@
 		event.Log(s.log, event.RoutesRejected, slog.String("source", "peer "+from), slog.String("error", err.Error()))
 		return
 	}
-	s.applyConfig(body, "peer "+from)
+	if !s.applyConfig(body, "peer "+from) {
+		return
+	}
+	if m, _ := s.directory.Member(from); m.Zone != s.settings.Zone {
+		s.gathered.config = true // the followers of this availability zone have not had it yet
+	}
 }
 
 func unpack(packed []byte) ([]byte, error) {
--- /dev/null
+++ b/internal/process/sidecar/scale_test.go
@@ -0,0 +1,262 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
+)
+
+// countedStore is the store as one node sees it. It counts the calls of all nodes.
+type countedStore struct {
+	*cluster
+	shared *sharedStore
+	cut    atomic.Bool // this node cannot use the store
+}
+
+// sharedStore is what the nodes share.
+type sharedStore struct {
+	mu      sync.Mutex
+	version int
+	changed chan struct{}
+	calls   atomic.Int64
+}
+
+func (s *countedStore) call() error {
+	s.shared.calls.Add(1)
+	if s.cut.Load() {
+		return errAway
+	}
+	return nil
+}
+
+func (s *countedStore) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := s.call(); err != nil {
+		return platform.Row{}, err
+	}
+	s.shared.mu.Lock()
+	defer s.shared.mu.Unlock()
+	return platform.Row{Key: key, Value: []byte{byte(s.shared.version)}, Version: platform.Version(strconv.Itoa(s.shared.version))}, nil
+}
+
+func (s *countedStore) Put(ctx context.Context, key string, value []byte, c platform.Condition) (platform.Version, error) {
+	if err := s.call(); err != nil {
+		return "", err
+	}
+	return s.cluster.Put(ctx, key, value, c)
+}
+
+func (s *countedStore) List(ctx context.Context, prefix string, limit int) ([]platform.Row, error) {
+	if err := s.call(); err != nil {
+		return nil, err
+	}
+	return s.cluster.List(ctx, prefix, limit)
+}
+
+func (s *countedStore) Follow(ctx context.Context, after platform.Version, wait time.Duration) ([]platform.Row, platform.Version, error) {
+	if err := s.call(); err != nil {
+		return nil, after, err
+	}
+	s.shared.mu.Lock()
+	changed := s.shared.changed
+	s.shared.mu.Unlock()
+	select {
+	case <-changed:
+	case <-time.After(wait):
+		return nil, after, nil
+	case <-ctx.Done():
+		return nil, after, ctx.Err()
+	}
+	row, err := s.Get(ctx, "config")
+	s.shared.calls.Add(-1) // the row came with the feed
+	return []platform.Row{row}, row.Version, err
+}
+
+// change writes the next version of the configuration and returns it.
+func (s *sharedStore) change() routing.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return routing.Version(s.version)
+}
+
+// fleet is a cluster of some size in three availability zones.
+type fleet struct {
+	*cluster
+	store  *sharedStore
+	stores map[string]*countedStore
+}
+
+const (
+	fleetZones = 3
+	fleetSize  = 60
+)
+
+func runFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{
+			cluster: &cluster{t: t, nodes: map[string]*Sidecar{}, rows: map[string][]byte{}},
+			store:   &sharedStore{version: 4, changed: make(chan struct{})},
+			stores:  map[string]*countedStore{},
+		}
+		for i := range fleetSize {
+			f.start(i)
+		}
+		defer func() {
+			for address := range f.nodes {
+				f.kill(address)
+			}
+			time.Sleep(time.Minute) // timers of the last links run out
+		}()
+		time.Sleep(settleTime + 2*time.Second)
+		test(t, f)
+	})
+}
+
+func (f *fleet) start(i int) *Sidecar {
+	address := fmt.Sprintf("n%02d", i)
+	f.stores[address] = &countedStore{cluster: f.cluster, shared: f.store}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	return f.startIn(fmt.Sprintf("zone-%d", i%fleetZones), address, "menu", f.stores[address], f.stores[address], log)
+}
+
+func (f *fleet) report(sequence int64) {
+	for _, s := range f.nodes {
+		require.NoError(f.t, s.reportReady(sequence))
+	}
+}
+
+func (f *fleet) requireTargets(n int) {
+	f.t.Helper()
+	for address, s := range f.nodes {
+		require.Len(f.t, s.directory.Targets()["menu"], n, "node %s", address)
+	}
+}
+
+func (f *fleet) requireVersion(v routing.Version) {
+	f.t.Helper()
+	for address, s := range f.nodes {
+		require.Equal(f.t, v, s.version(), "node %s", address)
+	}
+}
+
+// Guards against calls of the store that grow with nodes times changes, and against nodes that learn of others only by chance
+// when all start at once.
+func TestStartOfAllNodesCostsFewStoreCalls(t *testing.T) {
+	runFleet(t, func(t *testing.T, f *fleet) {
+		f.requireVersion(4)
+		f.report(1)
+		time.Sleep(2 * time.Second)
+		f.requireTargets(fleetSize)
+		started := f.store.calls.Load()
+		require.LessOrEqual(t, started, int64(3*fleetSize), "a row, a list, and the readers of the configuration")
+		for range 5 {
+			f.store.change()
+			time.Sleep(5 * time.Second)
+		}
+		perFollower := (f.store.calls.Load() - started) / (fleetZones * followers)
+		require.LessOrEqual(t, perFollower, int64(16), "5 changes and 25 s of feeds")
+	})
+}
+
+// Guards against a configuration that comes late where a node does not follow the store itself: the operators' bound is two
+// seconds.
+func TestConfigurationReachesAllNodesThroughFollowers(t *testing.T) {
+	runFleet(t, func(t *testing.T, f *fleet) {
+		v := f.store.change()
+		time.Sleep(100 * time.Millisecond)
+		f.requireVersion(v)
+	})
+}
+
+// Guards against an availability zone that stays at an old configuration because its followers are cut off from the store, or
+// are lost with all that they know.
+func TestFollowersThatAreCutOffOrLostAreReplaced(t *testing.T) {
+	runFleet(t, func(t *testing.T, f *fleet) {
+		for address, s := range f.nodes {
+			if s.settings.Zone == "zone-0" && s.follows() {
+				f.stores[address].cut.Store(true)
+			}
+		}
+		v := f.store.change()
+		time.Sleep(1900 * time.Millisecond)
+		f.requireVersion(v)
+
+		for address, s := range f.nodes {
+			if s.follows() {
+				f.kill(address)
+			}
+		}
+		v = f.store.change()
+		time.Sleep(10 * time.Second) // until the lost nodes are missed; machines in trouble have no bound
+		f.requireVersion(v)
+		v = f.store.change()
+		time.Sleep(1900 * time.Millisecond)
+		f.requireVersion(v)
+	})
+}
+
+// Guards against a drain that binds late because it is passed on by nodes that die on the way, while a third of the nodes cannot
+// use the store.
+func TestDrainReachesAllNodesThroughRelays(t *testing.T) {
+	runFleet(t, func(t *testing.T, f *fleet) {
+		f.report(1)
+		time.Sleep(2 * time.Second)
+		f.requireTargets(fleetSize)
+		i := 0
+		for address := range f.nodes {
+			if i%3 == 0 {
+				f.stores[address].cut.Store(true)
+			}
+			i++
+		}
+		require.NoError(t, f.nodes["n07"].Leave("i-n07"))
+		for _, address := range []string{"n00", "n10", "n20", "n30", "n40"} {
+			f.kill(address)
+		}
+		time.Sleep(2 * time.Second) // the operators' drain_s
+		for address, s := range f.nodes {
+			m, _ := s.directory.Member("n07")
+			require.False(t, m.Serving(), "node %s", address)
+		}
+	})
+}
+
+// Guards against a target that has left and is used again after most nodes were killed at once: those that live tell the others.
+func TestDrainOutlivesTheKillOfMostNodes(t *testing.T) {
+	runFleet(t, func(t *testing.T, f *fleet) {
+		f.report(5)
+		time.Sleep(2 * time.Second)
+		for _, address := range []string{"n03", "n04", "n05"} {
+			require.NoError(t, f.nodes[address].Leave("i-"+address))
+		}
+		time.Sleep(time.Second)
+		for i := range fleetSize * 9 / 10 {
+			f.kill(fmt.Sprintf("n%02d", i))
+		}
+		time.Sleep(300 * time.Millisecond)
+		for i := range fleetSize * 9 / 10 {
+			require.NoError(t, f.start(i).reportReady(4), "sent before the drain")
+		}
+		time.Sleep(6 * time.Second)
+		for address, s := range f.nodes {
+			for _, left := range []string{"n03", "n04", "n05"} {
+				m, _ := s.directory.Member(left)
+				require.False(t, m.Serving(), "node %s, target of %s", address, left)
+			}
+		}
+	})
+}
--- a/internal/process/sidecar/spread.go
+++ b/internal/process/sidecar/spread.go
@@ -16,12 +16,16 @@
 
 // viewMessage is what nodes tell each other of the directory and the configuration.
 type viewMessage struct {
-	Digest  uint64             `cbor:"1,keyasint"`           // of the sender's directory
-	Version uint64             `cbor:"2,keyasint"`           // of the sender's configuration
-	Members []directory.Member `cbor:"3,keyasint,omitempty"` // entries that the receiver may lack
-	Config  []byte             `cbor:"4,keyasint,omitempty"` // configuration that the receiver asked for, compressed
-	Ask     bool               `cbor:"5,keyasint,omitempty"` // the sender wants the entries that it lacks
-	Pull    bool               `cbor:"6,keyasint,omitempty"` // the sender wants the configuration
+	Digest  uint64             `cbor:"1,keyasint"`            // of the sender's directory
+	Version uint64             `cbor:"2,keyasint"`            // of the sender's configuration
+	Members []directory.Member `cbor:"3,keyasint,omitempty"`  // entries that the receiver may lack
+	Config  []byte             `cbor:"4,keyasint,omitempty"`  // configuration, compressed
+	Ask     bool               `cbor:"5,keyasint,omitempty"`  // the sender wants all entries that it lacks
+	Pull    bool               `cbor:"6,keyasint,omitempty"`  // the sender wants the configuration
+	Sums    []uint64           `cbor:"7,keyasint,omitempty"`  // of the sender's directory, by bucket
+	Wanted  []int              `cbor:"8,keyasint,omitempty"`  // buckets of which the sender wants the entries that it lacks
+	Relay   bool               `cbor:"9,keyasint,omitempty"`  // what is new to the receiver is for its availability zone too
+	Recall  bool               `cbor:"10,keyasint,omitempty"` // the sender has started and wants what is remembered of it
 }
 
 type inboundMessage struct {
@@ -33,21 +37,45 @@
 	// compareInterval is the mean time between two comparisons with a random node. A change that a node missed reaches it
 	// through comparisons within about a second.
 	compareInterval = time.Second
+	// nearShare is the share of comparisons within the availability zone, where bytes are not paid for.
+	nearShare = 0.75
 	// reachInterval is the time between tries to reach a node that is down.
 	reachInterval = 500 * time.Millisecond
 	// reachWidth is the number of nodes that are tried at once.
 	reachWidth  = 4
 	sendTimeout = time.Second
+	// relays is the number of nodes of each other availability zone that are told of a change and pass it on there.
+	relays = 2
+	// gatherTime is the time in which changes are gathered before they are passed on together. It bounds the messages when many
+	// nodes start at once.
+	gatherTime = 10 * time.Millisecond
+	// pageSize is the number of entries in one message. An entry takes about 130 bytes, and a message at most 256 KiB.
+	pageSize = 1000
 )
 
-// broadcast tells all nodes of a change of this node's own entry.
+// broadcast tells all nodes of a change of this node's own entry: those of its availability zone directly, the others through
+// relays.
 func (s *Sidecar) broadcast(m directory.Member) {
-	up, _ := s.directory.Peers()
+	zone, others := s.directory.Neighbours()
 	msg := s.message()
 	msg.Members = []directory.Member{m}
-	for _, address := range up {
+	for _, address := range zone {
 		s.send(address, msg)
 	}
+	msg.Relay = true
+	for _, address := range someOfEach(others, relays) {
+		s.send(address, msg)
+	}
+}
+
+// someOfEach returns up to n random nodes of each zone.
+func someOfEach(zones map[string][]string, n int) []string {
+	var out []string
+	for _, list := range zones {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		out = append(out, list[:min(n, len(list))]...)
+	}
+	return out
 }
 
 func (s *Sidecar) message() viewMessage {
@@ -78,11 +106,14 @@
 func (s *Sidecar) spread() {
 	timer := time.NewTimer(compareInterval)
 	defer timer.Stop()
-	var pull <-chan time.Time // set while a newer configuration is known
+	var pull, relay <-chan time.Time // set while a newer configuration is known, and while changes wait to be passed on
 	for {
 		if wait := s.puller.wait(time.Now(), uint64(s.version())); wait > 0 && pull == nil {
 			pull = time.After(wait)
 		}
+		if s.gathered.any() && relay == nil {
+			relay = time.After(gatherTime)
+		}
 		select {
 		case <-s.ctx.Done():
 			return
@@ -91,15 +122,94 @@
 		case <-pull:
 			pull = nil
 			s.pullNow()
+		case <-relay:
+			relay = nil
+			s.passOn()
 		case <-timer.C:
-			if up, _ := s.directory.Peers(); len(up) > 0 {
-				s.send(up[rand.IntN(len(up))], s.message())
+			if address, ok := s.comparePeer(); ok {
+				s.send(address, s.message())
 			}
+			s.watchFollowers()
 			timer.Reset(compareInterval/2 + rand.N(compareInterval))
 		}
 	}
 }
 
+// comparePeer chooses the node to compare with.
+func (s *Sidecar) comparePeer() (string, bool) {
+	zone, others := s.directory.Neighbours()
+	var far []string
+	for _, list := range others {
+		far = append(far, list...)
+	}
+	list := far
+	if len(zone) > 0 && (len(far) == 0 || rand.Float64() < nearShare) {
+		list = zone
+	}
+	if len(list) == 0 {
+		return "", false
+	}
+	return list[rand.IntN(len(list))], true
+}
+
+// watchFollowers compares with the nodes whose place as followers this one may have to take, so that it misses them soon.
+func (s *Sidecar) watchFollowers() {
+	ahead := s.directory.Ahead()
+	if len(ahead) >= maxFollowers {
+		return
+	}
+	msg := s.message()
+	for _, m := range ahead {
+		s.send(m.Address, msg)
+	}
+}
+
+// gathered is what came from another availability zone and is to be passed on in this one. It is used by the loop that receives
+// messages.
+type gathered struct {
+	members map[string]directory.Member
+	config  bool // the configuration in force is new here
+}
+
+func (g *gathered) any() bool { return len(g.members) > 0 || g.config }
+
+func (g *gathered) add(list []directory.Member) {
+	if g.members == nil {
+		g.members = map[string]directory.Member{}
+	}
+	for _, m := range list {
+		g.members[m.Address] = m
+	}
+}
+
+// passOn tells the nodes of this availability zone what came from others.
+func (s *Sidecar) passOn() {
+	zone, _ := s.directory.Neighbours()
+	msg := s.message()
+	if s.gathered.config {
+		msg.Config = s.packConfig()
+	}
+	for _, m := range s.gathered.members {
+		msg.Members = append(msg.Members, m)
+	}
+	s.gathered = gathered{}
+	for _, address := range zone {
+		s.sendPages(address, msg)
+	}
+}
+
+// sendPages sends a message whose entries may not fit into one.
+func (s *Sidecar) sendPages(address string, msg viewMessage) {
+	for list := msg.Members; ; list = list[pageSize:] {
+		msg.Members = list[:min(pageSize, len(list))]
+		s.send(address, msg)
+		if len(list) <= pageSize {
+			return
+		}
+		msg.Config, msg.Ask, msg.Pull, msg.Wanted = nil, false, false, nil
+	}
+}
+
 // pullNow asks the node that named a newer configuration for it, if it is due. No other message has to come for that.
 func (s *Sidecar) pullNow() {
 	msg := s.message()
@@ -135,10 +245,31 @@
 	if m, ok := s.directory.Member(to); ok && m.Incarnation != 0 {
 		msg.Members = append(msg.Members, m)
 	}
-	msg.Ask = true
+	msg.Recall = !s.settled.Load()
 	return msg
 }
 
+// introduce makes this node known after its start: to the nodes of its availability zone, and to relays in the others. Some of
+// them are asked for their view and their configuration, all for what they remember of this node.
+func (s *Sidecar) introduce() {
+	zone, others := s.directory.Neighbours()
+	rand.Shuffle(len(zone), func(i, j int) { zone[i], zone[j] = zone[j], zone[i] })
+	far := someOfEach(others, relays)
+	for i, address := range zone {
+		msg := s.introduction(address)
+		msg.Ask = i < relays
+		msg.Pull = msg.Ask && msg.Version == 0
+		s.send(address, msg)
+	}
+	for i, address := range far {
+		msg := s.introduction(address)
+		msg.Relay = true
+		msg.Ask = len(zone) == 0 && i < relays
+		msg.Pull = msg.Ask && msg.Version == 0
+		s.send(address, msg)
+	}
+}
+
 // receive handles a message of another node.
 func (s *Sidecar) receive(in inboundMessage) {
 	var msg viewMessage
@@ -146,11 +277,12 @@
 		event.Log(s.log, event.FrameInvalid, slog.String("peer", in.from), slog.String("error", err.Error()))
 		return
 	}
-	if s.directory.Introduce(in.from) {
-		msg.Ask = true
-	}
+	s.directory.Introduce(in.from, "")
 	s.reachable(in.from)
-	s.merge(msg.Members)
+	changed := s.merge(msg.Members)
+	if msg.Relay {
+		s.gathered.add(changed)
+	}
 	if len(msg.Config) > 0 {
 		s.unpackConfig(msg.Config, in.from)
 	}
@@ -163,24 +295,50 @@
 	if msg.Pull {
 		reply.Config = s.packConfig()
 	}
-	differs := msg.Digest != reply.Digest
-	if msg.Ask || differs && len(msg.Members) == 0 {
-		reply.Members = s.directory.All()
-	}
-	reply.Ask = differs && !msg.Ask && len(msg.Members) == 0
+	s.compare(to, msg, &reply)
 	s.puller.hear(time.Now(), reply.Version, msg.Version, to)
 	reply.Pull = s.puller.due(time.Now(), reply.Version)
-	older := msg.Version < reply.Version && !msg.Pull // the other node may have lost its feed
-	if older || reply.Pull || len(reply.Config) > 0 || len(reply.Members) > 0 {
-		s.send(to, reply)
+	older := msg.Version < reply.Version && !msg.Pull // the other node may not have heard of the newer version
+	if older || reply.Pull || len(reply.Config) > 0 || len(reply.Members) > 0 || len(reply.Sums) > 0 || len(reply.Wanted) > 0 {
+		s.sendPages(to, reply)
 	}
 }
 
-// merge takes entries of other nodes.
-func (s *Sidecar) merge(list []directory.Member) {
-	if len(list) == 0 {
+// compare continues the comparison of two views: digests, the sums of buckets, the entries of buckets that differ, and what the
+// other side lacks of them.
+func (s *Sidecar) compare(to string, msg viewMessage, reply *viewMessage) {
+	switch {
+	case msg.Ask:
+		reply.Members = s.directory.All()
+	case len(msg.Sums) > 0:
+		reply.Wanted = s.directory.Differing(msg.Sums)
+		reply.Members = s.directory.In(reply.Wanted)
+	case len(msg.Wanted) > 0:
+		reply.Members = s.directory.Lacking(msg.Wanted, msg.Members)
+	case len(msg.Members) == 0 && msg.Digest != reply.Digest:
+		sums := s.directory.Sums()
+		reply.Sums = sums[:]
+	}
+	s.recall(to, msg, reply)
+}
+
+// recall tells a node that has started what is remembered of it. A node that has just started itself remembers nothing yet, and
+// must not say that there is nothing to remember.
+func (s *Sidecar) recall(to string, msg viewMessage, reply *viewMessage) {
+	if !msg.Recall {
 		return
 	}
+	reply.Members = slices.DeleteFunc(reply.Members, func(m directory.Member) bool { return m.Address == to })
+	if own, ok := s.directory.Member(to); ok && s.settled.Load() {
+		reply.Members = append(reply.Members, own)
+	}
+}
+
+// merge takes entries of other nodes and returns those that are new.
+func (s *Sidecar) merge(list []directory.Member) []directory.Member {
+	if len(list) == 0 {
+		return nil
+	}
 	known := list[:0:0]
 	for _, m := range list {
 		if m.Incarnation != 0 {
@@ -203,4 +361,5 @@
 	if remembered && !s.settled.Swap(true) || merged.Echo != nil {
 		s.applyTarget()
 	}
+	return merged.Changed
 }
--- a/internal/process/sidecar/spread_test.go
+++ b/internal/process/sidecar/spread_test.go
@@ -94,7 +94,7 @@
 	}
 	var rows []platform.Row
 	for key := range c.rows {
-		rows = append(rows, platform.Row{Key: key})
+		rows = append(rows, platform.Row{Key: key, Value: c.rows[key]})
 	}
 	return rows, nil
 }
@@ -122,11 +122,16 @@
 
 // start starts a node with all its loops.
 func (c *cluster) start(address, service string) *Sidecar {
+	return c.startIn("a", address, service, c, c, slog.New(slog.NewTextHandler(testWriter{c.t}, nil)).With("node", address))
+}
+
+// startIn starts a node in an availability zone with its own way to the store.
+func (c *cluster) startIn(zone, address, service string, nodes Store, operator Operator, log *slog.Logger) *Sidecar {
 	c.t.Helper()
 	s, err := New(Options{
-		Settings: Settings{PeerAddress: address, Zone: "a", Service: service, TargetAddress: "target-" + address, RetryBurst: 48},
-		Log:      slog.New(slog.NewTextHandler(testWriter{c.t}, nil)).With("node", address),
-		Nodes:    c, Operator: c, ConfigKey: "config",
+		Settings: Settings{PeerAddress: address, Zone: zone, Service: service, TargetAddress: "target-" + address, RetryBurst: 48},
+		Log:      log,
+		Nodes:    nodes, Operator: operator, ConfigKey: "config",
 		DecodeConfig: func(body []byte) (*routing.Table, error) {
 			t, err := routing.New(routing.Version(body[0]), nil, nil, routing.DefaultLimits())
 			if err == nil {
