Let orders survive the loss of their link

Cause: a link with waiting requests and no frame for 0.6 s was given up, and what it carried ended with 502 (may have run); the node beside the target cancelled what ran for a peer that it had not heard for 0.8 s. A node that was frozen for 3 s, a slow VM or a connection that something between lost track of turned orders with seconds of time left into doubt, and stopped them halfway.

Change: requests that must not run twice outlive their link. The node that runs them goes on until their deadline and keeps their responses as long, also those that were written to a lost link; the sender dials again and asks for the response by link and stream (frame Attach, peer protocol 4). A node that never got the request says so, which is a true refusal: the link before is ended first, so that nothing of it arrives later. A process that was restarted ends the wait at once with a doubt. Idempotent requests are in doubt at once as before and may go to another target.

Ruled out: keeping idempotent requests too. They are repeated elsewhere within 0.6 s, and cancelling them frees the slots.

Tests (package link, virtual time): links lost twice in silence and by reset, a sender that is frozen for 3 s, a response lost after it was written, an order that never arrived, a restart, and 8 seeds of random faults in which 99 of 100 orders end with a certain answer and none runs twice. TestSilentConnectionIsReplaced asked for the same of every request; it now holds it for idempotent ones, and the new tests hold the opposite for orders.

--- a/internal/connection/link/inbound.go
+++ b/internal/connection/link/inbound.go
@@ -12,14 +12,18 @@
 
 // inbound is a link that a peer dialed. Requests come in on it and responses go back.
 type inbound struct {
-	cfg     Config
-	peer    Peer
-	conn    Conn
-	reader  *reader
-	writer  *writer
-	handler Handler
+	cfg        Config
+	peer       Peer
+	generation uint64 // given by the peer
+	conn       Conn
+	reader     *reader
+	writer     *writer
+	handler    Handler
+	sessions   *sessions
+	process    context.Context // ends with the pool; that of requests which outlive the link
 
 	running sync.WaitGroup
+	ended   chan struct{} // closed once nothing more is taken from the link
 
 	mu         sync.Mutex
 	streams    map[uint64]*stream
@@ -27,14 +31,8 @@
 	leaving    bool
 }
 
-// stream is a request of the peer that was not answered yet.
-type stream struct {
-	cancel context.CancelFunc
-	req    *message.Request
-	body   *wire.Assembly
-}
-
-// serve handles the link until the connection ends, then cancels what still runs and waits for it.
+// serve handles the link until the connection ends. Then it cancels what still runs and can be repeated, leaves the rest to the
+// sessions, and waits for all of it.
 func (in *inbound) serve(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var parts sync.WaitGroup
@@ -44,10 +42,27 @@
 	<-ctx.Done()
 	in.conn.Close()
 	parts.Wait()
+	in.leave()
+	close(in.ended)
 	in.running.Wait()
 	return context.Cause(ctx)
 }
 
+// leave hands the requests that must not run twice to the sessions. Nothing is read or written on the link any more.
+func (in *inbound) leave() {
+	in.mu.Lock()
+	var left []*stream
+	for id, s := range in.streams {
+		if _, whole := s.body.Body(); whole && !s.req.Idempotent {
+			left = append(left, s)
+			delete(in.streams, id)
+		}
+	}
+	last := in.lastStream
+	in.mu.Unlock()
+	in.sessions.end(in, last, left)
+}
+
 // watch ends the link when requests run for a peer that has gone silent, so that they free their slots.
 func (in *inbound) watch(ctx context.Context) error {
 	ticker := time.NewTicker(in.cfg.HeartbeatInterval)
@@ -81,6 +96,8 @@
 		return in.handleRequest(ctx, f)
 	case *wire.Body:
 		in.handleBody(ctx, f)
+	case *wire.Attach:
+		return in.handleAttach(f)
 	case *wire.Cancel:
 		in.handleCancel(f)
 	case *wire.Ping:
@@ -94,8 +111,8 @@
 func (in *inbound) handleRequest(ctx context.Context, f *wire.Request) error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if f.Stream <= in.lastStream {
-		return fmt.Errorf("%w: stream %d after %d", errProtocol, f.Stream, in.lastStream)
+	if err := in.checkStream(f.Stream); err != nil {
+		return err
 	}
 	if in.leaving {
 		return nil // the go-away that was sent has refused it
@@ -107,12 +124,45 @@
 		in.respond(f.Stream, req.ID, message.Refuse(message.ReasonTooLarge, message.Errorf(message.StepAccept, in.cfg.Self.Address, "%v", err)))
 		return nil
 	}
-	s := &stream{req: req, body: body, cancel: func() {}}
+	s := &stream{key: streamKey{in.generation, f.Stream}, req: req, body: body, cancel: func() {}}
 	in.streams[f.Stream] = s
 	in.startIfWhole(ctx, f.Stream, s)
 	return nil
 }
 
+// checkStream refuses a stream that was used before. The caller holds the mutex.
+func (in *inbound) checkStream(id uint64) error {
+	if id <= in.lastStream {
+		return fmt.Errorf("%w: stream %d after %d", errProtocol, id, in.lastStream)
+	}
+	return nil
+}
+
+// handleAttach answers a peer that lost the link of a request and asks what became of it. It is taken from a leaving node too.
+func (in *inbound) handleAttach(f *wire.Attach) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if err := in.checkStream(f.Stream); err != nil {
+		return err
+	}
+	in.lastStream = f.Stream
+	s, never := in.sessions.find(in, streamKey{f.Generation, f.Of})
+	switch {
+	case s != nil && s.req.ID == f.ID:
+		in.streams[f.Stream] = s
+		if r := s.bind(in, f.Stream); r != nil {
+			in.respond(f.Stream, s.req.ID, r)
+		}
+	case never:
+		in.respond(f.Stream, f.ID, message.Refuse(message.ReasonConnection,
+			message.Errorf(message.StepAccept, in.cfg.Self.Address, "the request was lost with its link before it arrived")))
+	default:
+		in.respond(f.Stream, f.ID, message.Doubt(message.ReasonConnection,
+			message.Errorf(message.StepAccept, in.cfg.Self.Address, "nothing is kept of the request")))
+	}
+	return nil
+}
+
 func (in *inbound) handleBody(ctx context.Context, f *wire.Body) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -135,20 +185,28 @@
 		return
 	}
 	s.req.Body = body
+	if !s.req.Idempotent {
+		ctx = in.process // nobody else may run it
+	}
 	ctx, s.cancel = context.WithDeadline(ctx, s.req.Deadline)
+	s.bind(in, id)
 	in.running.Go(func() {
 		r := in.handler.HandleRequest(ctx, in.peer, s.req)
 		s.cancel()
-		in.respond(id, s.req.ID, r)
+		s.finish(r)
 	})
 }
 
-// forget removes a stream whose response was written. Until then the stream counts as active, so that a graceful stop
-// waits for the response to leave.
-func (in *inbound) forget(id uint64) {
+// written removes a stream whose response was written. Until then the stream counts as active, so that a graceful stop
+// waits for the response to leave. A response that cannot be made again is kept, as it may not arrive.
+func (in *inbound) written(id uint64) {
 	in.mu.Lock()
-	defer in.mu.Unlock()
+	s, ok := in.streams[id]
 	delete(in.streams, id)
+	in.mu.Unlock()
+	if ok && !s.req.Idempotent {
+		in.sessions.keep(in, s)
+	}
 }
 
 func (in *inbound) handleCancel(f *wire.Cancel) {
@@ -176,7 +234,7 @@
 			return
 		}
 	}
-	in.writer.enqueue(&outgoing{frames: frames, after: func() { in.forget(stream) }})
+	in.writer.enqueue(&outgoing{frames: frames, after: func() { in.written(stream) }})
 }
 
 func (in *inbound) post(f wire.Frame) {
--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -30,7 +30,8 @@
 
 // Handler receives what peers send on links that they dialed.
 type Handler interface {
-	// HandleRequest returns the response of a request. Its context ends when the peer cancels the request or is lost.
+	// HandleRequest returns the response of a request. Its context ends at the deadline, when the peer cancels the request, and,
+	// if the request may be repeated, when the link is lost. Others go on: the peer may ask for the response on its next link.
 	HandleRequest(ctx context.Context, from Peer, req *message.Request) *message.Response
 	// HandleControl receives a one-way message. It must not block.
 	HandleControl(from Peer, channel wire.Channel, payload []byte)
--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -83,18 +83,37 @@
 	mu               sync.Mutex
 	conn             *pipe
 	dials            int
+	down             chan struct{} // until it is closed no connection opens; nil: open
+	log              *slog.Logger
+}
+
+// restart replaces the process that accepts.
+func (pr *pair) restart(h Handler) {
+	pr.mu.Lock()
+	old := pr.acceptor
+	pr.acceptor = NewPool(Config{Self: Peer{Address: "b", Incarnation: 2}}, nil, h, pr.log)
+	pr.mu.Unlock()
+	old.Close()
 }
 
 func newPair(h Handler) *pair {
 	log := slog.New(slog.DiscardHandler)
-	pr := &pair{acceptor: NewPool(Config{Self: Peer{Address: "b", Incarnation: 1}}, nil, h, log)}
+	pr := &pair{log: log, acceptor: NewPool(Config{Self: Peer{Address: "b", Incarnation: 1}}, nil, h, log)}
 	dial := func(context.Context, string) (Conn, error) {
 		a, b := newPipe()
 		pr.mu.Lock()
+		defer pr.mu.Unlock()
+		if pr.down != nil {
+			select {
+			case <-pr.down:
+			default:
+				return nil, errors.New("connection timed out")
+			}
+		}
 		pr.conn = a
 		pr.dials++
-		pr.mu.Unlock()
-		go func() { _ = pr.acceptor.Accept(context.Background(), b) }()
+		acceptor := pr.acceptor
+		go func() { _ = acceptor.Accept(context.Background(), b) }()
 		return a, nil
 	}
 	pr.dialer = NewPool(Config{Self: Peer{Address: "a", Incarnation: 1}}, dial, h, log)
@@ -157,6 +176,7 @@
 		start := time.Now()
 		slow := newRequest(nil, time.Minute)
 		slow.Path = "/slow"
+		slow.Idempotent = true // others survive their link, see TestOrderSurvivesItsLink
 		time.AfterFunc(10*time.Millisecond, func() { pr.current().silent.Store(true) })
 		r := pr.dialer.Send(t.Context(), "b", slow)
 		require.Equal(t, message.Unknown, r.Outcome)
--- a/internal/connection/link/outbound.go
+++ b/internal/connection/link/outbound.go
@@ -25,6 +25,7 @@
 	reader     *reader
 	writer     *writer
 	log        *slog.Logger
+	ctx        context.Context // ends with the link
 	cancel     context.CancelCauseFunc
 	done       chan struct{} // closed when the link is closed and every call is settled
 	leaving    atomic.Bool   // the peer sent a go-away
@@ -41,8 +42,9 @@
 // call is a request that waits for its response.
 type call struct {
 	id       message.ID
+	attached bool // asks for the response of a request that was sent before: nothing proves that it did not run
 	out      *outgoing
-	response chan *message.Response // capacity 1
+	response chan *message.Response // capacity 1; closed without a response if the link is lost
 	head     *message.Response      // response whose body is not whole yet
 	body     *wire.Assembly
 	memory   *memory.Hold // counts the body
@@ -105,6 +107,7 @@
 		reader:     newReader(conn, peer, log),
 		writer:     newWriter(conn),
 		log:        log,
+		ctx:        ctx,
 		cancel:     cancel,
 		done:       make(chan struct{}),
 		calls:      map[uint64]*call{},
@@ -151,27 +154,67 @@
 
 // send sends the request and waits for its response. It reports false, with no response, if the link was closed before
 // the request was queued; the request can then be sent on another link.
-func (o *outbound) send(ctx context.Context, req *message.Request) (*message.Response, bool) {
+func (o *outbound) send(ctx context.Context, req *message.Request) (r *message.Response, lost *lostCall, sent bool) {
 	if o.leaving.Load() {
-		return message.Refuse(message.ReasonLeaving, message.Errorf(message.StepSend, o.peer.Address, "node is leaving")), true
+		return message.Refuse(message.ReasonLeaving, message.Errorf(message.StepSend, o.peer.Address, "node is leaving")), nil, true
 	}
-	stream, c, err := o.open(req)
+	stream, c, err := o.open(req, false, func(stream uint64) ([][]byte, error) { return wire.EncodeRequest(stream, req, time.Now()) })
 	if err != nil {
-		return message.Refuse(message.ReasonInvalid, message.Errorf(message.StepSend, o.peer.Address, "%v", err)), true
+		return message.Refuse(message.ReasonInvalid, message.Errorf(message.StepSend, o.peer.Address, "%v", err)), nil, true
 	}
+	return o.await(ctx, stream, c)
+}
+
+// attach asks for the response of a request whose earlier link was lost. Its results are those of send.
+func (o *outbound) attach(ctx context.Context, req *message.Request, earlier *lostCall) (r *message.Response, lost *lostCall, sent bool) {
+	stream, c, err := o.open(req, true, func(stream uint64) ([][]byte, error) {
+		b, err := wire.Encode(&wire.Attach{Stream: stream, Generation: earlier.generation, Of: earlier.stream, ID: req.ID})
+		return [][]byte{b}, err
+	})
+	if err != nil {
+		return earlier.doubt(o.peer.Address), nil, true
+	}
+	return o.await(ctx, stream, c)
+}
+
+// await waits for the response of a call.
+func (o *outbound) await(ctx context.Context, stream uint64, c *call) (r *message.Response, lost *lostCall, sent bool) {
 	if c == nil {
-		return nil, false
+		return nil, nil, false
 	}
 	select {
-	case r := <-c.response:
-		return r, true
+	case r, ok := <-c.response:
+		if !ok {
+			return nil, &lostCall{o.peer.Incarnation, o.generation, stream, context.Cause(o.ctx)}, true
+		}
+		return r, nil, true
 	case <-ctx.Done():
-		return o.abandon(ctx, stream, c), true
+		return o.abandon(ctx, stream, c), nil, true
 	}
 }
 
-// open registers a call and queues its frames.
-func (o *outbound) open(req *message.Request) (uint64, *call, error) {
+// lostCall is a request that was written, or in part, to a link that was lost before the response.
+type lostCall struct {
+	incarnation, generation, stream uint64
+	cause                           error
+}
+
+// doubt is the response while nothing more is known.
+func (l *lostCall) doubt(peer string) *message.Response {
+	return message.Doubt(message.ReasonConnection, message.Errorf(message.StepAwait, peer, "link closed before the response: %v", l.cause))
+}
+
+// ended is the response of a request that may have run and whose context has ended.
+func ended(ctx context.Context, peer string) *message.Response {
+	reason := message.ReasonCancelled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = message.ReasonDeadline
+	}
+	return message.Doubt(reason, message.Errorf(message.StepAwait, peer, "%v", ctx.Err()))
+}
+
+// open registers a call and queues its frames. There is no call if the link was closed.
+func (o *outbound) open(req *message.Request, attached bool, encode func(stream uint64) ([][]byte, error)) (uint64, *call, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.closed {
@@ -179,11 +222,11 @@
 	}
 	stream := o.nextStream + 1
 	now := time.Now()
-	frames, err := wire.EncodeRequest(stream, req, now)
+	frames, err := encode(stream)
 	if err != nil {
 		return 0, nil, err
 	}
-	c := &call{id: req.ID, out: &outgoing{frames: frames}, response: make(chan *message.Response, 1), memory: req.Memory}
+	c := &call{id: req.ID, attached: attached, out: &outgoing{frames: frames}, response: make(chan *message.Response, 1), memory: req.Memory}
 	if !o.writer.enqueue(c.out) {
 		return 0, nil, nil
 	}
@@ -210,17 +253,17 @@
 // abandon settles a call whose context has ended.
 func (o *outbound) abandon(ctx context.Context, stream uint64, c *call) *message.Response {
 	if _, ok := o.take(stream); !ok {
-		return <-c.response // settled meanwhile
-	}
-	reason := message.ReasonCancelled
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		reason = message.ReasonDeadline
+		if r, settled := <-c.response; settled {
+			return r
+		}
+		return ended(ctx, o.peer.Address) // the link was lost meanwhile
 	}
-	if c.out.withdraw() {
-		return message.Refuse(reason, message.Errorf(message.StepSend, o.peer.Address, "%v before the request was written", ctx.Err()))
+	doubt := ended(ctx, o.peer.Address)
+	if c.out.withdraw() && !c.attached {
+		return message.Refuse(doubt.Reason, message.Errorf(message.StepSend, o.peer.Address, "%v before the request was written", ctx.Err()))
 	}
 	o.post(&wire.Cancel{Stream: stream})
-	return message.Doubt(reason, message.Errorf(message.StepAwait, o.peer.Address, "%v", ctx.Err()))
+	return doubt
 }
 
 // post queues a frame that needs no answer.
@@ -240,13 +283,12 @@
 	o.calls = nil
 	o.mu.Unlock()
 	for _, c := range calls {
-		if c.out.withdraw() {
+		if c.out.withdraw() && !c.attached {
 			c.response <- message.Refuse(message.ReasonConnection,
 				message.Errorf(message.StepSend, o.peer.Address, "link closed before the request was written: %v", cause))
 			continue
 		}
-		c.response <- message.Doubt(message.ReasonConnection,
-			message.Errorf(message.StepAwait, o.peer.Address, "link closed before the response: %v", cause))
+		close(c.response)
 	}
 }
 
@@ -327,7 +369,7 @@
 	o.mu.Lock()
 	var refused []*call
 	for stream, c := range o.calls {
-		if stream > f.LastStream {
+		if stream > f.LastStream && !c.attached {
 			delete(o.calls, stream)
 			refused = append(refused, c)
 		}
--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -28,6 +28,8 @@
 	slots      sync.Map   // peer address to *slot
 	trimming   sync.Mutex // held while trim looks for links to close
 
+	sessions *sessions
+
 	mu       sync.Mutex
 	accepted map[*inbound]struct{}
 	leaving  bool
@@ -55,6 +57,7 @@
 		ctx:      ctx,
 		stop:     stop,
 		accepted: map[*inbound]struct{}{},
+		sessions: newSessions(),
 	}
 }
 
@@ -68,13 +71,41 @@
 		if err != nil {
 			return message.Refuse(message.ReasonConnection, message.Errorf(message.StepDial, address, "%v", err))
 		}
-		if r, sent := l.send(ctx, req); sent {
+		if r, lost, sent := l.send(ctx, req); lost != nil {
+			return p.settle(ctx, address, req, lost)
+		} else if sent {
 			return r
 		}
 	}
 	return message.Refuse(message.ReasonConnection, message.Errorf(message.StepDial, address, "links close as soon as they open"))
 }
 
+// settle ends a request whose link was lost after it was written. One that can be repeated is in doubt at once, and its sender
+// may try elsewhere. For any other the peer is asked over new links, until the deadline: it goes on with the request, or knows
+// that it never arrived.
+func (p *Pool) settle(ctx context.Context, address string, req *message.Request, lost *lostCall) *message.Response {
+	if req.Idempotent {
+		return lost.doubt(address)
+	}
+	for {
+		if l, err := p.link(ctx, address); err == nil {
+			if l.peer.Incarnation != lost.incarnation {
+				return lost.doubt(address) // the process that ran it is gone
+			}
+			if r, again, sent := l.attach(ctx, req, lost); sent && again == nil {
+				return r
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ended(ctx, address)
+		case <-p.ctx.Done():
+			return lost.doubt(address)
+		case <-time.After(p.cfg.DialBackoff):
+		}
+	}
+}
+
 // SendControl sends a one-way message to a module of the node at the address. A nil error does not mean that it arrived.
 func (p *Pool) SendControl(ctx context.Context, address string, channel wire.Channel, payload []byte) error {
 	b, err := wire.Encode(&wire.Control{Channel: channel, Payload: payload})
@@ -238,23 +269,16 @@
 
 // Accept serves a connection that a peer dialed until it ends.
 func (p *Pool) Accept(ctx context.Context, conn Conn) error {
-	peer, err := p.greet(ctx, conn)
+	in, err := p.greet(ctx, conn)
 	if err != nil {
 		conn.Close()
 		event.Log(p.log, event.LinkRefused, slog.String("error", err.Error()))
 		return fmt.Errorf("accept link: %w", err)
 	}
-	in := &inbound{
-		cfg:     p.cfg,
-		peer:    peer,
-		conn:    conn,
-		reader:  newReader(conn, peer, p.log),
-		writer:  newWriter(conn),
-		handler: p.handler,
-		streams: map[uint64]*stream{},
-	}
+	peer := in.peer
 	if !p.register(in) {
 		conn.Close()
+		close(in.ended)
 		return errClosed
 	}
 	defer p.unregister(in)
@@ -268,18 +292,46 @@
 	return err
 }
 
-// greet exchanges the hello frames on a connection that a peer dialed.
-func (p *Pool) greet(ctx context.Context, conn Conn) (Peer, error) {
+// greet exchanges the hello frames on a connection that a peer dialed. The link of the same process before it has ended then.
+func (p *Pool) greet(ctx context.Context, conn Conn) (*inbound, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
 	defer cancel()
 	hello, err := readHello(ctx, conn)
 	if err != nil {
-		return Peer{}, fmt.Errorf("read hello: %w", err)
+		return nil, fmt.Errorf("read hello: %w", err)
+	}
+	peer := Peer{Address: hello.Address, Incarnation: hello.Incarnation, Zone: hello.Zone}
+	in := &inbound{
+		cfg:        p.cfg,
+		peer:       peer,
+		generation: hello.Generation,
+		conn:       conn,
+		reader:     newReader(conn, peer, p.log),
+		writer:     newWriter(conn),
+		handler:    p.handler,
+		sessions:   p.sessions,
+		process:    p.ctx,
+		ended:      make(chan struct{}),
+		streams:    map[uint64]*stream{},
+	}
+	before, ok := p.sessions.begin(in)
+	if !ok {
+		return nil, fmt.Errorf("%w: link %d of %s is not its newest", errProtocol, hello.Generation, hello.Address)
+	}
+	if before != nil {
+		before.conn.Close()
+		select {
+		case <-before.ended:
+		case <-ctx.Done():
+			close(in.ended)
+			return nil, fmt.Errorf("end the earlier link of %s: %w", hello.Address, ctx.Err())
+		}
 	}
 	if err := writeHello(ctx, conn, p.cfg.Self, hello.Generation); err != nil {
-		return Peer{}, fmt.Errorf("write hello to %s: %w", hello.Address, err)
+		close(in.ended)
+		return nil, fmt.Errorf("write hello to %s: %w", hello.Address, err)
 	}
-	return Peer{Address: hello.Address, Incarnation: hello.Incarnation, Zone: hello.Zone}, nil
+	return in, nil
 }
 
 func (p *Pool) register(in *inbound) bool {
@@ -343,7 +395,7 @@
 	for in := range p.accepted {
 		n += in.active()
 	}
-	return n
+	return n + p.sessions.active()
 }
 
 // Links returns the number of open links that this node dialed and that peers dialed.
--- /dev/null
+++ b/internal/connection/link/session_test.go
@@ -0,0 +1,196 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// slowHandler answers after a time and counts what it has run, and what was cancelled.
+func slowHandler(took time.Duration, ran, cancelled *atomic.Int64) *testHandler {
+	h := &testHandler{}
+	h.fn = func(ctx context.Context, req *message.Request) *message.Response {
+		ran.Add(1)
+		select {
+		case <-time.After(took):
+			return echo(ctx, req)
+		case <-ctx.Done():
+			cancelled.Add(1)
+			return message.Doubt(message.ReasonCancelled, nil)
+		}
+	}
+	return h
+}
+
+// Guards against orders that are given up, or run again, because a node was only silent for a while (a freeze, a cut, a
+// connection that something between lost track of): the order runs on, and its response arrives over the next link.
+func TestOrderSurvivesItsLink(t *testing.T) {
+	for name, lose := range map[string]func(*pipe){
+		"silent": func(p *pipe) { p.silent.Store(true) },
+		"reset":  func(p *pipe) { p.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var ran, cancelled atomic.Int64
+				pr := newPair(slowHandler(2*time.Second, &ran, &cancelled))
+				defer pr.close()
+				for _, after := range []time.Duration{100 * time.Millisecond, 1500 * time.Millisecond} { // twice
+					time.AfterFunc(after, func() { lose(pr.current()) })
+				}
+				start := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				r := pr.dialer.Send(ctx, "b", newRequest([]byte("order"), 5*time.Second))
+				require.Equal(t, message.Answered, r.Outcome, "%v", r.Err)
+				require.Equal(t, "order", string(r.Body))
+				require.Less(t, time.Since(start), 4*time.Second)
+				require.Equal(t, int64(1), ran.Load())
+				require.Zero(t, cancelled.Load())
+			})
+		})
+	}
+}
+
+// Guards against a frozen node whose orders are given up meanwhile: it reads nothing for three seconds and is answered when it
+// wakes.
+func TestOrderOfAFrozenNodeGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ran, cancelled atomic.Int64
+		pr := newPair(slowHandler(500*time.Millisecond, &ran, &cancelled))
+		defer pr.close()
+		time.AfterFunc(100*time.Millisecond, func() {
+			pr.current().silent.Store(true)
+			pr.mu.Lock()
+			defer pr.mu.Unlock()
+			pr.down = make(chan struct{}) // no new connection opens
+			time.AfterFunc(3*time.Second, func() { close(pr.down) })
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		r := pr.dialer.Send(ctx, "b", newRequest([]byte("order"), 5*time.Second))
+		require.Equal(t, message.Answered, r.Outcome, "%v", r.Err)
+		require.Equal(t, int64(1), ran.Load())
+	})
+}
+
+// Guards against an order that is told not to have run, or runs again, after its answer was lost on the way.
+func TestResponseThatWasWrittenAndLostIsGivenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ran, cancelled atomic.Int64
+		pr := newPair(slowHandler(50*time.Millisecond, &ran, &cancelled))
+		defer pr.close()
+		time.AfterFunc(40*time.Millisecond, func() { pr.current().silent.Store(true) }) // the response is written into the void
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		r := pr.dialer.Send(ctx, "b", newRequest([]byte("order"), 5*time.Second))
+		require.Equal(t, message.Answered, r.Outcome, "%v", r.Err)
+		require.Equal(t, int64(1), ran.Load())
+	})
+}
+
+// Guards against an order that is in doubt although it was lost before it arrived, and against one that arrives after its
+// caller was told that it did not.
+func TestOrderThatNeverArrivedIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ran, cancelled atomic.Int64
+		pr := newPair(slowHandler(50*time.Millisecond, &ran, &cancelled))
+		defer pr.close()
+		require.Equal(t, message.Answered, pr.dialer.Send(t.Context(), "b", newRequest(nil, time.Second)).Outcome)
+		pr.current().silent.Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		r := pr.dialer.Send(ctx, "b", newRequest([]byte("order"), 5*time.Second))
+		require.Equal(t, message.NotRun, r.Outcome, "%v", r.Err)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, int64(1), ran.Load(), "only the first request")
+	})
+}
+
+// Guards against an order that waits for a process that is gone, or is said not to have run by the process after it.
+func TestOrderOfARestartedNodeIsInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ran, cancelled atomic.Int64
+		h := slowHandler(2*time.Second, &ran, &cancelled)
+		pr := newPair(h)
+		defer pr.close()
+		time.AfterFunc(100*time.Millisecond, func() { pr.restart(h) })
+		start := time.Now()
+		r := pr.dialer.Send(t.Context(), "b", newRequest([]byte("order"), 5*time.Second))
+		require.Equal(t, message.Unknown, r.Outcome)
+		require.Less(t, time.Since(start), time.Second, "nothing is gained by waiting")
+	})
+}
+
+// Guards against orders that run twice, are answered with another's response, or are falsely told not to have run, while links
+// are cut and go silent at random; and against a node that gives up where the peer lives: nearly all are answered.
+func TestRandomFaultsLoseNoOrders(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomFaultsOfOrders(t, rand.New(rand.NewPCG(seed, 2))) })
+		})
+	}
+}
+
+func randomFaultsOfOrders(t *testing.T, rng *rand.Rand) {
+	var runs sync.Map
+	h := &testHandler{fn: func(ctx context.Context, req *message.Request) *message.Response {
+		_, again := runs.LoadOrStore(req.ID, true)
+		require.False(t, again, "an order ran twice")
+		select {
+		case <-time.After(time.Duration(req.Body[0]) * time.Millisecond):
+			return echo(ctx, req)
+		case <-ctx.Done():
+			return message.Doubt(message.ReasonCancelled, nil)
+		}
+	}}
+	pr := newPair(h)
+	defer pr.close()
+	const orders = 200
+	var answered atomic.Int64
+	var wg sync.WaitGroup
+	for range orders {
+		body := []byte{byte(rng.IntN(250)), byte(rng.IntN(250))}
+		start := time.Duration(rng.IntN(5000)) * time.Millisecond
+		wg.Go(func() {
+			time.Sleep(start)
+			ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+			defer cancel()
+			req := newRequest(body, 6*time.Second)
+			r := pr.dialer.Send(ctx, "b", req)
+			switch r.Outcome {
+			case message.Answered:
+				require.Equal(t, body, r.Body)
+				answered.Add(1)
+			case message.NotRun:
+				time.Sleep(10 * time.Second) // a late copy would have run by now
+				_, ran := runs.Load(req.ID)
+				require.False(t, ran, "%v", r.Err)
+				answered.Add(1) // the caller can come back
+			default:
+				require.False(t, errors.Is(r.Err, context.Canceled))
+			}
+		})
+	}
+	for range 10 {
+		time.Sleep(time.Duration(rng.IntN(800)) * time.Millisecond)
+		if conn := pr.current(); conn != nil {
+			if rng.IntN(2) == 0 {
+				conn.silent.Store(true)
+			} else {
+				conn.Close()
+			}
+		}
+	}
+	wg.Wait()
+	require.GreaterOrEqual(t, answered.Load(), int64(orders*99/100))
+}
--- a/internal/connection/link/writer.go
+++ b/internal/connection/link/writer.go
@@ -19,7 +19,7 @@
 type outgoing struct {
 	frames [][]byte
 	state  atomic.Int32
-	after  func() // called when all frames were written or the connection failed; may be nil
+	after  func() // called when all frames were written; may be nil
 }
 
 // withdraw reports whether the message was taken back before any byte of it was written.
@@ -77,13 +77,12 @@
 			if !o.state.CompareAndSwap(stateQueued, stateWriting) {
 				continue
 			}
-			err := w.write(o)
+			if err := w.write(o); err != nil {
+				return err
+			}
 			if o.after != nil {
 				o.after()
 			}
-			if err != nil {
-				return err
-			}
 		}
 	}
 }
--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -13,7 +13,7 @@
 )
 
 // ProtocolVersion is the version of the peer protocol. Nodes with different versions refuse each other's links.
-const ProtocolVersion = 3
+const ProtocolVersion = 4
 
 // Sizes of the peer protocol.
 const (
@@ -41,6 +41,7 @@
 	TypePong     Type = 7
 	TypeGoAway   Type = 8
 	TypeControl  Type = 9
+	TypeAttach   Type = 10
 )
 
 // Channel names the receiver of a control frame inside a node.
@@ -126,6 +127,14 @@
 	Stream uint64 `cbor:"1,keyasint"`
 }
 
+// Attach asks on a new stream for the response of a request that was sent on an earlier link of the same process.
+type Attach struct {
+	Stream     uint64   `cbor:"1,keyasint"`
+	Generation uint64   `cbor:"2,keyasint"` // of the earlier link
+	Of         uint64   `cbor:"3,keyasint"` // stream on the earlier link
+	ID         [16]byte `cbor:"4,keyasint"` // of the request
+}
+
 // Ping asks for a Pong with the same sequence number.
 type Ping struct {
 	Sequence uint64 `cbor:"1,keyasint"`
@@ -187,6 +196,7 @@
 func (*Pong) frameType() Type     { return TypePong }
 func (*GoAway) frameType() Type   { return TypeGoAway }
 func (*Control) frameType() Type  { return TypeControl }
+func (*Attach) frameType() Type   { return TypeAttach }
 
 // Decode reads one frame. The frame keeps no part of b.
 func Decode(b []byte) (Frame, error) {
@@ -226,6 +236,8 @@
 		return new(GoAway)
 	case TypeControl:
 		return new(Control)
+	case TypeAttach:
+		return new(Attach)
 	default:
 		return nil
 	}
