Answer what has just arrived when a node stops

A node that stops closed its listener and its idle connections at one moment. Callers that the system had accepted a moment before, and requests on their way on idle connections, were reset unread.

Change: the listener takes what waits for 50 ms more, and idle connections live as long; requests that arrive are answered with the end of their connection.

Test: TestStopAnswersWhatHasJustArrived (20 callers in the backlog, one idle connection); on the code before, their connections end without an answer.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -144,6 +144,9 @@
 	if c.open == 0 && idle > 0 {
 		deadline = time.Now().Add(idle)
 	}
+	if last := c.srv.last.Load(); c.open == 0 && last != nil {
+		deadline = *last
+	}
 	_ = c.nc.SetReadDeadline(deadline)
 }
 
@@ -385,6 +388,15 @@
 	return true
 }
 
+// lastCall ends the connection at the given time unless a request arrives on it before.
+func (c *conn) lastCall(end time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == 0 && !c.reading {
+		_ = c.nc.SetReadDeadline(end)
+	}
+}
+
 // abort ends the connection at once.
 func (c *conn) abort(cause error) {
 	c.cancel(cause)
--- a/internal/connection/entry/entry.go
+++ b/internal/connection/entry/entry.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,6 +63,9 @@
 	writeTimeout = 20 * time.Second
 	// acceptPause is the pause after a failed accept, which is mostly a lack of descriptors.
 	acceptPause = 5 * time.Millisecond
+	// LastCall is the time for which a server that stops still takes what has arrived: connections that the system has accepted
+	// for it, and requests on connections that were idle. A close would reset them unread.
+	LastCall = 50 * time.Millisecond
 )
 
 // Server serves the connections of one or more listeners.
@@ -72,6 +76,7 @@
 
 	active  atomic.Int64 // requests that were read and not answered
 	closing atomic.Bool
+	last    atomic.Pointer[time.Time] // until then connections are taken; nil: no end is set
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -94,6 +99,10 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if s.last.Load() != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+			_ = l.Close()
+			return nil
+		}
 		if err != nil {
 			time.Sleep(acceptPause)
 			continue
@@ -152,23 +161,30 @@
 // Retire makes every answer announce the end of its connection. New connections are still served.
 func (s *Server) Retire() { s.closing.Store(true) }
 
-// CloseIdle stops accepting and closes every connection without a request.
+// CloseIdle stops accepting and closes every connection without a request, both after LastCall.
 func (s *Server) CloseIdle() {
 	s.Retire()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	end := time.Now().Add(LastCall)
+	s.last.Store(&end)
 	for _, l := range s.listeners {
-		_ = l.Close()
+		if d, ok := l.(interface{ SetDeadline(time.Time) error }); !ok || d.SetDeadline(end) != nil {
+			_ = l.Close()
+		}
 	}
 	for c := range s.conns {
-		c.closeIdle()
+		c.lastCall(end)
 	}
 }
 
 // Close ends all connections and waits for their goroutines.
 func (s *Server) Close() {
-	s.CloseIdle()
+	s.Retire()
 	s.mu.Lock()
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
 	for c := range s.conns {
 		c.abort(errServerClosed)
 	}
--- /dev/null
+++ b/internal/connection/entry/stop_test.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"bufio"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// backlog is a listener whose system has accepted connections that the process has not taken yet. Closing it resets them.
+type backlog struct {
+	waiting chan net.Conn
+
+	mu       sync.Mutex
+	deadline <-chan time.Time
+	changed  chan struct{}
+	closed   bool
+}
+
+func newBacklog() *backlog {
+	return &backlog{waiting: make(chan net.Conn, 64), changed: make(chan struct{})}
+}
+
+func (b *backlog) Accept() (net.Conn, error) {
+	for {
+		b.mu.Lock()
+		deadline, changed, closed := b.deadline, b.changed, b.closed
+		b.mu.Unlock()
+		if closed {
+			return nil, net.ErrClosed
+		}
+		select {
+		case c := <-b.waiting:
+			return c, nil
+		case <-deadline:
+			return nil, os.ErrDeadlineExceeded
+		case <-changed:
+		}
+	}
+}
+
+func (b *backlog) change(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f()
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+func (b *backlog) SetDeadline(t time.Time) error {
+	b.change(func() { b.deadline = time.After(time.Until(t)) })
+	return nil
+}
+
+func (b *backlog) Close() error {
+	b.change(func() { b.closed = true })
+	for {
+		select {
+		case c := <-b.waiting:
+			_ = c.Close()
+		default:
+			return nil
+		}
+	}
+}
+
+func (b *backlog) Addr() net.Addr { return nil }
+
+// Guards against requests that are cut off by a planned stop under load: callers that were accepted a moment before, and
+// requests on their way on connections that were idle.
+func TestStopAnswersWhatHasJustArrived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewServer(&handler{}, 100, 1500)
+		l := newBacklog()
+		served := make(chan error, 1)
+		go func() { served <- s.Serve(l) }()
+		var callers []net.Conn
+		call := func() net.Conn {
+			ours, theirs := net.Pipe()
+			l.waiting <- theirs
+			callers = append(callers, ours)
+			return ours
+		}
+		idle := call()
+		synctest.Wait()
+		for range 20 {
+			call()
+		}
+		s.CloseIdle()
+		time.Sleep(10 * time.Millisecond) // the requests were under way
+		var all sync.WaitGroup
+		for _, c := range callers {
+			all.Go(func() {
+				_, err := c.Write([]byte(get("/500ms/x")))
+				require.NoError(t, err)
+				_, body, last := read(t, bufio.NewReader(c))
+				require.Equal(t, "/500ms/x ", body)
+				require.True(t, last)
+			})
+		}
+		all.Wait()
+		require.NoError(t, <-served)
+		_ = idle.Close()
+		s.Close()
+	})
+}
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -12,6 +12,7 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/entry"
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/link"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/httpserver"
@@ -172,7 +173,7 @@
 			s.entry.CloseIdle()
 		}
 		active := s.entry.Active() + s.pool.Active()
-		if closed && active == 0 {
+		if closed && active == 0 && elapsed >= acceptTime+2*entry.LastCall {
 			break
 		}
 		if elapsed >= grace-exitMargin {
