Send bytes without end in the soak

The stand-in of a target answers with heads, lines, chunks, informational responses or bodies without end for up to two seconds, and the node's process must stay within the memory that its settings state.

--- a/test/sidecar/site_test.go
+++ b/test/sidecar/site_test.go
@@ -275,3 +275,18 @@
 func ask(ip, attempt, path, body string) result {
 	return result{standin.Ask(callers, at(ip, portCallers), "site.example", attempt, path, body, patience), attempt, body != ""}
 }
+
+// memory returns the memory that the node's process has resident, in bytes.
+func (v *vm) memory() int64 {
+	v.mu.Lock()
+	pid := v.cmd.Process.Pid
+	v.mu.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0 // it has ended
+	}
+	var total, resident int64
+	_, err = fmt.Sscan(string(text), &total, &resident)
+	require.NoError(v.t, err)
+	return resident * int64(os.Getpagesize())
+}
--- a/test/sidecar/soak_test.go
+++ b/test/sidecar/soak_test.go
@@ -34,6 +34,8 @@
 	drainBound = 2 * time.Second
 	// configBound is their bound on the time until a configuration is in force, plus that for a store that was disturbed.
 	configBound = 7 * time.Second
+	// nodeMemory is the memory that the settings of the soak state, in bytes.
+	nodeMemory = 284 << 20
 	// calmShare is the share of requests that have to be served once all faults have ended.
 	calmShare = 0.99
 )
@@ -113,7 +115,7 @@
 // fault injects one fault and ends it.
 func (s *site) fault(rng *rand.Rand, v *vm) {
 	some := func(most time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(most))) }
-	switch rng.IntN(12) {
+	switch rng.IntN(13) {
 	case 0: // the process dies
 		<-v.signal(syscall.SIGKILL, true)
 		time.Sleep(some(500 * time.Millisecond))
@@ -155,6 +157,10 @@
 		v.stopTarget()
 		time.Sleep(some(time.Second))
 		v.startTarget()
+	case 12: // the target answers with bytes without end
+		v.target.Endless(some(2 * time.Second))
+		time.Sleep(some(2 * time.Second))
+		assert.LessOrEqual(s.t, v.memory(), int64(nodeMemory), "bytes of %s", v.ip)
 	case 9:
 		s.store.Forget()
 		s.storeProxy.Cut()
