Hold the protections of orders and drains that no test held

Tried on a scratch copy, one protection taken out at a time: without the end of the link before, TestOrderUnderWayNeverRunsAfterItsRefusal fails; with a question that was never written taken as a proof, both cases of TestQuestionThatWasNotWrittenProvesNothing fail; with a node that has just started telling another that it remembers nothing, TestNodeThatHasJustStartedDoesNotSettleAnother fails. The tests before caught none of the three.

--- a/internal/connection/link/session_test.go
+++ b/internal/connection/link/session_test.go
@@ -194,3 +194,142 @@
 	wg.Wait()
 	require.GreaterOrEqual(t, answered.Load(), int64(orders*99/100))
 }
+
+// faultyConn is the dialer's end of a connection whose faults the other end does not see.
+type faultyConn struct {
+	*pipe
+	mu      sync.Mutex
+	held    [][]byte // written and under way; nil unless hold was called
+	holding bool
+	writes  int // after which further ones block until the end; zero: none do
+	ended   chan struct{}
+	once    sync.Once
+}
+
+func (c *faultyConn) Read(ctx context.Context) ([]byte, error) {
+	select {
+	case <-c.ended:
+		return nil, errors.New("closed")
+	case b := <-c.in:
+		return b, nil
+	case <-c.done:
+		return nil, errors.New("connection reset")
+	}
+}
+
+func (c *faultyConn) Write(ctx context.Context, b []byte) error {
+	c.mu.Lock()
+	holding, stalled := c.holding, c.writes == 1
+	if holding {
+		c.held = append(c.held, b)
+	}
+	if c.writes > 1 {
+		c.writes--
+	}
+	c.mu.Unlock()
+	switch {
+	case holding:
+		return nil
+	case stalled:
+		<-c.ended
+		return errors.New("closed")
+	}
+	return c.pipe.Write(ctx, b)
+}
+
+// Close is not seen by the other end.
+func (c *faultyConn) Close() { c.once.Do(func() { close(c.ended) }) }
+
+// hold keeps what is written from now on under way.
+func (c *faultyConn) hold() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holding = true
+}
+
+// deliver lets what is under way arrive, unless the other end has closed the connection.
+func (c *faultyConn) deliver() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, b := range c.held {
+		select {
+		case <-c.done:
+			return
+		default:
+			c.out <- b
+		}
+	}
+}
+
+// newFaultyPair returns a pair whose connections have faults of their own, and the function that returns the n-th of them.
+func newFaultyPair(h Handler, prepare func(n int, c *faultyConn)) (*pair, func(n int) *faultyConn) {
+	pr := newPair(h)
+	pr.dialer.Close()
+	var mu sync.Mutex
+	var conns []*faultyConn
+	pr.dialer = NewPool(Config{Self: Peer{Address: "a", Incarnation: 9}}, func(context.Context, string) (Conn, error) {
+		a, b := newPipe()
+		c := &faultyConn{pipe: a, ended: make(chan struct{})}
+		mu.Lock()
+		defer mu.Unlock()
+		prepare(len(conns), c)
+		conns = append(conns, c)
+		go func() { _ = pr.acceptor.Accept(context.Background(), b) }()
+		return c, nil
+	}, h, pr.log)
+	return pr, func(n int) *faultyConn {
+		mu.Lock()
+		defer mu.Unlock()
+		return conns[n]
+	}
+}
+
+// Guards against an order that runs after its caller was told that it never arrived: it was only under way, on a connection
+// that its sender had given up.
+func TestOrderUnderWayNeverRunsAfterItsRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ran, cancelled atomic.Int64
+		pr, conn := newFaultyPair(slowHandler(50*time.Millisecond, &ran, &cancelled), func(int, *faultyConn) {})
+		defer pr.close()
+		require.Equal(t, message.Answered, pr.dialer.Send(t.Context(), "b", newRequest(nil, time.Second)).Outcome)
+		conn(0).hold()
+		r := pr.dialer.Send(t.Context(), "b", newRequest([]byte("order"), 5*time.Second))
+		require.Equal(t, message.NotRun, r.Outcome, "%v", r.Err)
+		conn(0).deliver()
+		time.Sleep(10 * time.Second)
+		require.Equal(t, int64(1), ran.Load(), "only the first request")
+	})
+}
+
+// Guards against an order that ran and is told not to have run, because the question after it was never written.
+func TestQuestionThatWasNotWrittenProvesNothing(t *testing.T) {
+	for name, left := range map[string]time.Duration{
+		"until its caller gives up": 1900 * time.Millisecond, "until its link ends": 4 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { questionBlocked(t, left) })
+		})
+	}
+}
+
+func questionBlocked(t *testing.T, left time.Duration) {
+	var ran, cancelled atomic.Int64
+	pr, conn := newFaultyPair(slowHandler(2*time.Second, &ran, &cancelled), func(n int, c *faultyConn) {
+		if n > 0 {
+			c.writes = 2 // the handshake passes, the first question blocks, the others wait behind it
+		}
+	})
+	defer pr.close()
+	time.AfterFunc(100*time.Millisecond, func() { conn(0).hold(); conn(0).silent.Store(true) })
+	var orders sync.WaitGroup
+	for range 5 {
+		orders.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), left)
+			defer cancel()
+			r := pr.dialer.Send(ctx, "b", newRequest([]byte("order"), left+time.Second))
+			require.NotEqual(t, message.NotRun, r.Outcome, "%v", r.Err)
+		})
+	}
+	orders.Wait()
+	require.Equal(t, int64(5), ran.Load())
+}
--- a/internal/process/sidecar/scale_test.go
+++ b/internal/process/sidecar/scale_test.go
@@ -260,3 +260,33 @@
 		}
 	})
 }
+
+// Guards against a restarted node that takes work for a target which has left, because another node that has just started too
+// said that it remembers nothing, before one that does could speak.
+func TestNodeThatHasJustStartedDoesNotSettleAnother(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		a, b := c.start("a", "menu"), c.start("b", "menu")
+		time.Sleep(settleTime + time.Second)
+		require.NoError(t, a.reportReady(5))
+		time.Sleep(10 * time.Millisecond)
+		require.NoError(t, a.Leave("i-a"))
+		time.Sleep(10 * time.Millisecond)
+		c.kill("a")
+		c.mu.Lock()
+		delete(c.nodes, "b") // it cannot be reached for a moment
+		c.mu.Unlock()
+		c.start("c", "menu")
+		time.Sleep(50 * time.Millisecond)
+		a = c.start("a", "menu")
+		require.NoError(t, a.reportReady(4), "sent before the drain")
+		time.Sleep(settleTime / 2)
+		own := a.directory.Self()
+		require.False(t, own.Serving())
+		c.mu.Lock()
+		c.nodes["b"] = b
+		c.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		own = a.directory.Self()
+		require.False(t, own.Serving())
+	})
+}
