Take only what a settled node remembers as the word on an own drain

A restarted node took any message that held its own entry as proof that others had been asked for what they remember of its target. The comparison of two views sends that entry back too, also from a node that has just started and only repeats what it was told; the target that had left was then in use again.

Change: the answer to the question says so itself, and only settled nodes give it.

--- a/internal/process/sidecar/spread.go
+++ b/internal/process/sidecar/spread.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -26,6 +25,8 @@
 	Wanted  []int              `cbor:"8,keyasint,omitempty"`  // buckets of which the sender wants the entries that it lacks
 	Relay   bool               `cbor:"9,keyasint,omitempty"`  // what is new to the receiver is for its availability zone too
 	Recall  bool               `cbor:"10,keyasint,omitempty"` // the sender has started and wants what is remembered of it
+	// Recalled says that the sender was settled before and has told all that it remembers of the receiver.
+	Recalled bool `cbor:"12,keyasint,omitempty"`
 }
 
 type inboundMessage struct {
@@ -206,7 +207,7 @@
 		if len(list) <= pageSize {
 			return
 		}
-		msg.Config, msg.Ask, msg.Pull, msg.Wanted = nil, false, false, nil
+		msg.Config, msg.Ask, msg.Pull, msg.Wanted, msg.Recalled = nil, false, false, nil, false
 	}
 }
 
@@ -244,6 +245,7 @@
 	msg.Members = []directory.Member{s.directory.Self()}
 	if m, ok := s.directory.Member(to); ok && m.Incarnation != 0 {
 		msg.Members = append(msg.Members, m)
+		msg.Recalled = s.settled.Load()
 	}
 	msg.Recall = !s.settled.Load()
 	return msg
@@ -280,6 +282,9 @@
 	s.directory.Introduce(in.from, "")
 	s.reachable(in.from)
 	changed := s.merge(msg.Members)
+	if msg.Recalled && !s.settled.Swap(true) {
+		s.applyTarget()
+	}
 	if msg.Relay {
 		s.gathered.add(changed)
 	}
@@ -328,9 +333,9 @@
 	if !msg.Recall {
 		return
 	}
-	reply.Members = slices.DeleteFunc(reply.Members, func(m directory.Member) bool { return m.Address == to })
 	if own, ok := s.directory.Member(to); ok && s.settled.Load() {
-		reply.Members = append(reply.Members, own)
+		reply.Members = append([]directory.Member{own}, reply.Members...) // in the first page
+		reply.Recalled = true
 	}
 }
 
@@ -357,8 +362,7 @@
 	if e := merged.Echo; e != nil {
 		s.tracker.Restore(e.Instance, e.Born, e.Sequence, e.Phase)
 	}
-	remembered := slices.ContainsFunc(list, func(m directory.Member) bool { return m.Address == s.settings.PeerAddress })
-	if remembered && !s.settled.Swap(true) || merged.Echo != nil {
+	if merged.Echo != nil {
 		s.applyTarget()
 	}
 	return merged.Changed
