Log who follows the store and which requests outlived their link

On call: 202 or 854 says when a link was lost, 205 with the request's id how it ended, 866 which nodes read the store.

--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -22,6 +22,7 @@
 	LinkSilent   = Event{202, slog.LevelWarn, "link went silent and was closed", "Check the network between the two VMs if this repeats."}
 	LinkRefused  = Event{203, slog.LevelWarn, "link refused", "Check that both nodes run releases with the same peer protocol."}
 	FrameInvalid = Event{204, slog.LevelWarn, "invalid frame", "Check that both nodes run the same release."}
+	LinkAttached = Event{205, slog.LevelInfo, "request that outlived its link has ended", ""}
 )
 
 // Target events: 300 to 399.
@@ -35,7 +36,7 @@
 	return []Event{
 		ProcessStarted, ProcessStopped, DrainStarted, DrainCut, SettingsRead, InvariantFail, ServerFailed,
 		LeaveUnsent, AuditUnwritten,
-		LinkOpened, LinkClosed, LinkSilent, LinkRefused, FrameInvalid,
+		LinkOpened, LinkClosed, LinkSilent, LinkRefused, FrameInvalid, LinkAttached,
 		TargetAnnounced, TargetLapsed,
 		TargetEjected, LimitLowered, LimitRaised,
 		MemberJoined, MemberReplaced, MemberSuspected, MemberDied, MemberLeft, SelfActive, SelfIsolated,
@@ -46,6 +47,6 @@
 		RequestRefused, RequestUnknown, RequestRepeated, RequestFailed, RequestSampled, LinesSuppressed, RequestRejected,
 		TargetReplaced, TargetChanged, TargetSilent, ReportRejected, PeerUnreachable, PeerReachable,
 		RoutesApplied, RoutesRejected, StoreLost, StoreRegained, NodeRegistered, SettingsReloaded, SettingsUnusable,
-		MemberChanged, SpreadFailed, TargetConnections,
+		MemberChanged, SpreadFailed, TargetConnections, FollowerChanged, TargetFailing, TargetRecovered,
 	}
 }
--- a/internal/process/event/mesh.go
+++ b/internal/process/event/mesh.go
@@ -31,4 +31,7 @@
 	MemberChanged     = Event{863, slog.LevelInfo, "node changed its entry", ""}
 	SpreadFailed      = Event{864, slog.LevelWarn, "message to a node could not be sent", ""}
 	TargetConnections = Event{865, slog.LevelWarn, "target refuses connections, no work is taken until it reports", "Check the target process on this VM."}
+	FollowerChanged   = Event{866, slog.LevelInfo, "node follows the store for its availability zone, or no longer does", ""}
+	TargetFailing     = Event{867, slog.LevelWarn, "target fails part of its requests, callers are told", "Check the target process on this VM; its health may look good."}
+	TargetRecovered   = Event{868, slog.LevelInfo, "target no longer fails its requests, callers are told", ""}
 )
--- a/internal/process/sidecar/learn.go
+++ b/internal/process/sidecar/learn.go
@@ -148,8 +148,13 @@
 	state := storeState{log: s.log, step: "configuration"}
 	var wait backoff
 	var after platform.Version
+	following := false
 	for s.ctx.Err() == nil {
-		if !s.follows() {
+		if follows := s.follows(); follows != following {
+			following = follows
+			event.Log(s.log, event.FollowerChanged, slog.Bool("follows", follows), slog.String("zone", s.settings.Zone))
+		}
+		if !following {
 			after = ""
 			s.sleep(followCheck)
 			continue
