Tell callers the condition of a target, which none of them can learn alone

Cause: a node judges each target by its own requests to it. With 56 targets of a service and two requests a second a pair of node and target meets once in half a minute, so that every node pays for finding out that a target fails part of its requests, is full or cold. The node beside the target sees all requests.

Change: it tells the nodes of its availability zone whose requests came in the last 15 s (32 at most) the load and the share of requests that the target fails, when they change and once a second while it is in use. The choice uses the larger of the own and the told share of failures, and the told load where no answer is newer; both lapse after 3 s. Targets of which nothing is known count as full as the mean of the own zone, so that a surge everywhere does not cross all zones.

Ruled out: the directory as the carrier. Its digests would differ all the time.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -66,13 +66,6 @@
 	outlierEvery   = 16
 	// latencyWeight is the number of responses over which latency is averaged.
 	latencyWeight = 16
-	// failureWeight is the number of results over which the share of failures is averaged.
-	failureWeight = 32
-	// failureHalfLife is the time in which a share of failures counts half as much, so that a target that is no longer chosen
-	// is tried again within seconds.
-	failureHalfLife = 2 * time.Second
-	// failureFloor is the share of failures below which targets are not told apart.
-	failureFloor = 0.02
 	// failureCost is what a failed request costs in requests of load: a target that fails a tenth of its requests is chosen
 	// like one with twice the load. A call that fails mostly loses its chain, and the retry that it uses is missing elsewhere.
 	failureCost = 10
@@ -100,6 +93,7 @@
 	random   func() float64 // from zero to one; replaced by tests, safe for concurrent use
 	settings atomic.Pointer[settings]
 	snapshot atomic.Pointer[snapshot]
+	zoneLoad zoneLoad
 	mu       sync.Mutex // Update and ejection
 }
 
@@ -117,6 +111,7 @@
 type member struct {
 	Target
 	*state
+	zoneLoad *zoneLoad
 }
 
 type state struct {
@@ -126,11 +121,12 @@
 	refused  atomic.Int64 // time of the last refusal
 	latency  atomic.Uint64
 	samples  atomic.Int64
-	failures atomic.Int64  // consecutive
-	failing  atomic.Uint64 // share of failures (float32) in the high half, time in milliseconds in the low half
-	ejected  atomic.Int64  // end of the ejection
-	leaving  atomic.Int64  // end of the time without picks after a refusal as leaving
-	rampFrom atomic.Int64  // start of the ramp; zero: none
+	failures atomic.Int64 // consecutive
+	failing  FailureShare
+	told     told
+	ejected  atomic.Int64 // end of the ejection
+	leaving  atomic.Int64 // end of the time without picks after a refusal as leaving
+	rampFrom atomic.Int64 // start of the ramp; zero: none
 
 	ejectTime time.Duration // length of the last ejection; under the Picker's mutex
 }
@@ -173,7 +169,7 @@
 				s.rampFrom.Store(now)
 			}
 		}
-		m := &member{t, s}
+		m := &member{t, s, &p.zoneLoad}
 		next.all = append(next.all, m)
 		if t.Zone == p.zone {
 			next.local = append(next.local, m)
@@ -310,10 +306,13 @@
 	if at := m.refused.Load(); at != 0 && now-at < int64(loadValid) {
 		least = 1
 	}
-	if at := m.loadAt.Load(); at == 0 || now-at >= int64(loadValid) {
-		return max(least, unknownLoad)
+	if at := m.loadAt.Load(); at != 0 && now-at < int64(loadValid) && at >= m.told.at.Load() {
+		return max(least, float64(m.load.Load()>>32)/m.size())
 	}
-	return max(least, float64(m.load.Load()>>32)/m.size())
+	if load, ok := m.told.utilisation(now); ok {
+		return max(least, load)
+	}
+	return max(least, m.zoneLoad.get(now))
 }
 
 // score orders targets; lower is better. The reported load at most doubles a score, so that a false report attracts a
@@ -361,7 +360,7 @@
 	case r.Refused:
 		m.refused.Store(now)
 	case r.Failed:
-		m.count(true, now)
+		m.failing.count(true, now)
 		if m.failures.Add(1) >= int64(p.settings.Load().EjectFailures) {
 			p.eject(m, "failures")
 		}
@@ -369,7 +368,7 @@
 		if m.failures.Load() != 0 {
 			m.failures.Store(0)
 		}
-		m.count(false, now)
+		m.failing.count(false, now)
 		m.observe(time.Duration(now - start).Seconds())
 		if n := m.samples.Add(1); n >= outlierSamples && n%outlierEvery == 0 && p.outlier(m, now) {
 			p.eject(m, "latency")
@@ -377,43 +376,6 @@
 	}
 }
 
-// failureShare returns the share of failures among the latest results. Single failures count until they have faded; a target
-// that fails part of its requests while its health is good shows only here.
-func (s *state) failureShare(now int64) float64 {
-	if share := faded(s.failing.Load(), now); share >= failureFloor {
-		return share
-	}
-	return 0
-}
-
-// faded returns the share of failures that was stored, as it counts now.
-func faded(stored uint64, now int64) float64 {
-	share := float64(math.Float32frombits(uint32(stored >> 32)))
-	if share == 0 {
-		return 0
-	}
-	age := time.Duration(uint32(milliseconds(now)-uint32(stored))) * time.Millisecond
-	return share * math.Exp2(-float64(age)/float64(failureHalfLife))
-}
-
-func milliseconds(now int64) uint32 { return uint32(now / int64(time.Millisecond)) }
-
-// count adds a result to the share of failures.
-func (s *state) count(failed bool, now int64) {
-	value := 0.0
-	if failed {
-		value = 1
-	}
-	for {
-		old := s.failing.Load()
-		was := faded(old, now)
-		next := float32(was + (value-was)/failureWeight)
-		if was == value || s.failing.CompareAndSwap(old, uint64(math.Float32bits(next))<<32|uint64(milliseconds(now))) {
-			return
-		}
-	}
-}
-
 // observe adds a latency to the moving average.
 func (s *state) observe(seconds float64) {
 	for {
--- a/internal/process/balance/set.go
+++ b/internal/process/balance/set.go
@@ -55,5 +55,12 @@
 	s.pickers.Store(&pickers)
 }
 
+// Tell takes the condition of a target of the service.
+func (s *Set) Tell(service, address string, c Condition) {
+	if p := s.Picker(service); p != nil {
+		p.Tell(address, c)
+	}
+}
+
 // Picker returns the picker of a service, or nil if the service never had a target.
 func (s *Set) Picker(service string) *Picker { return (*s.pickers.Load())[service] }
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -52,6 +52,9 @@
 	p.runs.end(run)
 	r.Thresholds = run.below.Thresholds()
 	r.BelowFailed = run.refused.Load() > 0 || run.failed.Load() > 0
+	if seen := result(r); !seen.Cancelled {
+		g.failing.Count(seen.Failed, time.Since(g.opened))
+	}
 	return r
 }
 
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -82,6 +82,8 @@
 	instance string
 	control  *admission.Controller
 	target   Target
+	opened   time.Time
+	failing  balance.FailureShare // times since opened
 }
 
 // New returns a path without a target.
@@ -94,7 +96,7 @@
 
 // Open starts to take requests for an instance of the target beside this node.
 func (p *Path) Open(service, instance string, control *admission.Controller, target Target) {
-	if old := p.gate.Swap(&gate{service, instance, control, target}); old != nil {
+	if old := p.gate.Swap(&gate{service: service, instance: instance, control: control, target: target, opened: time.Now()}); old != nil {
 		old.control.StopAdmitting()
 	}
 }
@@ -121,6 +123,15 @@
 	return message.Load{}
 }
 
+// Condition returns what this node sees of the target beside it. It reports false if the target takes no work.
+func (p *Path) Condition() (c balance.Condition, ok bool) {
+	g := p.gate.Load()
+	if g == nil {
+		return balance.Condition{}, false
+	}
+	return balance.Condition{Load: g.control.Load(), Failing: g.failing.Share(time.Since(g.opened))}, true
+}
+
 const (
 	// retryUse is the part of the operators' bound on repeats that this node uses. The bound holds over all nodes, and repeated
 	// runs repeat their calls.
--- /dev/null
+++ b/internal/process/sidecar/condition_test.go
@@ -0,0 +1,45 @@
+package sidecar
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+// Guards against a node that spends its control traffic on a condition that does not change, and against one that keeps a
+// change to itself.
+func TestConditionIsToldWhenItChangesAndOnceASecond(t *testing.T) {
+	var tl teller
+	now := time.Unix(1000, 0)
+	load := func(n int) balance.Condition { return balance.Condition{Load: message.Load{InFlight: n, Limit: 10}} }
+	require.False(t, tl.due(now, load(0)), "idle")
+	require.True(t, tl.due(now, load(2)))
+	require.False(t, tl.due(now.Add(tellCheck), load(3)))
+	require.True(t, tl.due(now.Add(tellInterval), load(3)))
+	require.True(t, tl.due(now.Add(tellInterval+tellCheck), load(9)))
+	failing := load(9)
+	failing.Failing = 0.3
+	require.True(t, tl.due(now.Add(tellInterval+2*tellCheck), failing))
+	require.True(t, tl.due(now.Add(tellInterval+3*tellCheck), load(0)), "what was told is over")
+	require.False(t, tl.due(now.Add(time.Minute), load(0)))
+}
+
+// Guards against control traffic that grows with the nodes of an availability zone: only callers are told, the latest first.
+func TestOnlyLateCallersAreTold(t *testing.T) {
+	var c callers
+	now := time.Unix(1000, 0)
+	c.note("old", now.Add(-callerMemory-time.Second))
+	for i := range 2 * maxTold {
+		c.note(fmt.Sprintf("n%03d", i), now.Add(time.Duration(i)*time.Millisecond-time.Second))
+	}
+	latest := c.latest(now)
+	require.Len(t, latest, maxTold)
+	require.Equal(t, fmt.Sprintf("n%03d", 2*maxTold-1), latest[0])
+	require.NotContains(t, latest, "old")
+	require.Empty(t, c.latest(now.Add(time.Hour)))
+}
--- a/internal/process/sidecar/handlers.go
+++ b/internal/process/sidecar/handlers.go
@@ -79,8 +79,11 @@
 const facePeer = "peer"
 
 // HandleRequest implements link.Handler.
-func (h linkHandler) HandleRequest(ctx context.Context, _ link.Peer, req *message.Request) *message.Response {
+func (h linkHandler) HandleRequest(ctx context.Context, from link.Peer, req *message.Request) *message.Response {
 	start := time.Now()
+	if from.Zone == h.s.settings.Zone {
+		h.s.callers.note(from.Address, start)
+	}
 	req.Memory = h.s.answers.Hold()
 	defer req.Memory.Release()
 	r := h.s.path.Deliver(ctx, req)
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -56,7 +56,7 @@
 	}
 	event.Log(s.log, event.ProcessStarted, slog.String("node", s.settings.Node), slog.String("zone", s.settings.Zone),
 		slog.String("service", s.settings.Service), slog.String("peer_address", s.settings.PeerAddress))
-	for _, loop := range []func(){s.register, s.followConfig, s.spread, s.reach, s.watchTarget} {
+	for _, loop := range []func(){s.register, s.followConfig, s.spread, s.reach, s.watchTarget, s.tellCallers} {
 		s.background.Go(loop)
 	}
 	for running := true; running; {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -96,8 +96,9 @@
 	registered atomic.Bool // the nodes that started before are known
 	settled    atomic.Bool // the node's own state before a restart is known, or nobody remembers it
 	inbox      chan inboundMessage
-	puller     puller        // used by the loop that receives messages
-	gathered   gathered      // used by the same loop
+	puller     puller   // used by the loop that receives messages
+	gathered   gathered // used by the same loop
+	callers    callers
 	retry      chan struct{} // wakes the loop that reaches nodes that were down
 
 	targetMu sync.Mutex // held while the state of the target is applied
--- a/internal/process/sidecar/spread.go
+++ b/internal/process/sidecar/spread.go
@@ -27,6 +27,8 @@
 	Recall  bool               `cbor:"10,keyasint,omitempty"` // the sender has started and wants what is remembered of it
 	// Recalled says that the sender was settled before and has told all that it remembers of the receiver.
 	Recalled bool `cbor:"12,keyasint,omitempty"`
+	// Condition is that of the target beside the sender. A message with it holds nothing else and is not answered.
+	Condition *condition `cbor:"11,keyasint,omitempty"`
 }
 
 type inboundMessage struct {
@@ -279,6 +281,10 @@
 		event.Log(s.log, event.FrameInvalid, slog.String("peer", in.from), slog.String("error", err.Error()))
 		return
 	}
+	if msg.Condition != nil {
+		s.hear(in.from, msg.Condition)
+		return
+	}
 	s.directory.Introduce(in.from, "")
 	s.reachable(in.from)
 	changed := s.merge(msg.Members)
