--- a/cmd/wigeoncleat-sidecar/main.go
+++ b/cmd/wigeoncleat-sidecar/main.go
@@ -36,7 +36,7 @@
 		Usage: "run the node beside a target until SIGTERM, then stop gracefully; SIGHUP reads the settings again",
 		Flags: []cli.Flag{
 			&cli.StringFlag{
-				Name: "settings", Sources: cli.EnvVars(platform.SettingsVariable), Required: true,
+				Name: "settings", Sources: cli.EnvVars(platform.SettingsVariable),
 				Usage: "settings `FILE` (TOML), see docs/deployment.md",
 			},
 			&cli.StringFlag{
@@ -46,6 +46,10 @@
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "lowest `LEVEL` that is logged: debug, info, warn or error"},
 		},
 		Action: run,
+		Commands: []*cli.Command{{
+			Name: "check", ArgsUsage: "FILE", Action: check,
+			Usage: "name every fault of a settings file and start nothing",
+		}},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "wigeoncleat-sidecar:", err)
@@ -56,8 +60,23 @@
 	}
 }
 
+// check prints the faults of a settings file, a line each.
+func check(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return errors.New("check needs one settings file")
+	}
+	if _, err := platform.LoadSettings(c.Args().First()); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(c.Root().Writer, "the settings can be used")
+	return err
+}
+
 func run(_ context.Context, c *cli.Command) error {
 	path := c.String("settings")
+	if path == "" {
+		return fmt.Errorf("%w: no file is named; use --settings or %s", platform.ErrSettings, platform.SettingsVariable)
+	}
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/wigeonctl/explain.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/explain"
+)
+
+func init() { register(explainCommand) }
+
+// standardInput is the name that stands for the standard input among files.
+const standardInput = "-"
+
+var errNeedLogs = errors.New("an id and the logs of one or more nodes are required, or - for standard input")
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "shows from the logs of nodes what became of a request and its calls",
+		ArgsUsage: "ID FILE...",
+		Action:    explainRequest,
+	}
+}
+
+func explainRequest(_ context.Context, c *cli.Command) error {
+	args := c.Args().Slice()
+	if len(args) < 2 {
+		return errNeedLogs
+	}
+	r := explain.NewReader(args[0])
+	for _, name := range args[1:] {
+		if err := readLog(r, name, c.Root().Reader); err != nil {
+			return failed(err)
+		}
+	}
+	report, ok := r.Report()
+	if !ok {
+		return failed(fmt.Errorf("no line of the %d logs names the request %s; answered requests are logged as a sample only",
+			len(args)-1, args[0]))
+	}
+	return printResult(c, report, func(w io.Writer) { printReport(w, report) })
+}
+
+func readLog(r *explain.Reader, name string, stdin io.Reader) error {
+	if name == standardInput {
+		return r.Read("standard input", stdin)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return fmt.Errorf("open log: %w", err)
+	}
+	defer f.Close()
+	return r.Read(filepath.Base(name), f)
+}
+
+func printReport(w io.Writer, r *explain.Report) {
+	printRequest(w, r.Root, 0)
+	fmt.Fprintf(w, "cause: %s\n", r.Cause)
+	for _, address := range r.Missing {
+		fmt.Fprintf(w, "missing: the lines of the node at %s\n", address)
+	}
+}
+
+const indent = "  "
+
+func printRequest(w io.Writer, q *explain.Request, depth int) {
+	margin := strings.Repeat(indent, depth)
+	fmt.Fprintf(w, "%s%s\n", margin, q.ID)
+	for i := range q.Lines {
+		fmt.Fprintf(w, "%s%s%s\n", margin, indent, lineText(&q.Lines[i]))
+	}
+	for _, call := range q.Calls {
+		printRequest(w, call, depth+1)
+	}
+}
+
+// lineText returns a line with the fields that it has.
+func lineText(l *explain.Line) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s: %s", l.Time.Format("15:04:05.000"), l.Node, l.Message)
+	for _, f := range []struct{ name, value string }{
+		{"service", l.Service}, {"reason", l.Reason}, {"step", l.Step}, {"peer", l.Peer}, {"tried", l.Tried},
+		{"outcome", l.Outcome}, {"detail", l.Detail},
+	} {
+		if f.value != "" {
+			fmt.Fprintf(&b, " %s=%q", f.name, f.value)
+		}
+	}
+	for _, f := range []struct {
+		name  string
+		value int64
+	}{{"status", int64(l.Status)}, {"version", int64(l.Version)}, {"took_ms", l.TookMS}, {"left_ms", l.LeftMS}} {
+		if f.value != 0 {
+			fmt.Fprintf(&b, " %s=%d", f.name, f.value)
+		}
+	}
+	return b.String()
+}
