Drop the bodies of requests that have ended and whose response is kept

Found by reading: a request that must not run twice was kept with its body and header until its deadline, which bounded nothing. TestKeptOrdersHoldNoBodies holds it.

--- a/internal/connection/link/inbound.go
+++ b/internal/connection/link/inbound.go
@@ -53,7 +53,7 @@
 	in.mu.Lock()
 	var left []*stream
 	for id, s := range in.streams {
-		if _, whole := s.body.Body(); whole && !s.req.Idempotent {
+		if s.started && !s.req.Idempotent {
 			left = append(left, s)
 			delete(in.streams, id)
 		}
@@ -167,7 +167,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	s, ok := in.streams[f.Stream]
-	if !ok {
+	if !ok || s.started {
 		return
 	}
 	if err := s.body.Add(f.Offset, f.Part); err != nil {
@@ -184,7 +184,7 @@
 	if !whole {
 		return
 	}
-	s.req.Body = body
+	s.req.Body, s.body, s.started = body, nil, true
 	if !s.req.Idempotent {
 		ctx = in.process // nobody else may run it
 	}
@@ -216,8 +216,8 @@
 	if !ok {
 		return
 	}
-	if _, whole := s.body.Body(); !whole {
-		delete(in.streams, f.Stream) // never started
+	if !s.started {
+		delete(in.streams, f.Stream)
 		return
 	}
 	s.cancel()
--- a/internal/connection/link/session.go
+++ b/internal/connection/link/session.go
@@ -158,10 +158,11 @@
 
 // stream is a request of the peer that was not answered yet, or whose response may not have arrived.
 type stream struct {
-	key    streamKey
-	cancel func()
-	req    *message.Request
-	body   *wire.Assembly
+	key     streamKey
+	cancel  func()
+	req     *message.Request
+	body    *wire.Assembly // of the request, until it is whole
+	started bool           // the handler has the request; under the mutex of the first link
 
 	mu       sync.Mutex
 	link     *inbound // that takes the response; nil: the link was lost
@@ -182,6 +183,7 @@
 
 // finish takes the response and hands it to the link that takes it.
 func (st *stream) finish(r *message.Response) {
+	st.req.Body, st.req.Header = nil, nil // what is kept needs the response only
 	st.mu.Lock()
 	link, id := st.link, st.id
 	if link == nil && len(r.Body) > maxLostBody {
--- a/internal/connection/link/session_test.go
+++ b/internal/connection/link/session_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
@@ -333,3 +334,36 @@
 	orders.Wait()
 	require.Equal(t, int64(5), ran.Load())
 }
+
+// Guards against requests that hold their bodies until the deadline after they have ended: a surge of orders would fill the
+// memory.
+func TestKeptOrdersHoldNoBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pr := newPair(&testHandler{fn: func(context.Context, *message.Request) *message.Response {
+			return &message.Response{Outcome: message.Answered, Status: 200}
+		}})
+		defer pr.close()
+		for range 10 {
+			pr.dialer.Send(t.Context(), "b", newRequest(make([]byte, 3*wire.MaxPart), 5*time.Second))
+		}
+		synctest.Wait()
+		ss := pr.acceptor.sessions
+		ss.mu.Lock()
+		kept := 0
+		for _, s := range ss.by {
+			for _, st := range s.kept {
+				kept++
+				require.Nil(t, st.req.Body)
+				require.Nil(t, st.body)
+			}
+		}
+		ss.mu.Unlock()
+		require.Equal(t, 10, kept)
+		time.Sleep(6 * time.Second)
+		ss.mu.Lock()
+		defer ss.mu.Unlock()
+		for _, s := range ss.by {
+			require.Empty(t, s.kept, "their deadline has passed")
+		}
+	})
+}
