--- a/internal/process/sidecar/condition.go
+++ b/internal/process/sidecar/condition.go
@@ -92,18 +92,11 @@
 func (s *Sidecar) tellCallers() {
 	var t teller
 	failing := false
-	ticker := time.NewTicker(tellCheck)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	s.every(tellCheck, func() {
 		now := time.Now()
 		c, open := s.path.Condition()
 		if !open || !t.due(now, c) {
-			continue
+			return
 		}
 		failing = s.logFailing(failing, c)
 		msg := s.message()
@@ -111,7 +104,7 @@
 		for _, address := range s.callers.latest(now) {
 			s.send(address, msg)
 		}
-	}
+	})
 }
 
 // logFailing logs when the target begins or ceases to fail, and returns whether it does.
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -73,6 +73,20 @@
 	return nil
 }
 
+// every calls the function at an interval until the process ends.
+func (s *Sidecar) every(interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
+
 // closeTime bounds the closing of what a graceful stop left over. The process ends with it, so nothing has to wait for the
 // last goroutine, and the platform kills a process that outlives its grace period.
 const closeTime = 200 * time.Millisecond
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -218,18 +218,11 @@
 
 // watchTarget shuts the way to a target that has fallen silent.
 func (s *Sidecar) watchTarget() {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	s.every(checkInterval, func() {
 		if !s.settled.Load() && time.Since(s.started) >= settleTime {
 			s.settled.Store(true)
 		}
 		s.lookAtTarget()
 		s.applyTarget()
-	}
+	})
 }
