Acknowledge a drain when another node knows of it

Only nodes that have run for 5 s say what they remember of others: one that has just started may know itself and nobody else. That word is sent again if it meets the pause after a failed dial.

Tests: TestAcknowledgedDrainIsKnownToAnotherNode takes a node's power in the moment of its acknowledgement, with 1 ms of latency; it fails without the wait. TestDrainOutlivesTheKillOfMostNodes looked once after 6 s, when the target was shut for another reason, and passed without the memory of other nodes; it now looks four times a second and fails without it.

--- a/internal/process/sidecar/scale_test.go
+++ b/internal/process/sidecar/scale_test.go
@@ -108,7 +108,7 @@
 func runFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{
-			cluster: &cluster{t: t, nodes: map[string]*Sidecar{}, rows: map[string][]byte{}},
+			cluster: &cluster{t: t, nodes: map[string]*Sidecar{}, rows: map[string][]byte{}, latency: time.Millisecond, lost: map[string]bool{}},
 			store:   &sharedStore{version: 4, changed: make(chan struct{})},
 			stores:  map[string]*countedStore{},
 		}
@@ -133,6 +133,18 @@
 	return f.startIn(fmt.Sprintf("zone-%d", i%fleetZones), address, "menu", f.stores[address], f.stores[address], log)
 }
 
+// cutOff ends a node as a loss of power does.
+func (f *fleet) cutOff(address string) {
+	f.mu.Lock()
+	f.lost[address] = true
+	f.mu.Unlock()
+	f.kill(address)
+	time.Sleep(300 * time.Millisecond)
+	f.mu.Lock()
+	delete(f.lost, address)
+	f.mu.Unlock()
+}
+
 func (f *fleet) report(sequence int64) {
 	for _, s := range f.nodes {
 		require.NoError(f.t, s.reportReady(sequence))
@@ -146,6 +158,20 @@
 	}
 }
 
+// requireUnused checks for some seconds that no node takes the targets beside the given nodes for ones that take work.
+func (f *fleet) requireUnused(left ...string) {
+	f.t.Helper()
+	for range 24 {
+		time.Sleep(250 * time.Millisecond)
+		for address, s := range f.nodes {
+			for _, node := range left {
+				m, _ := s.directory.Member(node)
+				require.False(f.t, m.Serving(), "node %s, target of %s", address, node)
+			}
+		}
+	}
+}
+
 func (f *fleet) requireVersion(v routing.Version) {
 	f.t.Helper()
 	for address, s := range f.nodes {
@@ -251,13 +277,7 @@
 		for i := range fleetSize * 9 / 10 {
 			require.NoError(t, f.start(i).reportReady(4), "sent before the drain")
 		}
-		time.Sleep(6 * time.Second)
-		for address, s := range f.nodes {
-			for _, left := range []string{"n03", "n04", "n05"} {
-				m, _ := s.directory.Member(left)
-				require.False(t, m.Serving(), "node %s, target of %s", address, left)
-			}
-		}
+		f.requireUnused("n03", "n04", "n05")
 	})
 }
 
@@ -290,3 +310,29 @@
 		require.False(t, own.Serving())
 	})
 }
+
+// Guards against a drain that was acknowledged and that nobody remembers, because the node lost its power in the same moment.
+func TestAcknowledgedDrainIsKnownToAnotherNode(t *testing.T) {
+	runFleet(t, func(t *testing.T, f *fleet) {
+		f.report(1)
+		time.Sleep(2 * time.Second)
+		require.NoError(t, f.nodes["n09"].Leave("i-n09"))
+		f.cutOff("n09")
+		require.NoError(t, f.start(9).reportReady(4), "sent before the drain")
+		f.requireUnused("n09")
+	})
+}
+
+// Guards against an acknowledgement that never comes because no other node can be reached.
+func TestDrainIsAcknowledgedWithoutOtherNodes(t *testing.T) {
+	run(t, func(t *testing.T, c *cluster) {
+		a := c.start("a", "menu")
+		c.start("b", "menu")
+		time.Sleep(settleTime + time.Second)
+		require.NoError(t, a.reportReady(1))
+		c.kill("b")
+		start := time.Now()
+		require.NoError(t, a.Leave("i-a"))
+		require.LessOrEqual(t, time.Since(start), confirmTime)
+	})
+}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -99,6 +99,7 @@
 	puller     puller   // used by the loop that receives messages
 	gathered   gathered // used by the same loop
 	callers    callers
+	confirmed  confirmation
 	retry      chan struct{} // wakes the loop that reaches nodes that were down
 
 	targetMu sync.Mutex // held while the state of the target is applied
--- a/internal/process/sidecar/spread.go
+++ b/internal/process/sidecar/spread.go
@@ -25,8 +25,10 @@
 	Wanted  []int              `cbor:"8,keyasint,omitempty"`  // buckets of which the sender wants the entries that it lacks
 	Relay   bool               `cbor:"9,keyasint,omitempty"`  // what is new to the receiver is for its availability zone too
 	Recall  bool               `cbor:"10,keyasint,omitempty"` // the sender has started and wants what is remembered of it
-	// Recalled says that the sender was settled before and has told all that it remembers of the receiver.
-	Recalled bool `cbor:"12,keyasint,omitempty"`
+	// Recalled says that the sender has run for long and has told all that it remembers of the receiver.
+	Recalled  bool   `cbor:"12,keyasint,omitempty"`
+	Confirm   uint64 `cbor:"13,keyasint,omitempty"` // revision of the sender's own entry whose receipt it wants confirmed
+	Confirmed uint64 `cbor:"14,keyasint,omitempty"` // revision of the receiver's own entry that the sender knows
 	// Condition is that of the target beside the sender. A message with it holds nothing else and is not answered.
 	Condition *condition `cbor:"11,keyasint,omitempty"`
 }
@@ -52,6 +54,10 @@
 	// gatherTime is the time in which changes are gathered before they are passed on together. It bounds the messages when many
 	// nodes start at once.
 	gatherTime = 10 * time.Millisecond
+	// recallAge is the time after its start from which a node's memory of others is complete: several comparisons of views.
+	recallAge = 5 * time.Second
+	// recallRetry is longer than the pause of links after a failed dial.
+	recallRetry = linkDialBackoff + 50*time.Millisecond
 	// pageSize is the number of entries in one message. An entry takes about 130 bytes, and a message at most 256 KiB.
 	pageSize = 1000
 )
@@ -62,12 +68,21 @@
 	zone, others := s.directory.Neighbours()
 	msg := s.message()
 	msg.Members = []directory.Member{m}
-	for _, address := range zone {
+	asked := 0
+	tell := func(address string) {
+		msg.Confirm = 0
+		if m.Left() && asked < confirmers {
+			msg.Confirm = m.Revision
+			asked++
+		}
 		s.send(address, msg)
 	}
+	for _, address := range zone {
+		tell(address)
+	}
 	msg.Relay = true
 	for _, address := range someOfEach(others, relays) {
-		s.send(address, msg)
+		tell(address)
 	}
 }
 
@@ -85,9 +100,16 @@
 	return viewMessage{Digest: s.directory.Digest(), Version: uint64(s.version())}
 }
 
-// send sends a message in the background.
+// send sends a message in the background. The word on what is remembered of a node is sent again if it fails: a node that was
+// down until a moment ago cannot be dialed for a while after the last try.
 func (s *Sidecar) send(address string, msg viewMessage) {
-	s.background.Go(func() { _ = s.sendNow(address, msg) }) // sendNow logs; the next comparison makes up for it
+	s.background.Go(func() {
+		err := s.sendNow(address, msg) // it logs; the next comparison makes up for other messages
+		if err != nil && msg.Recalled {
+			s.sleep(recallRetry)
+			_ = s.sendNow(address, msg)
+		}
+	})
 }
 
 func (s *Sidecar) sendNow(address string, msg viewMessage) error {
@@ -247,7 +269,7 @@
 	msg.Members = []directory.Member{s.directory.Self()}
 	if m, ok := s.directory.Member(to); ok && m.Incarnation != 0 {
 		msg.Members = append(msg.Members, m)
-		msg.Recalled = s.settled.Load()
+		msg.Recalled = s.remembers()
 	}
 	msg.Recall = !s.settled.Load()
 	return msg
@@ -281,9 +303,13 @@
 		event.Log(s.log, event.FrameInvalid, slog.String("peer", in.from), slog.String("error", err.Error()))
 		return
 	}
-	if msg.Condition != nil {
+	switch {
+	case msg.Condition != nil:
 		s.hear(in.from, msg.Condition)
 		return
+	case msg.Confirmed != 0:
+		s.confirmed.take(msg.Confirmed)
+		return
 	}
 	s.directory.Introduce(in.from, "")
 	s.reachable(in.from)
@@ -294,6 +320,9 @@
 	if msg.Relay {
 		s.gathered.add(changed)
 	}
+	if msg.Confirm != 0 {
+		s.send(in.from, viewMessage{Confirmed: msg.Confirm})
+	}
 	if len(msg.Config) > 0 {
 		s.unpackConfig(msg.Config, in.from)
 	}
@@ -333,13 +362,16 @@
 	s.recall(to, msg, reply)
 }
 
+// remembers reports whether this node has run for long enough to know what others know.
+func (s *Sidecar) remembers() bool { return time.Since(s.started) >= recallAge }
+
 // recall tells a node that has started what is remembered of it. A node that has just started itself remembers nothing yet, and
 // must not say that there is nothing to remember.
 func (s *Sidecar) recall(to string, msg viewMessage, reply *viewMessage) {
 	if !msg.Recall {
 		return
 	}
-	if own, ok := s.directory.Member(to); ok && s.settled.Load() {
+	if own, ok := s.directory.Member(to); ok && s.remembers() {
 		reply.Members = append([]directory.Member{own}, reply.Members...) // in the first page
 		reply.Recalled = true
 	}
--- a/internal/process/sidecar/spread_test.go
+++ b/internal/process/sidecar/spread_test.go
@@ -62,6 +62,27 @@
 	rows   map[string][]byte
 	config []byte
 	away   bool // the store cannot be used
+
+	latency time.Duration   // of each message
+	lost    map[string]bool // nodes without power: what they have written and has not arrived is lost
+}
+
+// slowWire is a node's end of a connection.
+type slowWire struct {
+	*pipe
+	c    *cluster
+	node string
+}
+
+func (w slowWire) Write(ctx context.Context, b []byte) error {
+	time.Sleep(w.c.latency)
+	w.c.mu.Lock()
+	lost := w.c.lost[w.node]
+	w.c.mu.Unlock()
+	if lost {
+		return nil
+	}
+	return w.pipe.Write(ctx, b)
 }
 
 var errAway = errors.Join(platform.ErrUnavailable, errors.New("test"))
@@ -141,7 +162,7 @@
 		},
 	})
 	require.NoError(c.t, err)
-	s.pool = link.NewPool(link.Config{Self: link.Peer{Address: address}}, func(_ context.Context, to string) (link.Conn, error) {
+	s.pool = link.NewPool(link.Config{Self: link.Peer{Address: address, Incarnation: uint64(s.started.UnixMilli())}}, func(_ context.Context, to string) (link.Conn, error) {
 		c.mu.Lock()
 		peer := c.nodes[to]
 		c.mu.Unlock()
@@ -149,8 +170,8 @@
 			return nil, errors.New("connection refused")
 		}
 		ours, theirs := newPipe()
-		go func() { _ = peer.pool.Accept(context.Background(), theirs) }()
-		return ours, nil
+		go func() { _ = peer.pool.Accept(context.Background(), slowWire{theirs, c, to}) }()
+		return slowWire{ours, c, address}, nil
 	}, linkHandler{s}, s.log)
 	c.mu.Lock()
 	c.nodes[address] = s
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -128,6 +128,7 @@
 	case report.Ignored, report.Renewed:
 	}
 	s.applyTarget()
+	s.awaitDrainKnown()
 	return nil
 }
 
@@ -137,6 +138,7 @@
 		event.Log(s.log, event.TargetChanged, slog.String("instance", instance), slog.String("phase", report.PhaseGone.String()))
 	}
 	s.applyTarget()
+	s.awaitDrainKnown()
 	return nil
 }
 
