Leave latencies measured across a pause of the process out of admission

By reading: orders outlive their link now, so those that ran when the process stopped end with a latency of 3 s and more instead of being cancelled. A latency far above the known one lets the limit of a target be tried at half, and such a trial refuses. The failure itself was not reproduced, so the trace is the mechanism.

--- a/internal/process/engine/guard.go
+++ b/internal/process/engine/guard.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/pause"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
@@ -34,6 +35,6 @@
 	p.Permit.Release(admission.Result{
 		Latency:   latency,
 		Failed:    r.Outcome != message.Answered || r.Status >= http.StatusInternalServerError,
-		Cancelled: r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline,
+		Cancelled: r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline || pause.Since(time.Now().Add(-latency)),
 	})
 }
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/pause"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
@@ -47,7 +48,7 @@
 	permit.Release(admission.Result{
 		Latency:   time.Since(start),
 		Failed:    r.Outcome != message.Answered && r.Reason != message.ReasonCancelled || r.Status >= http.StatusInternalServerError,
-		Cancelled: r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline,
+		Cancelled: r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline || pause.Since(start),
 	})
 	p.runs.end(run)
 	r.Thresholds = run.below.Thresholds()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/membership"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/metrics"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/once"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/pause"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/settings"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
@@ -272,6 +273,7 @@
 	failed := servers.start()
 	background, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
+	parts.Go(func() { pause.Watch(background) })
 	parts.Go(func() { n.members.Run(background) })
 	parts.Go(func() { n.watchTarget(background) })
 	if n.rollout != nil {
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -16,6 +16,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/link"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/httpserver"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/pause"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/report"
 )
 
@@ -56,6 +57,7 @@
 	}
 	event.Log(s.log, event.ProcessStarted, slog.String("node", s.settings.Node), slog.String("zone", s.settings.Zone),
 		slog.String("service", s.settings.Service), slog.String("peer_address", s.settings.PeerAddress))
+	s.background.Go(func() { pause.Watch(s.ctx) })
 	for _, loop := range []func(){s.register, s.followConfig, s.spread, s.reach, s.watchTarget, s.tellCallers} {
 		s.background.Go(loop)
 	}
