--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 # The same for the sidecar: one seed after the other, for example `make soak-sidecar SOAK_SEED=7 SOAK_SEEDS=50`.
 SOAK_SEEDS ?= 5
 soak-sidecar:
-	$(GO) test -race -count=1 -timeout 0 -run '^TestSoak$$' -v ./test/sidecar -soak.seed=$(SOAK_SEED) -soak.seeds=$(SOAK_SEEDS)
+	$(GO) test -race -count=1 -timeout 0 -run '^TestSidecarSoak$$' -v ./test/sidecar -soak.seed=$(SOAK_SEED) -soak.seeds=$(SOAK_SEEDS)
 
 fmt:
 	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt differs: $$out"; exit 1; fi
--- a/test/sidecar/soak_test.go
+++ b/test/sidecar/soak_test.go
@@ -40,9 +40,9 @@
 	calmShare = 0.99
 )
 
-// TestSoak injects random faults, in series and overlapping, and holds what callers and targets have seen against the
+// TestSidecarSoak injects random faults, in series and overlapping, and holds what callers and targets have seen against the
 // promises: complete answers of the request's own, orders at most once, "not run" only if that is true, drains that bind.
-func TestSoak(t *testing.T) {
+func TestSidecarSoak(t *testing.T) {
 	seeds := append([]uint64{}, regressionSeeds...)
 	for i := range *soakSeeds {
 		seeds = append(seeds, *soakSeed+uint64(i))
