--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -46,6 +46,7 @@
 	Latency   time.Duration // time at the target
 	Failed    bool          // no answer, or an answer that reports a failure of the target
 	Cancelled bool          // ended before its answer because the caller left or the deadline passed
+	Paused    bool          // the process stood still meanwhile, which the latency contains
 }
 
 // Refusal is the error of work that was not admitted. The work was not run.
--- a/internal/process/admission/meter.go
+++ b/internal/process/admission/meter.go
@@ -40,7 +40,7 @@
 
 func (m *meter) depart(r Result) {
 	m.departures++
-	if r.Failed || r.Cancelled {
+	if r.Failed || r.Cancelled || r.Paused {
 		m.bad++
 	}
 }
@@ -81,9 +81,9 @@
 	riseWeight = 32
 )
 
-// add records the end of a request. The latency of a cancelled request is a lower bound.
+// add records the end of a request. The latency of a cancelled request is a lower bound; that of a pause is the pause's.
 func (e *estimate) add(r Result) {
-	if r.Failed || r.Latency <= 0 || (r.Cancelled && r.Latency < e.mean) {
+	if r.Failed || r.Paused || r.Latency <= 0 || (r.Cancelled && r.Latency < e.mean) {
 		return
 	}
 	if e.samples++; e.mean == 0 {
--- /dev/null
+++ b/internal/process/admission/pause_test.go
@@ -0,0 +1,38 @@
+package admission
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against orders that a node refuses for overload just after it was resumed: its target counts as cold then, and the
+// requests that ran when the process stopped end with the length of the pause as their latency. Taken for the time that work
+// needs, it made the wait behind two queued orders look longer than any order may wait.
+func TestPauseIsNoLatency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause, usual = 3 * time.Second, 20 * time.Millisecond
+		l := testLimits(40)
+		l.QueueMaxWait, l.LongWaitRank = 2*time.Second, rankOrder
+		c := newController(l)
+		running, err := c.Acquire(t.Context(), Work{Priority: rankOrder << 8})
+		require.NoError(t, err)
+		time.Sleep(pause)
+		c.StartRamp()
+		running.Release(Result{Latency: pause, Paused: true})
+
+		burst := make([]*outcome, 4*c.Load().Limit) // what callers sent during the pause
+		for i := range burst {
+			burst[i] = queueUp(t.Context(), c, Work{Priority: rankOrder << 8, Deadline: time.Now().Add(8 * time.Second)})
+		}
+		for i, o := range burst {
+			time.Sleep(usual)
+			synctest.Wait()
+			require.NoError(t, o.err, "order %d of %d", i, len(burst))
+			require.NotNil(t, o.permit, "order %d of %d", i, len(burst))
+			o.permit.Release(Result{Latency: usual})
+		}
+	})
+}
--- a/internal/process/engine/guard.go
+++ b/internal/process/engine/guard.go
@@ -35,6 +35,7 @@
 	p.Permit.Release(admission.Result{
 		Latency:   latency,
 		Failed:    r.Outcome != message.Answered || r.Status >= http.StatusInternalServerError,
-		Cancelled: r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline || pause.Since(time.Now().Add(-latency)),
+		Cancelled: r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline,
+		Paused:    pause.Since(time.Now().Add(-latency)),
 	})
 }
