--- a/internal/measure/chains/chains_test.go
+++ b/internal/measure/chains/chains_test.go
@@ -82,7 +82,7 @@
 		t.Log("run by make measure-chains")
 		return
 	}
-	for _, site := range []Site{Haetsal(), Gnomon()} {
+	for _, site := range []Site{Haetsal(), Gnomon(), Sloughgrass()} {
 		for _, l := range Loads() {
 			if *onlyLoad != "" && l.Name != *onlyLoad {
 				continue
--- a/internal/measure/chains/site.go
+++ b/internal/measure/chains/site.go
@@ -106,3 +106,31 @@
 		},
 	}
 }
+
+// Sloughgrass returns the deployment of the mule path repair mesh. Its deepest service serves eight calls a read, one after the
+// other, within a route timeout of less than twice the usual time of the chain.
+func Sloughgrass() Site {
+	const ms = time.Millisecond
+	return Site{
+		Name: "sloughgrass-mesh", Zones: 4, OneWay: 900 * time.Microsecond, ToCaller: 8 * ms,
+		Services: []Service{
+			{Name: "trailboard", Slots: 37, Speeds: []float64{0.55, 1.2, 1.2, 1.2}},
+			{Name: "crewhall", Slots: 37, Speeds: []float64{0.5, 1, 1, 1.5}},
+			{Name: "permitdesk", Slots: 37, Speeds: []float64{0.6, 1, 1.4, 0.6}},
+			{Name: "gravelyard", Slots: 13, Speeds: []float64{0.6, 1, 1.4, 0.6}, KneeFactor: 1.3},
+		},
+		Kinds: []Kind{
+			{Name: "path-status", Service: "trailboard", Rate: 59.9, Work: 220 * ms, Spread: 0.8, Aim: 1500 * ms, Deadline: 5000 * ms,
+				Timeout: 1200 * ms, Worth: 1, Late: 0.3, Priority: 2, Calls: []Calls{{"crew-roster", 2, false}}},
+			{Name: "crew-dispatch", Service: "crewhall", Rate: 32.7, Work: 290 * ms, Spread: 0.8, Aim: 2000 * ms, Deadline: 5000 * ms,
+				Timeout: 1500 * ms, Worth: 3, Late: 0.6, Priority: 0, Once: true, Calls: []Calls{{"permit-ledger", 1, false}}},
+			{Name: "permit-issue", Service: "permitdesk", Rate: 24.5, Work: 150 * ms, Spread: 0.8, Aim: 500 * ms, Deadline: 2000 * ms,
+				Timeout: 1000 * ms, Worth: 3, Late: 0.9, Priority: 0, Once: true},
+			{Name: "gravel-order", Service: "gravelyard", Rate: 9.26, Work: 180 * ms, Spread: 0.3, Aim: 500 * ms, Deadline: 2000 * ms,
+				Timeout: 1000 * ms, Worth: 1, Late: 0.3, Priority: 2, Once: true},
+			{Name: "crew-roster", Service: "crewhall", Work: 15 * ms, Spread: 0.5, Deadline: 2500 * ms, Priority: 2, Calls: []Calls{{"permit-ledger", 1, false}}},
+			{Name: "permit-ledger", Service: "permitdesk", Work: 15 * ms, Spread: 0.5, Deadline: 2000 * ms, Priority: 2, Calls: []Calls{{"yard-stock", 4, false}}},
+			{Name: "yard-stock", Service: "gravelyard", Work: 55 * ms, Spread: 0.5, Deadline: 700 * ms, Priority: 2},
+		},
+	}
+}
