--- a/internal/connection/wire/convert.go
+++ b/internal/connection/wire/convert.go
@@ -50,6 +50,7 @@
 		RetryAfter:  uint64(max(r.RetryAfter.Milliseconds(), 0)),
 		RetriesLeft: r.RetriesLeft,
 		BelowFailed: r.BelowFailed,
+		Waited:      uint64(max(r.Waited.Milliseconds(), 0)),
 		InFlight:    r.Load.InFlight,
 		Limit:       r.Load.Limit,
 		BodySize:    uint64(len(r.Body)),
@@ -118,6 +119,7 @@
 		RetryAfter:  time.Duration(f.RetryAfter) * time.Millisecond,
 		RetriesLeft: f.RetriesLeft,
 		BelowFailed: f.BelowFailed,
+		Waited:      time.Duration(min(f.Waited, uint64(maxTimeLeft.Milliseconds()))) * time.Millisecond,
 		Load:        message.Load{InFlight: f.InFlight, Limit: f.Limit},
 	}
 	if f.ErrStep != "" {
--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -120,6 +120,7 @@
 	BodySize    uint64      `cbor:"15,keyasint,omitempty"` // bytes of the whole body
 	Part        []byte      `cbor:"16,keyasint,omitempty"` // first part of the body
 	BelowFailed bool        `cbor:"17,keyasint,omitempty"`
+	Waited      uint64      `cbor:"18,keyasint,omitempty"` // milliseconds
 }
 
 // Cancel says that nobody waits for the response of a stream any more.
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -8,7 +8,9 @@
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/pause"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/window"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
 )
 
 const (
@@ -33,6 +35,14 @@
 }
 
 func (p *Path) deliver(ctx context.Context, g *gate, req *message.Request) *message.Response {
+	var w *window.Window
+	if req.Hop == 0 {
+		if w = g.window(p.cfg.Routes.Load(), req); !w.Enter() {
+			return p.refuse(message.ReasonOverload, message.StepAdmit, returnTime(), "as many runs as their calls find room for")
+		}
+		defer w.Leave()
+	}
+	arrived := time.Now()
 	permit, err := g.control.Acquire(ctx, admission.Work{
 		Priority: req.Priority,
 		Deadline: req.Deadline,
@@ -42,16 +52,18 @@
 	if err != nil {
 		return p.refused(err)
 	}
-	run := p.runs.begin(req)
+	run := p.runs.begin(req, w)
 	start := time.Now()
 	r := g.target.Do(ctx, req)
 	permit.Release(admission.Result{
 		Latency:   time.Since(start),
 		Failed:    r.Outcome != message.Answered && r.Reason != message.ReasonCancelled || r.Status >= http.StatusInternalServerError,
-		Cancelled: r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline || pause.Since(start),
+		Cancelled: r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline,
+		Paused:    pause.Since(start),
 	})
 	p.runs.end(run)
 	r.Thresholds = run.below.Thresholds()
+	r.Waited = start.Sub(arrived) + time.Duration(run.waited.Load())
 	r.BelowFailed = run.refused.Load() > 0 || run.failed.Load() > 0
 	if seen := result(r); !seen.Cancelled {
 		g.failing.Count(seen.Failed, time.Since(g.opened))
@@ -59,6 +71,21 @@
 	return r
 }
 
+// window returns the bound on the runs of the request's route at the target.
+func (g *gate) window(table *routing.Table, req *message.Request) *window.Window {
+	name := ""
+	if table != nil {
+		if route, ok := table.Match(req.Host, req.Path); ok {
+			name = route.Name
+		}
+	}
+	if w, ok := g.windows.Load(name); ok {
+		return w.(*window.Window)
+	}
+	w, _ := g.windows.LoadOrStore(name, new(window.Window))
+	return w.(*window.Window)
+}
+
 // refused returns the response for work that admission turned away.
 func (p *Path) refused(err error) *message.Response {
 	var refusal *admission.Refusal
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -84,6 +84,7 @@
 	target   Target
 	opened   time.Time
 	failing  balance.FailureShare // times since opened
+	windows  sync.Map             // name of the route to *window.Window
 }
 
 // New returns a path without a target.
--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -423,7 +423,7 @@
 		require.Len(t, n.sent, 1)
 		require.Equal(t, message.Answered, n.path.Serve(t.Context(), request("/order/1", "order")).Outcome)
 
-		run := n.path.runs.begin(delivered("root", 0, priorityOf(testRoutes[0], "root", false)))
+		run := n.path.runs.begin(delivered("root", 0, priorityOf(testRoutes[0], "root", false)), nil)
 		require.Equal(t, message.Answered, n.path.Serve(t.Context(), request("/menu/1", "root.1")).Outcome,
 			"a call is not shed by a threshold within its rank")
 		require.Empty(t, run.below.Thresholds())
--- a/internal/process/mesh/parents.go
+++ b/internal/process/mesh/parents.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/window"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
@@ -16,9 +17,11 @@
 	priority message.Priority
 	hop      uint8
 	deadline time.Time
-	refused  atomic.Int32 // calls that were not run
-	failed   atomic.Int32 // calls that ended in another failure
-	below    shed.Below   // thresholds of the services that the target called
+	refused  atomic.Int32   // calls that were not run
+	failed   atomic.Int32   // calls that ended in another failure
+	waited   atomic.Int64   // time for which its calls have waited for slots, in nanoseconds
+	below    shed.Below     // thresholds of the services that the target called
+	window   *window.Window // nil for a run that is itself a call
 }
 
 // runs finds the run that a call of the own target belongs to. Targets name a call after the attempt that they run, followed
@@ -30,8 +33,8 @@
 
 func newRuns() *runs { return &runs{by: map[string]*run{}} }
 
-func (t *runs) begin(req *message.Request) *run {
-	r := &run{attempt: req.Attempt, priority: req.Priority, hop: req.Hop, deadline: req.Deadline}
+func (t *runs) begin(req *message.Request, w *window.Window) *run {
+	r := &run{window: w, attempt: req.Attempt, priority: req.Priority, hop: req.Hop, deadline: req.Deadline}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.by[req.Attempt] = r
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -45,11 +45,13 @@
 	last    *message.Response // of the last target that was asked
 	failure *message.Response // an answer in which a target reports its own failure
 	doubt   bool              // an attempt may have run without an answer
+	waited  time.Duration     // of all attempts, for slots
 }
 
 // record takes the response of an attempt.
 func (c *call) record(r *message.Response) {
 	c.last = r
+	c.waited += r.Waited
 	c.doubt = c.doubt || r.Outcome == message.Unknown
 	if arrived(r) {
 		c.sent++
@@ -87,12 +89,13 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	start := time.Now()
 	r := p.shed(c)
 	if r == nil {
 		r = p.attempts(ctx, c)
 	}
 	if c.parent != nil {
-		c.parent.note(r)
+		c.parent.note(r, time.Since(start), c.waited)
 	}
 	return r
 }
@@ -124,13 +127,23 @@
 }
 
 // note records the end of a call that the run has made.
-func (r *run) note(resp *message.Response) {
+func (r *run) note(resp *message.Response, took, waited time.Duration) {
 	switch {
 	case resp.Outcome == message.NotRun:
 		r.refused.Add(1)
 	case resp.Outcome != message.Answered || resp.Status >= http.StatusInternalServerError:
 		r.failed.Add(1)
 	}
+	r.waited.Add(int64(waited))
+	if r.window != nil {
+		r.window.Call(took, waited, wantsSlot(resp))
+	}
+}
+
+// wantsSlot reports whether a call was refused because no slot was free. A target that turns requests away although it has
+// free slots is not served better by fewer of them.
+func wantsSlot(r *message.Response) bool {
+	return r.Outcome == message.NotRun && (r.Reason == message.ReasonOverload || r.Reason == message.ReasonDeadline)
 }
 
 // prepare finds the route of a request and sets what it decides.
--- /dev/null
+++ b/internal/process/window/window_test.go
@@ -0,0 +1,141 @@
+package window
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// deep is a fake deeper service: a number of slots in front of which calls wait in the order of their arrival.
+type deep struct {
+	slots chan struct{}
+	work  time.Duration
+}
+
+// call takes a slot and returns the time that it waited.
+func (d *deep) call(rng *rand.Rand) time.Duration {
+	start := time.Now()
+	d.slots <- struct{}{}
+	waited := time.Since(start)
+	time.Sleep(time.Duration(2 * rng.Float64() * float64(d.work)))
+	<-d.slots
+	return waited
+}
+
+// surge starts chains of eight calls, one after the other, at a rate for ten seconds. It returns the chains that ended within
+// the deadline and those that started.
+func surge(rate float64, deadline time.Duration, w *Window, d *deep) (ended, started, sent int) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	rng := rand.New(rand.NewPCG(1, 1))
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		sent++
+		if w != nil && !w.Enter() {
+			continue
+		}
+		started++
+		own := rand.New(rand.NewPCG(rng.Uint64(), 2))
+		all.Go(func() {
+			begin := time.Now()
+			for calls := 0; calls < 8 && time.Since(begin) < deadline; calls++ {
+				at := time.Now()
+				waited := d.call(own)
+				if w != nil {
+					w.Call(time.Since(at), waited, false)
+				}
+			}
+			if w != nil {
+				w.Leave()
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if time.Since(begin) < deadline {
+				ended++
+			}
+		})
+	}
+	all.Wait()
+	return ended, started, sent
+}
+
+// Guards against a surge of chains over a deep service that lets every chain pass its deadline: at 1.5 times the load that the
+// service can carry, what is started ends, and the service is used.
+func TestChainsThatStartInASurgeEnd(t *testing.T) {
+	const (
+		slots    = 20
+		work     = 50 * time.Millisecond
+		carried  = slots / (8 * 0.05) // chains a second
+		deadline = 800 * time.Millisecond
+		usable   = 10 * carried // chains in ten seconds
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ended, _, _ := surge(1.5*carried, deadline, nil, &deep{make(chan struct{}, slots), work})
+		require.Less(t, float64(ended), usable/2, "without a bound most chains are lost")
+		ended, started, sent := surge(1.5*carried, deadline, new(Window), &deep{make(chan struct{}, slots), work})
+		require.Greater(t, float64(ended), 0.95*float64(started), "of what is started")
+		require.Greater(t, float64(ended), 0.8*usable, "of what the service can carry")
+		t.Logf("%d sent, %d started, %d ended", sent, started, ended)
+	})
+}
+
+// Guards against a bound where there is no overload: chains of a service that is not full are never refused.
+func TestNoChainIsRefusedWithoutAnOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, started, sent := surge(20, 800*time.Millisecond, new(Window), &deep{make(chan struct{}, 20), 50 * time.Millisecond})
+		require.Equal(t, sent, started)
+	})
+}
+
+// Guards against a bound that outlasts its overload: once calls no longer wait, as many runs as before find room within
+// the two seconds in which the system recovers.
+func TestWindowOpensAfterAnOverload(t *testing.T) {
+	const runs = 40
+	w := new(Window)
+	for range runs {
+		require.True(t, w.Enter())
+	}
+	for range 20 * roundCalls {
+		w.Call(time.Second, 900*time.Millisecond, false)
+	}
+	require.False(t, w.Enter())
+	for range runs {
+		w.Leave()
+	}
+	// Each run makes two calls and lasts 0.2 s, and many more come than find room.
+	running := 0
+	for range 10 {
+		ending := running
+		for range 2 * max(1, ending) {
+			w.Call(100*time.Millisecond, 0, false)
+			for w.Enter() {
+				running++
+			}
+		}
+		if running >= runs {
+			return
+		}
+		for range ending {
+			w.Leave()
+			running--
+		}
+	}
+	require.Fail(t, "the window stays closed")
+}
+
+// Guards against calls that are refused at once, without a wait, and count for nothing.
+func TestRefusedCallsCloseTheWindow(t *testing.T) {
+	w := new(Window)
+	for range 10 {
+		require.True(t, w.Enter())
+	}
+	for range roundCalls {
+		w.Call(time.Millisecond, 0, true)
+	}
+	require.False(t, w.Enter())
+	require.Less(t, w.limit, 10.0)
+}
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -67,6 +67,8 @@
 	// BelowFailed says that a call which the target made for the request was refused or failed: the answer says nothing
 	// about the target, and another target would meet the same.
 	BelowFailed bool
+	// Waited is the time for which the request and the calls of its run have waited for slots.
+	Waited      time.Duration
 	RetriesLeft int         // unused part of the retries that were handed down
 	Thresholds  []Threshold // shedding thresholds of the services below this hop
 	Load        Load        // load of the target that answered
