--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -68,8 +68,9 @@
 
 // Path serves requests.
 type Path struct {
-	cfg  Config
-	runs *runs
+	cfg     Config
+	runs    *runs
+	started time.Time
 
 	gate    atomic.Pointer[gate]
 	buckets sync.Map     // service to *retry.Bucket
@@ -92,7 +93,7 @@
 	if cfg.Retries == (RetryBounds{}) {
 		cfg.Retries = defaultRetries
 	}
-	return &Path{cfg: cfg, runs: newRuns()}
+	return &Path{cfg: cfg, runs: newRuns(), started: time.Now()}
 }
 
 // Open starts to take requests for an instance of the target beside this node.
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -28,6 +28,24 @@
 	soonSpread = 200 * time.Millisecond
 )
 
+const (
+	// settleTime is the time after a start in which a node gets its configuration and learns of targets that take work. It is
+	// that of a node that starts together with all others: 0.6 s until targets are taken into use, and the time for
+	// settings, links and reports before and after.
+	settleTime = time.Second
+	// settleSpread spreads the callers that come back then.
+	settleSpread = 400 * time.Millisecond
+)
+
+// settledTime returns the time after which a caller may come back that this node could not serve for want of a configuration or
+// a target. Most callers come back once, so they must not find a node that still starts.
+func (p *Path) settledTime() time.Duration {
+	if left := settleTime - time.Since(p.started); left > 0 {
+		return left + rand.N(settleSpread)
+	}
+	return returnTime()
+}
+
 func returnTime() time.Duration { return minReturn + rand.N(returnSpread) }
 
 func soonTime() time.Duration { return soonReturn + rand.N(soonSpread) }
@@ -150,7 +168,7 @@
 func (p *Path) prepare(req *message.Request) (*call, *message.Response) {
 	table := p.cfg.Routes.Load()
 	if table == nil {
-		return nil, p.refuse(message.ReasonUnconfirmed, message.StepConfigure, soonTime(), "no configuration yet")
+		return nil, p.refuse(message.ReasonUnconfirmed, message.StepConfigure, p.settledTime(), "no configuration yet")
 	}
 	route, ok := table.Match(req.Host, req.Path)
 	if !ok {
@@ -252,11 +270,11 @@
 func (p *Path) attempt(ctx context.Context, c *call) (r *message.Response, offered bool) {
 	picker := p.cfg.Pickers.Picker(c.service)
 	if picker == nil {
-		return p.refuse(message.ReasonNoTarget, message.StepPick, returnTime(), "service %q has no target", c.service), false
+		return p.refuse(message.ReasonNoTarget, message.StepPick, p.settledTime(), "service %q has no target", c.service), false
 	}
 	target, done, ok := picker.Pick(c.tried...)
 	if !ok {
-		return p.refuse(message.ReasonNoTarget, message.StepPick, returnTime(), "service %q has no target left", c.service), false
+		return p.refuse(message.ReasonNoTarget, message.StepPick, p.settledTime(), "service %q has no target left", c.service), false
 	}
 	c.tried = append(c.tried, target.Address)
 	down := *c.req
