--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -50,7 +50,8 @@
 }
 
 var testRoutes = []*routing.Route{
-	{Name: "menu", Host: "h", Prefix: "/menu/", Idempotent: true, Timeout: 1200 * time.Millisecond, Priority: 2, MaxAttempts: 2,
+	{Name: "menu", Host: "h", Prefix: "/menu/", Idempotent: true, Timeout: 1200 * time.Millisecond, Objective: 1500 * time.Millisecond,
+		Priority: 2, MaxAttempts: 2,
 		Split: []routing.Share{{Service: "menu", Weight: 1}}},
 	{Name: "order", Host: "h", Prefix: "/order/", Timeout: 1500 * time.Millisecond, Priority: 0, MaxAttempts: 2,
 		Split: []routing.Share{{Service: "menu", Weight: 1}}},
--- a/internal/process/mesh/return_test.go
+++ b/internal/process/mesh/return_test.go
@@ -29,3 +29,24 @@
 		require.LessOrEqual(t, r.RetryAfter, minReturn+returnSpread)
 	})
 }
+
+// Guards against an overload of many seconds in which callers are told to come back so late that no answer can meet the
+// objective of their route any more, and against times that are all the same.
+func TestRefusedCallersComeBackInTimeForTheObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNode(t, 2)
+		seen := map[time.Duration]bool{}
+		for range 30 {
+			full := refusedBy(message.ReasonOverload)
+			full.RetryAfter = 4 * time.Second
+			n.answers = []*message.Response{full, full}
+			r := n.path.Serve(t.Context(), request("/menu/1", "a"))
+			require.Equal(t, message.NotRun, r.Outcome)
+			require.Greater(t, r.RetryAfter, 100*time.Millisecond)
+			require.Less(t, r.RetryAfter, testRoutes[0].Objective/2)
+			seen[r.RetryAfter] = true
+			time.Sleep(time.Second)
+		}
+		require.Greater(t, len(seen), 20)
+	})
+}
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -46,6 +46,21 @@
 	return returnTime()
 }
 
+const (
+	// soonestReturn and latestReturn bound the time after which a caller that was refused in an overload may come back, as
+	// shares of the objective of its route: an answer after the objective is worth little, and the run takes its time too.
+	soonestReturn = 0.1
+	latestReturn  = 0.4
+)
+
+// inTime returns the time after which a refused caller may come back and still be answered within the objective of the route.
+func (c *call) inTime(after time.Duration) time.Duration {
+	if c.route.Objective <= 0 {
+		return after
+	}
+	return time.Duration((soonestReturn + (latestReturn-soonestReturn)*rand.Float64()) * float64(c.route.Objective))
+}
+
 func returnTime() time.Duration { return minReturn + rand.N(returnSpread) }
 
 func soonTime() time.Duration { return soonReturn + rand.N(soonSpread) }
@@ -112,6 +127,9 @@
 	if r == nil {
 		r = p.attempts(ctx, c)
 	}
+	if c.parent == nil && r.Outcome == message.NotRun && r.Reason == message.ReasonOverload {
+		r.RetryAfter = c.inTime(r.RetryAfter)
+	}
 	if c.parent != nil {
 		c.parent.note(r, time.Since(start), c.waited)
 	}
