--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -223,7 +223,8 @@
 // attempts offers the request to targets until one takes it, or going on could run it too often.
 func (p *Path) attempts(ctx context.Context, c *call) *message.Response {
 	bucket := p.bucket(c.service)
-	bucket.Earn()
+	rank := c.req.Priority.Rank()
+	bucket.Earn(rank)
 	repeating := false // the attempt uses a retry of the budget
 	for {
 		r, offered := p.attempt(ctx, c)
@@ -240,7 +241,7 @@
 		if ctx.Err() != nil || !c.again(r) {
 			return c.result()
 		}
-		if repeating = arrived(r); repeating && !bucket.Take() {
+		if repeating = arrived(r); repeating && !bucket.Take(rank) {
 			return c.result()
 		}
 		p.logRepeat(c, r)
--- /dev/null
+++ b/internal/request/retry/ranked_test.go
@@ -0,0 +1,69 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	rankOrder = 100
+	rankRead  = 80
+)
+
+// repeated lets orders and reads come at rates a second for ten seconds, of which a share fails, and returns the shares of the
+// failures that were repeated.
+func repeated(orders, reads int, failing float64) (order, read float64) {
+	r := NewRanked(NewBucket(boundRatio / 2))
+	r.Save(boundRatio/4, boundWindow)
+	rng := rand.New(rand.NewPCG(1, 1))
+	var failed, got [256]float64
+	for range 10 {
+		for i := range orders + reads {
+			rank := uint8(rankRead)
+			if i%(orders+reads)*orders%(orders+reads) < orders {
+				rank = rankOrder
+			}
+			r.Earn(rank)
+			if rng.Float64() < failing {
+				failed[rank]++
+				if r.Take(rank) {
+					got[rank]++
+				}
+			}
+			time.Sleep(time.Second / time.Duration(orders+reads))
+		}
+	}
+	return got[rankOrder] / failed[rankOrder], got[rankRead] / failed[rankRead]
+}
+
+// Guards against a deep service that turns away half of its calls for seconds: the retries that the operators allow are enough
+// for the calls of orders, but those of reads, which are six times as many, used them up.
+func TestScarceRetriesGoToOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		order, read := repeated(40, 240, 0.55)
+		require.Greater(t, order, 0.95)
+		require.Greater(t, read, 0.0, "what orders leave is used")
+	})
+}
+
+// Guards against retries that are kept back where there are enough for everybody, or where only reads come.
+func TestRanksMatterOnlyWhereRetriesAreScarce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		order, read := repeated(40, 240, 0.05)
+		require.Greater(t, order, 0.99)
+		require.Greater(t, read, 0.99)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		r := NewRanked(NewBucket(0.1))
+		r.Earn(rankOrder)
+		time.Sleep(rankMemory + time.Millisecond)
+		for range maxBucketRetries {
+			r.Earn(rankRead)
+			require.True(t, r.Take(rankRead))
+		}
+	})
+}
