--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -10,7 +10,6 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/pause"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/window"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
-	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
 )
 
 const (
@@ -34,14 +33,24 @@
 	return r
 }
 
+// deliver runs a request within the bound on the runs of its route. Calls have none: that of the run which makes them counts.
 func (p *Path) deliver(ctx context.Context, g *gate, req *message.Request) *message.Response {
-	var w *window.Window
-	if req.Hop == 0 {
-		if w = g.window(p.cfg.Routes.Load(), req); !w.Enter() {
-			return p.refuse(message.ReasonOverload, message.StepAdmit, returnTime(), "as many runs as their calls find room for")
-		}
-		defer w.Leave()
+	if req.Hop > 0 {
+		r, _ := p.run(ctx, g, req, nil, 0)
+		return r
 	}
+	name, objective := p.routeOf(req)
+	w := g.window(name)
+	if !w.Enter() {
+		return p.refuse(message.ReasonOverload, message.StepAdmit, returnTime(), "calls of route %q wait too long for more runs", name)
+	}
+	r, ended := p.run(ctx, g, req, w, objective)
+	w.Leave(ended)
+	return r
+}
+
+// run waits for a slot and exchanges the request with the target.
+func (p *Path) run(ctx context.Context, g *gate, req *message.Request, w *window.Window, objective time.Duration) (*message.Response, window.Run) {
 	arrived := time.Now()
 	permit, err := g.control.Acquire(ctx, admission.Work{
 		Priority: req.Priority,
@@ -50,39 +59,57 @@
 		MaxWait:  maxWait(req),
 	})
 	if err != nil {
-		return p.refused(err)
+		return p.refused(err), window.Run{}
 	}
 	run := p.runs.begin(req, w)
 	start := time.Now()
 	r := g.target.Do(ctx, req)
+	took := time.Since(start)
+	cancelled := r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline
 	permit.Release(admission.Result{
-		Latency:   time.Since(start),
+		Latency:   took,
 		Failed:    r.Outcome != message.Answered && r.Reason != message.ReasonCancelled || r.Status >= http.StatusInternalServerError,
-		Cancelled: r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline,
+		Cancelled: cancelled,
 		Paused:    pause.Since(start),
 	})
 	p.runs.end(run)
 	r.Thresholds = run.below.Thresholds()
-	r.Waited = start.Sub(arrived) + time.Duration(run.waited.Load())
+	waited := time.Duration(run.waited.Load())
+	r.Waited = start.Sub(arrived) + waited
 	r.BelowFailed = run.refused.Load() > 0 || run.failed.Load() > 0
 	if seen := result(r); !seen.Cancelled {
 		g.failing.Count(seen.Failed, time.Since(g.opened))
 	}
-	return r
+	return r, window.Run{
+		Took: took, Allowed: allowed(req.Deadline.Sub(start), objective), Waited: waited, Worked: time.Duration(run.worked.Load()),
+		Whole: r.Outcome == message.Answered && r.Status < http.StatusInternalServerError,
+	}
+}
+
+// allowed returns the time in which a run should end: the objective of its route, or what is left of its time if that is less.
+func allowed(left, objective time.Duration) time.Duration {
+	if objective > 0 {
+		return min(left, objective)
+	}
+	return left
 }
 
-// window returns the bound on the runs of the request's route at the target.
-func (g *gate) window(table *routing.Table, req *message.Request) *window.Window {
-	name := ""
-	if table != nil {
+// routeOf returns the name and the objective of the route of a request.
+func (p *Path) routeOf(req *message.Request) (name string, objective time.Duration) {
+	if table := p.cfg.Routes.Load(); table != nil {
 		if route, ok := table.Match(req.Host, req.Path); ok {
-			name = route.Name
+			return route.Name, route.Objective
 		}
 	}
-	if w, ok := g.windows.Load(name); ok {
+	return "", 0
+}
+
+// window returns the bound on the runs of a route at the target.
+func (g *gate) window(route string) *window.Window {
+	if w, ok := g.windows.Load(route); ok {
 		return w.(*window.Window)
 	}
-	w, _ := g.windows.LoadOrStore(name, new(window.Window))
+	w, _ := g.windows.LoadOrStore(route, new(window.Window))
 	return w.(*window.Window)
 }
 
--- a/internal/process/window/window.go
+++ b/internal/process/window/window.go
@@ -13,9 +13,16 @@
 )
 
 const (
-	// waitGoal is the time that calls wait for slots, as a share of the rest of their time, up to which more runs may
-	// start. Without any waiting, the slots of the deeper services would stand idle between calls.
-	waitGoal = 0.3
+	// slackShare is the part of the time that a run can spare which its calls may spend waiting for slots before fewer runs may
+	// start. Without any waiting, the slots of the deeper services would stand idle between calls; the rest is for runs that
+	// take longer than others.
+	slackShare = 0.35
+	// firstGoal is the waiting of calls, as a share of the rest of their time, that is allowed until a run has ended.
+	firstGoal = 0.3
+	// minGoal is the least waiting that is allowed: kinds of requests that can spare no time run one by one otherwise.
+	minGoal = 0.1
+	// runWeight is the number of runs over which their times are averaged.
+	runWeight = 16
 	// refusedCost is the waiting that a refused call counts for, as a share of the time of a call.
 	refusedCost = 1.0
 	// roundCalls is the number of calls after which the limit is adjusted: a part of a chain, so that a surge is seen before
@@ -23,11 +30,11 @@
 	roundCalls = 8
 	// minFactor bounds the decrease of one round.
 	minFactor = 0.7
-	// growth is the increase of a round in which runs were refused, as a share of the limit. It falls to zero at waitGoal.
+	// growth is the increase of a round in which runs were refused, as a share of the limit. It falls to zero at the goal.
 	growth = 0.1
-	// idleGrowth is the same while calls wait for less than idleWait: the overload is over.
+	// idleGrowth is the same while calls wait for less than idleShare of the goal: the overload is over.
 	idleGrowth = 0.5
-	idleWait   = waitGoal / 10
+	idleShare  = 0.1
 	// minLimit keeps a run in progress that shows when the overload ends.
 	minLimit = 1
 )
@@ -38,13 +45,26 @@
 	limit   float64 // zero: none
 	running int
 
+	// Averages of runs that have ended.
+	spare  float64 // seconds that a run could have waited and still have ended in time
+	worked float64 // seconds that the calls of a run take without waiting; zero: no run has ended
+
 	// The present round.
 	peak    int  // most runs in progress
 	full    bool // a run was refused
 	calls   int
-	refused int           // calls
-	waited  time.Duration // of all calls, for slots
-	worked  time.Duration // the rest of their time
+	refused int     // calls
+	waiting float64 // seconds of all calls, for slots
+	working float64 // the rest of their time
+}
+
+// Run describes a run that has ended.
+type Run struct {
+	Took    time.Duration
+	Allowed time.Duration // time in which it should have ended
+	Waited  time.Duration // of its calls, for slots
+	Worked  time.Duration // the rest of the time of its calls
+	Whole   bool          // it was not cut short
 }
 
 // Enter starts a run and reports whether it may. A run that has started is ended by Leave.
@@ -61,10 +81,28 @@
 }
 
 // Leave ends a run.
-func (w *Window) Leave() {
+func (w *Window) Leave(r Run) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.running--
+	if !r.Whole || r.Worked <= 0 {
+		return
+	}
+	spare, worked := (r.Allowed - r.Took + r.Waited).Seconds(), r.Worked.Seconds()
+	if w.worked == 0 {
+		w.spare, w.worked = spare, worked
+		return
+	}
+	w.spare += (spare - w.spare) / runWeight
+	w.worked += (worked - w.worked) / runWeight
+}
+
+// goal returns the time that calls may wait, as a share of the rest of their time.
+func (w *Window) goal() float64 {
+	if w.worked == 0 {
+		return firstGoal
+	}
+	return max(minGoal, slackShare*w.spare/w.worked)
 }
 
 // Call records the end of a call of a run: its whole time, the part of it in which it waited for slots, and whether it was
@@ -74,8 +112,8 @@
 	defer w.mu.Unlock()
 	waited = min(waited, took)
 	w.calls++
-	w.waited += waited
-	w.worked += took - waited
+	w.waiting += waited.Seconds()
+	w.working += (took - waited).Seconds()
 	if refused {
 		w.refused++
 	}
@@ -84,30 +122,30 @@
 	}
 }
 
-// waiting returns the time that the calls of the round have waited, as a share of the rest of their time.
-func (w *Window) waiting() float64 {
+// waited returns the time that the calls of the round have waited, as a share of the rest of their time.
+func (w *Window) waited() float64 {
 	share := refusedCost * float64(w.refused) / float64(w.calls)
-	if w.worked > 0 {
-		share += float64(w.waited) / float64(w.worked)
+	if w.working > 0 {
+		share += w.waiting / w.working
 	}
 	return share
 }
 
 // adjust ends a round.
 func (w *Window) adjust() {
-	waiting := w.waiting()
+	waited, goal := w.waited(), w.goal()
 	switch {
-	case waiting > waitGoal:
+	case waited > goal:
 		reached := float64(w.peak)
 		if w.limit > 0 {
 			reached = min(reached, w.limit)
 		}
-		w.limit = max(minLimit, reached*max(minFactor, (1+waitGoal)/(1+waiting)))
-	case w.full && waiting < idleWait:
+		w.limit = max(minLimit, reached*max(minFactor, (1+goal)/(1+waited)))
+	case w.full && waited < idleShare*goal:
 		w.limit += max(1, idleGrowth*w.limit)
 	case w.full:
-		w.limit += max(1, growth*w.limit) * (1 - waiting/waitGoal)
+		w.limit += max(1, growth*w.limit) * (1 - waited/goal)
 	}
 	w.peak, w.full = w.running, false
-	w.calls, w.refused, w.waited, w.worked = 0, 0, 0, 0
+	w.calls, w.refused, w.waiting, w.working = 0, 0, 0, 0
 }
--- a/internal/process/window/window_test.go
+++ b/internal/process/window/window_test.go
@@ -42,15 +42,20 @@
 		own := rand.New(rand.NewPCG(rng.Uint64(), 2))
 		all.Go(func() {
 			begin := time.Now()
+			var r Run
 			for calls := 0; calls < 8 && time.Since(begin) < deadline; calls++ {
 				at := time.Now()
 				waited := d.call(own)
 				if w != nil {
 					w.Call(time.Since(at), waited, false)
 				}
+				r.Waited += waited
+				r.Worked += time.Since(at) - waited
 			}
 			if w != nil {
-				w.Leave()
+				r.Took, r.Allowed = time.Since(begin), deadline
+				r.Whole = r.Took < deadline
+				w.Leave(r)
 			}
 			mu.Lock()
 			defer mu.Unlock()
@@ -104,7 +109,7 @@
 	}
 	require.False(t, w.Enter())
 	for range runs {
-		w.Leave()
+		w.Leave(Run{})
 	}
 	// Each run makes two calls and lasts 0.2 s, and many more come than find room.
 	running := 0
@@ -120,7 +125,7 @@
 			return
 		}
 		for range ending {
-			w.Leave()
+			w.Leave(Run{})
 			running--
 		}
 	}
@@ -139,3 +144,24 @@
 	require.False(t, w.Enter())
 	require.Less(t, w.limit, 10.0)
 }
+
+// Guards against short chains that are refused although they could wait: behind requests of the deepest service that take long,
+// each of their calls waits as long as it works, and they still end far within their deadline.
+func TestRunsThatCanSpareTheTimeMayWait(t *testing.T) {
+	const work, wait = 50 * time.Millisecond, 50 * time.Millisecond
+	for _, c := range []struct {
+		allowed time.Duration
+		full    bool
+	}{{3 * time.Second, false}, {700 * time.Millisecond, true}} {
+		w := new(Window)
+		w.Enter()
+		w.Leave(Run{Took: 8 * (work + wait), Allowed: c.allowed, Waited: 8 * wait, Worked: 8 * work, Whole: true})
+		for range 10 {
+			require.True(t, w.Enter())
+		}
+		for range roundCalls {
+			w.Call(work+wait, wait, false)
+		}
+		require.Equal(t, c.full, !w.Enter(), "allowed %v", c.allowed)
+	}
+}
