--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -68,9 +68,8 @@
 
 // Path serves requests.
 type Path struct {
-	cfg     Config
-	runs    *runs
-	started time.Time
+	cfg  Config
+	runs *runs
 
 	gate    atomic.Pointer[gate]
 	buckets sync.Map     // service to *retry.Ranked
@@ -93,7 +92,7 @@
 	if cfg.Retries == (RetryBounds{}) {
 		cfg.Retries = defaultRetries
 	}
-	return &Path{cfg: cfg, runs: newRuns(), started: time.Now()}
+	return &Path{cfg: cfg, runs: newRuns()}
 }
 
 // Open starts to take requests for an instance of the target beside this node.
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -20,7 +20,8 @@
 	// maxOverloads is the number of full targets after which a request is refused: more offers would add to the load.
 	maxOverloads = 2
 	// minReturn and returnSpread give the time after which a refused request may come back: long enough for a queue to
-	// move, short against the time that callers have, and spread so that refused requests do not return together.
+	// move and for a node that starts to find targets, which takes about a second, short against the time that callers have, and
+	// spread so that refused requests do not return together. Most callers come back once.
 	minReturn    = 300 * time.Millisecond
 	returnSpread = 900 * time.Millisecond
 	// soonReturn and soonSpread are the same where a request only has to find the next state of the system.
@@ -28,24 +29,6 @@
 	soonSpread = 200 * time.Millisecond
 )
 
-const (
-	// settleTime is the time after a start in which a node gets its configuration and learns of targets that take work. It is
-	// that of a node that starts together with all others: 0.6 s until targets are taken into use, and the time for
-	// settings, links and reports before and after.
-	settleTime = time.Second
-	// settleSpread spreads the callers that come back then.
-	settleSpread = 400 * time.Millisecond
-)
-
-// settledTime returns the time after which a caller may come back that this node could not serve for want of a configuration or
-// a target. Most callers come back once, so they must not find a node that still starts.
-func (p *Path) settledTime() time.Duration {
-	if left := settleTime - time.Since(p.started); left > 0 {
-		return left + rand.N(settleSpread)
-	}
-	return returnTime()
-}
-
 const (
 	// soonestReturn and latestReturn bound the time after which a caller that was refused in an overload may come back, as
 	// shares of the objective of its route: an answer after the objective is worth little, and the run takes its time too.
@@ -187,7 +170,7 @@
 func (p *Path) prepare(req *message.Request) (*call, *message.Response) {
 	table := p.cfg.Routes.Load()
 	if table == nil {
-		return nil, p.refuse(message.ReasonUnconfirmed, message.StepConfigure, p.settledTime(), "no configuration yet")
+		return nil, p.refuse(message.ReasonUnconfirmed, message.StepConfigure, returnTime(), "no configuration yet")
 	}
 	route, ok := table.Match(req.Host, req.Path)
 	if !ok {
@@ -290,11 +273,11 @@
 func (p *Path) attempt(ctx context.Context, c *call) (r *message.Response, offered bool) {
 	picker := p.cfg.Pickers.Picker(c.service)
 	if picker == nil {
-		return p.refuse(message.ReasonNoTarget, message.StepPick, p.settledTime(), "service %q has no target", c.service), false
+		return p.refuse(message.ReasonNoTarget, message.StepPick, returnTime(), "service %q has no target", c.service), false
 	}
 	target, done, ok := picker.Pick(c.tried...)
 	if !ok {
-		return p.refuse(message.ReasonNoTarget, message.StepPick, p.settledTime(), "service %q has no target left", c.service), false
+		return p.refuse(message.ReasonNoTarget, message.StepPick, returnTime(), "service %q has no target left", c.service), false
 	}
 	c.tried = append(c.tried, target.Address)
 	down := *c.req
