--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -40,7 +40,7 @@
 		return r
 	}
 	name, objective := p.routeOf(req)
-	w := g.window(name)
+	w := g.windows.Of(name)
 	if !w.Enter() {
 		return p.refuse(message.ReasonOverload, message.StepAdmit, returnTime(), "calls of route %q wait too long for more runs", name)
 	}
@@ -65,11 +65,10 @@
 	start := time.Now()
 	r := g.target.Do(ctx, req)
 	took := time.Since(start)
-	cancelled := r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline
 	permit.Release(admission.Result{
 		Latency:   took,
 		Failed:    r.Outcome != message.Answered && r.Reason != message.ReasonCancelled || r.Status >= http.StatusInternalServerError,
-		Cancelled: cancelled,
+		Cancelled: r.Reason == message.ReasonCancelled || r.Reason == message.ReasonDeadline,
 		Paused:    pause.Since(start),
 	})
 	p.runs.end(run)
@@ -104,15 +103,6 @@
 	return "", 0
 }
 
-// window returns the bound on the runs of a route at the target.
-func (g *gate) window(route string) *window.Window {
-	if w, ok := g.windows.Load(route); ok {
-		return w.(*window.Window)
-	}
-	w, _ := g.windows.LoadOrStore(route, new(window.Window))
-	return w.(*window.Window)
-}
-
 // refused returns the response for work that admission turned away.
 func (p *Path) refused(err error) *message.Response {
 	var refusal *admission.Refusal
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -18,6 +18,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/window"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/retry"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
@@ -84,7 +85,7 @@
 	target   Target
 	opened   time.Time
 	failing  balance.FailureShare // times since opened
-	windows  sync.Map             // name of the route to *window.Window
+	windows  window.Set           // of the runs in progress
 }
 
 // New returns a path without a target.
--- /dev/null
+++ b/internal/process/window/set_test.go
@@ -0,0 +1,24 @@
+package window
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against windows that pile up while operators add and remove routes for months, and against a run in progress that
+// is forgotten with its window.
+func TestWindowsOfPastRoutesAreDropped(t *testing.T) {
+	var s Set
+	running := s.Of("running")
+	require.True(t, running.Enter())
+	for i := range 10 * maxWindows {
+		s.Of(strconv.Itoa(i))
+		require.LessOrEqual(t, s.count, maxWindows)
+	}
+	require.Same(t, running, s.Of("running"))
+	n := 0
+	s.windows.Range(func(any, any) bool { n++; return true })
+	require.Equal(t, s.count, n)
+}
