--- a/internal/process/window/window.go
+++ b/internal/process/window/window.go
@@ -85,6 +85,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.running--
+	if r.Took > 0 && r.Worked <= 0 && r.Waited <= 0 {
+		w.record(r.Took, 0) // it made no calls, so none had to wait
+		return
+	}
 	if !r.Whole || r.Worked <= 0 {
 		return
 	}
@@ -110,13 +114,18 @@
 func (w *Window) Call(took, waited time.Duration, refused bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if refused {
+		w.refused++
+	}
+	w.record(took, waited)
+}
+
+// record adds a call to the round, and ends the round if it has enough.
+func (w *Window) record(took, waited time.Duration) {
 	waited = min(waited, took)
 	w.calls++
 	w.waiting += waited.Seconds()
 	w.working += (took - waited).Seconds()
-	if refused {
-		w.refused++
-	}
 	if w.calls >= roundCalls || w.limit > 0 && float64(w.calls) >= w.limit {
 		w.adjust()
 	}
--- a/internal/process/window/window_test.go
+++ b/internal/process/window/window_test.go
@@ -165,3 +165,30 @@
 		require.Equal(t, c.full, !w.Enter(), "allowed %v", c.allowed)
 	}
 }
+
+// Guards against a window that stays closed for good once the runs of its route make no calls any more, so that no call can show
+// that the overload is over.
+func TestWindowOpensWhenRunsStopCalling(t *testing.T) {
+	w := new(Window)
+	for range 20 {
+		require.True(t, w.Enter())
+	}
+	for range 20 * roundCalls {
+		w.Call(time.Second, 900*time.Millisecond, false)
+	}
+	for range 20 {
+		w.Leave(Run{})
+	}
+	for range 20 { // two seconds
+		running := 0
+		for running < 20 && w.Enter() {
+			running++
+		}
+		for range running {
+			w.Leave(Run{Took: 100 * time.Millisecond, Allowed: time.Second, Whole: true})
+		}
+	}
+	for range 20 {
+		require.True(t, w.Enter())
+	}
+}
