Log and export the limit on requests per second that a target names

Change: the adapter decodes the two headers in which a target speaks of itself into message.Notice, the node beside the target logs a change of the limit (events 869 to 871) and exports the gauge wigeoncleat_target_rate_limit. No request is treated differently.

--- a/internal/process/event/mesh.go
+++ b/internal/process/event/mesh.go
@@ -34,4 +34,7 @@
 	FollowerChanged          = Event{866, slog.LevelInfo, "node follows the store for its availability zone, or no longer does", ""}
 	TargetFailing            = Event{867, slog.LevelWarn, "target fails part of its requests, callers are told", "Check the target process on this VM; its health may look good."}
 	TargetRecovered          = Event{868, slog.LevelInfo, "target no longer fails its requests, callers are told", ""}
+	TargetRateLimited        = Event{869, slog.LevelWarn, "target names the requests per second that it takes", "Check the target process on this VM; other targets get the rest, or it is refused."}
+	TargetRateLimitEnded     = Event{870, slog.LevelInfo, "target no longer limits its requests per second", ""}
+	TargetRateUnreadable     = Event{871, slog.LevelWarn, "target names a limit of requests per second that cannot be read", "Correct the target; the limit that it named before stays in force."}
 )
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -71,6 +71,7 @@
 	start := time.Now()
 	r := g.target.Do(ctx, req)
 	took := time.Since(start)
+	p.observeNotice(g, start, r.Notice)
 	permit.Release(admission.Result{
 		Latency:   took,
 		Failed:    r.Outcome != message.Answered && r.Reason != message.ReasonCancelled || r.Status >= http.StatusInternalServerError,
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -24,6 +24,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/ratelimit"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/window"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
@@ -95,6 +96,7 @@
 	attachedAt time.Time
 	failures   balance.FailureRate // its clock starts at attachedAt
 	windows    window.Set          // limits on runs in progress, by route
+	rate       ratelimit.Limiter   // limit on requests per second that the target names
 }
 
 // New returns a proxy without an attached target.
@@ -136,6 +138,14 @@
 	return message.Load{}
 }
 
+// RateLimit returns the limit on requests per second that the attached target names, or zero if there is none.
+func (p *Proxy) RateLimit() float64 {
+	if g := p.attachedTarget.Load(); g != nil {
+		return g.rate.Rate()
+	}
+	return 0
+}
+
 // Condition returns the load and the share of failures of the attached target. It reports false if there is none.
 func (p *Proxy) Condition() (c balance.Condition, ok bool) {
 	g := p.attachedTarget.Load()
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -30,6 +30,8 @@
 	Members   int64
 	Version   int64 // configuration version in force
 	Links     int64 // open links to and from peers
+	// RateLimit is the limit on requests per second that the local target names; zero: none.
+	RateLimit float64
 }
 
 // Metrics holds the instruments of a node.
@@ -86,8 +88,14 @@
 	members := gauge("wigeoncleat.members", "Members known.")
 	version := gauge("wigeoncleat.configuration.version", "Configuration version in force.")
 	links := gauge("wigeoncleat.links", "Open links to and from peers.")
+	rateLimit, err := meter.Float64ObservableGauge("wigeoncleat.target.rate_limit", metric.WithUnit("{request}/s"),
+		metric.WithDescription("Limit on requests per second that the target beside the node names; zero: none."))
+	if err != nil {
+		return fmt.Errorf("gauge of the rate limit: %w", err)
+	}
+	gauges = append(gauges, rateLimit)
 	violations := gauge("wigeoncleat.invariant.violations", "Violations of an invariant since the start.")
-	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g := read()
 		o.ObserveInt64(active, g.Active)
 		o.ObserveInt64(inFlight, g.InFlight)
@@ -96,6 +104,7 @@
 		o.ObserveInt64(members, g.Members)
 		o.ObserveInt64(version, g.Version)
 		o.ObserveInt64(links, g.Links)
+		o.ObserveFloat64(rateLimit, g.RateLimit)
 		for name, n := range invariant.Counts() {
 			o.ObserveInt64(violations, n, metric.WithAttributes(attribute.String("invariant", string(name))))
 		}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -252,6 +252,7 @@
 		Active:   int64(s.entry.Active() + s.pool.Active()),
 		InFlight: int64(load.InFlight), Limit: int64(load.Limit),
 		Members: int64(s.directory.Size()), Links: int64(dialed + accepted),
+		RateLimit: s.path.RateLimit(),
 	}
 	if t := s.routes.Load(); t != nil {
 		g.Version = int64(t.Version)
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -76,6 +76,17 @@
 	RetriesLeft int         // unused part of the retries that were handed down with the request
 	Thresholds  []Threshold // shedding thresholds of the services downstream of this hop
 	Load        Load        // load of the responding node's target
+	// Notice is what the target says of itself in the header of the response; nil if the response is not the target's.
+	Notice *Notice
+}
+
+// Notice is what a target says of itself in the header of a response, whatever the response is.
+type Notice struct {
+	Leaving bool // it stops soon and must get no further requests
+	// RateLimit is the number of requests per second that the target takes from all nodes together, if RateLimited is set.
+	// NaN stands for a number that cannot be read.
+	RateLimited bool
+	RateLimit   float64
 }
 
 // Load describes the load of the responding node's target at the time of the response.
