Keep the limit on requests per second that a target names, beside the target

What callers saw: nothing; the target in need got more than it had said that it takes, 164 to 393 requests in 4 s where 127 to 307 are allowed.

Cause: what a target says of itself in its responses was no part of any node's state. Admission bounds the requests in flight, and 44 requests a second of 0.1 s are four in flight, far below the bound of 130.

Change: the node beside the target, through which all its requests pass, keeps the limit (package ratelimit, on the token bucket of golang.org/x/time) and admission starts requests at that rate, by rank as for slots. Load, shedding, expected waits and the length of the queue are measured against what the limit sustains (Little's law), so other nodes send elsewhere, and the trials of the tuner pause, because the rate hides what a slot is worth. The limit outlives the node beside the target: its responses carry it to the entry nodes, and these send it back with each request. So the nodes that are held to the limit are the ones that bring it along.

--- a/internal/connection/wire/convert.go
+++ b/internal/connection/wire/convert.go
@@ -34,6 +34,7 @@
 		Attempt:    r.Attempt,
 		Instance:   r.Instance,
 		Caller:     r.Caller,
+		RateLimit:  r.RateLimit,
 	}
 	return encodeWithBody(f, stream, r.Body)
 }
@@ -56,6 +57,9 @@
 		BodySize:         uint64(len(r.Body)),
 		Part:             firstPart(r.Body),
 	}
+	if n := r.Notice; n != nil {
+		f.Notice = &Notice{Leaving: n.Leaving, RateLimited: n.RateLimited, RateLimit: n.RateLimit}
+	}
 	if r.Err != nil {
 		f.ErrStep, f.ErrPeer, f.ErrDetail = string(r.Err.Step), r.Err.Peer, r.Err.Detail
 	}
@@ -103,6 +107,7 @@
 		Attempt:    f.Attempt,
 		Instance:   f.Instance,
 		Caller:     f.Caller,
+		RateLimit:  f.RateLimit,
 	}
 }
 
@@ -124,6 +129,9 @@
 		Waited:           time.Duration(min(f.Waited, uint64(maxTimeLeft.Milliseconds()))) * time.Millisecond,
 		Load:             message.Load{InFlight: f.InFlight, Limit: f.Limit},
 	}
+	if n := f.Notice; n != nil {
+		r.Notice = &message.Notice{Leaving: n.Leaving, RateLimited: n.RateLimited, RateLimit: n.RateLimit}
+	}
 	if f.ErrStep != "" {
 		r.Err = &message.Error{Step: message.Step(f.ErrStep), Peer: f.ErrPeer, Detail: f.ErrDetail}
 	}
--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -89,6 +89,8 @@
 	Attempt  string `cbor:"18,keyasint,omitempty"` // ID that the caller chose for its attempt
 	Instance string `cbor:"19,keyasint,omitempty"` // ID of the target process that may run the request
 	Caller   string `cbor:"20,keyasint,omitempty"` // service of the VM on which the request originated
+	// RateLimit is the limit on requests per second that the sender has learned of the target; zero: none.
+	RateLimit float64 `cbor:"21,keyasint,omitempty"`
 }
 
 // Body carries a further part of the body of a request or response.
@@ -126,6 +128,16 @@
 	Part             []byte      `cbor:"16,keyasint,omitempty"` // first part of the body
 	DownstreamFailed bool        `cbor:"17,keyasint,omitempty"` // a call made for the request was refused or failed
 	Waited           uint64      `cbor:"18,keyasint,omitempty"` // milliseconds for which the request and the calls made for it waited for slots
+	Notice           *Notice     `cbor:"19,keyasint,omitempty"`
+}
+
+// Notice is what the sender knows of its target from the target's responses. The fields have the meaning of those of
+// message.Notice.
+type Notice struct {
+	_           struct{} `cbor:",toarray"`
+	Leaving     bool
+	RateLimited bool
+	RateLimit   float64
 }
 
 // Cancel says that the sender no longer waits for the response on a stream.
--- a/internal/measure/chains/world.go
+++ b/internal/measure/chains/world.go
@@ -110,7 +110,7 @@
 		Log:         slog.New(slog.NewTextHandler(io.Discard, &slog.HandlerOptions{Level: slog.LevelError})),
 		Limiter:     event.NewLimiter(0),
 	})
-	n.path.AttachTarget(n.service.Name, n.address, admission.New(limits), n)
+	n.path.AttachTarget(n.service.Name, n.address, 0, admission.New(limits), n)
 }
 
 // Send implements mesh.PeerSender.
--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -111,6 +111,18 @@
 	tuner       tuner
 	rampFrom    time.Duration // start of the ramp; negative: no ramp in progress
 	rampTimer   *time.Timer
+	rate        RateLimiter // nil: no limit on requests per second
+	rateTimer   *time.Timer // dispatches when the rate allows the next request
+}
+
+// RateLimiter limits the requests per second that are sent to the target.
+type RateLimiter interface {
+	// Rate returns the limit in requests per second, or zero if there is none.
+	Rate() float64
+	// Take reports whether a request may be sent now, and if so counts it.
+	Take(now time.Time) bool
+	// Wait returns the time until Take succeeds.
+	Wait(now time.Time) time.Duration
 }
 
 // New returns a Controller that admits at the full limit. Call StartRamp to raise the limit gradually instead.
@@ -145,7 +157,7 @@
 	if reason := c.refusalOnArrival(now, w); reason != message.ReasonNone {
 		return nil, c.refuseAndUnlock(reason)
 	}
-	if c.queue.len() == 0 && c.inFlight < c.limit {
+	if c.queue.len() == 0 && c.inFlight < c.limit && c.takeRate() {
 		p := c.grant(w)
 		c.publish()
 		c.mu.Unlock()
@@ -156,6 +168,7 @@
 		return nil, c.refuseAndUnlock(reason)
 	}
 	wait := c.maxWait(now, w)
+	c.scheduleRate()
 	c.publish()
 	c.mu.Unlock()
 	return c.await(ctx, wt, wait)
@@ -185,7 +198,7 @@
 // hasIdleSlots reports whether enough slots are idle to admit requests below the threshold. The threshold tells other
 // nodes what to send; it must not keep slots idle here.
 func (c *Controller) hasIdleSlots() bool {
-	return c.queue.len() == 0 && float64(c.inFlight) < (1-idleShare)*float64(c.limit)
+	return c.queue.len() == 0 && float64(c.inFlight) < (1-idleShare)*float64(c.sustained())
 }
 
 // meetsDeadline reports whether a request can end before its deadline after the given wait. With nothing in flight the
@@ -315,6 +328,9 @@
 	if c.rampTimer != nil {
 		c.rampTimer.Stop()
 	}
+	if c.rateTimer != nil {
+		c.rateTimer.Stop()
+	}
 	for c.queue.len() > 0 {
 		c.refuseWaiter(c.queue.remove(0), message.ReasonLeaving)
 	}
@@ -325,7 +341,7 @@
 // current time. It must be called with the mutex held and before the state changes.
 func (c *Controller) advance() time.Duration {
 	now := time.Since(c.origin)
-	c.meter.integrate(now, c.inFlight, c.limit, c.queue.len())
+	c.meter.integrate(now, c.inUse(), c.sustained(), c.queue.len())
 	if now >= time.Duration(c.nextTick.Load()) {
 		c.tick(now)
 	}
@@ -341,11 +357,13 @@
 	m := &c.meter
 	expected := 0.0 // departures per interval with all slots in use
 	if c.latency.mean > 0 {
-		expected = float64(c.limit) * float64(tickInterval) / float64(c.latency.mean)
+		expected = float64(c.sustained()) * float64(tickInterval) / float64(c.latency.mean)
 	}
-	c.shedder.adjust(now, m, &c.queue, c.limits.QueueLength, expected)
-	c.tuner.updateBaseline(now, m, &c.latency)
-	if c.rampFrom < 0 {
+	c.shedder.adjust(now, m, &c.queue, c.queueLength(), expected)
+	if !c.rateLimited() {
+		c.tuner.updateBaseline(now, m, &c.latency)
+	}
+	if c.rampFrom < 0 && !c.rateLimited() {
 		before := c.tuner.learned
 		c.tuner.observe(now, m, &c.latency, c.longWaitSlots())
 		logLimit(before, c.tuner.learned)
@@ -391,7 +409,7 @@
 // publish copies the state that is read without the mutex.
 func (c *Controller) publish() {
 	c.threshold.Store(uint32(c.shedder.threshold))
-	c.load.Store(uint64(c.inFlight+c.queue.len())<<32 | uint64(uint32(c.limit)))
+	c.load.Store(uint64(c.inFlight+c.queue.len())<<32 | uint64(uint32(c.sustained())))
 }
 
 // refusal builds the error for a refused request. RetryAfter grows with the time needed to work off the backlog and
@@ -400,7 +418,7 @@
 	r := &Refusal{Reason: reason, Threshold: c.shedder.threshold}
 	switch reason {
 	case message.ReasonOverload, message.ReasonDeadline:
-		backlog := time.Duration(c.inFlight+c.queue.len()) * c.latency.mean / time.Duration(c.limit)
+		backlog := time.Duration(c.inFlight+c.queue.len()) * c.latency.mean / time.Duration(c.sustained())
 		after := float64(minRetryAfter+backlog) * (1 + c.shedder.pressure)
 		r.RetryAfter = time.Duration(min(after, float64(maxRetryAfter)) * (0.5 + c.random()))
 	case message.ReasonLeaving:
--- a/internal/process/admission/wait.go
+++ b/internal/process/admission/wait.go
@@ -41,8 +41,11 @@
 // expectedWait estimates the wait of a request at a position of the queue. New requests behind sub-requests have a
 // share of the slots to themselves.
 func (c *Controller) expectedWait(at int, w Work) time.Duration {
-	wait := time.Duration(at+1) * c.latency.mean / time.Duration(c.limit)
-	if newSlots := c.limits.NewRequestShare * float64(c.limit); c.limits.SubrequestsFirst && !w.Subrequest && newSlots > 0 {
+	wait := time.Duration(at+1) * c.latency.mean / time.Duration(c.sustained())
+	if c.rateLimited() {
+		wait = max(wait, time.Duration(float64(at+1)/c.rate.Rate()*float64(time.Second)))
+	}
+	if newSlots := c.limits.NewRequestShare * float64(c.sustained()); c.limits.SubrequestsFirst && !w.Subrequest && newSlots > 0 {
 		ahead := at - c.queue.leadingSubrequests()
 		wait = min(wait, time.Duration(float64(ahead+1)/newSlots*float64(c.latency.mean)))
 	}
@@ -69,9 +72,9 @@
 // maxLength returns the length of the queue from which the request is refused or displaces a waiter.
 func (c *Controller) maxLength(w Work) int {
 	if c.mayWaitLonger(w) || c.limits.SubrequestsFirst && w.Subrequest {
-		return longQueueFactor * c.limits.QueueLength
+		return longQueueFactor * c.queueLength()
 	}
-	return c.limits.QueueLength
+	return c.queueLength()
 }
 
 // await blocks until the waiter is granted a permit or refused, its context ends or the longest wait has passed.
@@ -139,7 +142,7 @@
 // nextToDispatch returns the position of the waiter that gets the next free slot: the first one, or the first new
 // request while new requests have less than their share of the slots.
 func (c *Controller) nextToDispatch() int {
-	if !c.limits.SubrequestsFirst || float64(c.newInFlight) >= c.limits.NewRequestShare*float64(c.limit) {
+	if !c.limits.SubrequestsFirst || float64(c.newInFlight) >= c.limits.NewRequestShare*float64(c.sustained()) {
 		return 0
 	}
 	return max(0, c.queue.firstNewRequest())
@@ -147,7 +150,7 @@
 
 // dispatch grants free slots to waiters.
 func (c *Controller) dispatch(now time.Duration) {
-	for c.inFlight < c.limit && c.queue.len() > 0 {
+	for c.inFlight < c.limit && c.queue.len() > 0 && c.rateWait() == 0 {
 		wt := c.queue.remove(c.nextToDispatch())
 		if reason := contextReason(wt.ctx); reason != message.ReasonNone {
 			c.refuseWaiter(wt, reason)
@@ -158,7 +161,12 @@
 			c.refuseWaiter(wt, message.ReasonDeadline)
 			continue
 		}
+		if !c.takeRate() { // the limit was lowered just now
+			c.queue.insert(c.queue.position(wt), wt)
+			break
+		}
 		wt.permit = c.grant(wt.work)
 		close(wt.ready)
 	}
+	c.scheduleRate()
 }
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -26,8 +26,10 @@
 	if g == nil || g.service != req.Service || g.instance != req.Instance {
 		return p.refuse(message.ReasonLeaving, message.StepAdmit, shortRetryAfter(), "instance %q of service %q does not take work here", req.Instance, req.Service)
 	}
+	p.restoreRate(g, req.RateLimit)
 	r := p.deliverWithinWindow(ctx, g, req)
 	r.Load = g.control.Load()
+	r.Notice = g.notice()
 	// The response reports the shedding threshold of this service, the lowest priority that its target admits. Upstream nodes
 	// shed requests below it, see package shed. A threshold of zero is reported too: it ends that shedding before the last
 	// higher threshold expires there.
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -83,6 +83,7 @@
 	activeRuns *activeRuns
 
 	attachedTarget atomic.Pointer[attachedTarget]
+	knownRates     knownRates
 	buckets        sync.Map     // map of service to *retry.RankedBucket
 	burst          atomic.Value // float64; set by SetRetryBurst
 }
@@ -91,12 +92,13 @@
 type attachedTarget struct {
 	service    string
 	instance   string // instance ID, see Config.Instance
+	born       int64  // start of the target process, Unix milliseconds; an instance ID can be used again
 	control    *admission.Controller
 	target     Target
 	attachedAt time.Time
 	failures   balance.FailureRate // its clock starts at attachedAt
 	windows    window.Set          // limits on runs in progress, by route
-	rate       ratelimit.Limiter   // limit on requests per second that the target names
+	rate       *ratelimit.Limiter  // limit on requests per second that the target names
 }
 
 // New returns a proxy without an attached target.
@@ -107,10 +109,15 @@
 	return &Proxy{cfg: cfg, activeRuns: newActiveRuns()}
 }
 
-// AttachTarget starts to accept requests for the target of this node that has the given instance ID. A target that was attached
-// before admits no more requests.
-func (p *Proxy) AttachTarget(service, instance string, control *admission.Controller, target Target) {
-	if old := p.attachedTarget.Swap(&attachedTarget{service: service, instance: instance, control: control, target: target, attachedAt: time.Now()}); old != nil {
+// AttachTarget starts to accept requests for the target of this node that has the given instance ID and start time. A target that
+// was attached before admits no more requests.
+func (p *Proxy) AttachTarget(service, instance string, born int64, control *admission.Controller, target Target) {
+	rate := ratelimit.New()
+	control.SetRate(rate)
+	g := &attachedTarget{
+		service: service, instance: instance, born: born, control: control, target: target, attachedAt: time.Now(), rate: rate,
+	}
+	if old := p.attachedTarget.Swap(g); old != nil {
 		old.control.StopAdmitting()
 	}
 }
--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -325,7 +325,7 @@
 }
 
 func (n *testNode) attach(slots int, target Target) {
-	n.proxy.AttachTarget("menu", "i-1", admission.New(admission.Limits{
+	n.proxy.AttachTarget("menu", "i-1", 0, admission.New(admission.Limits{
 		Slots: slots, Connections: slots, QueueLength: slots, QueueMaxWait: 100 * time.Millisecond, SubrequestsFirst: true,
 	}), target)
 }
--- a/internal/process/mesh/notice_test.go
+++ b/internal/process/mesh/notice_test.go
@@ -77,7 +77,7 @@
 }
 
 func attachNoticeTarget(p *Proxy, target *noticeTarget) {
-	p.AttachTarget("menu", target.instance, admission.New(admission.Limits{
+	p.AttachTarget("menu", target.instance, 0, admission.New(admission.Limits{
 		Slots: 130, Connections: 500, QueueLength: 139, QueueMaxWait: 200 * time.Millisecond,
 		SubrequestsFirst: true, NewRequestShare: 0.1, MixedServiceTimes: true,
 	}), target)
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -159,7 +159,7 @@
 	switch {
 	case id == s.attachedInstance:
 	case open:
-		s.path.AttachTarget(st.Service, st.Instance, admission.New(s.limitsOf(st)),
+		s.path.AttachTarget(st.Service, st.Instance, st.Born, admission.New(s.limitsOf(st)),
 			&target{pool: targetconn.NewPool(st.Address), codec: s.opts.Codec, onUnreachable: s.markTargetUnreachable})
 	default:
 		s.path.DetachTarget()
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -41,6 +41,8 @@
 	Attempt  string    // identifies the caller's attempt; chosen by the caller, echoed by the target
 	Instance string    // ID of the target process that may run the request; one that replaced it at the same address must not
 	Caller   string    // service of the VM on which the request originated
+	// RateLimit is the limit on requests per second that the sending node has learned of the target; zero: none.
+	RateLimit float64
 
 	Memory *memory.Reservation // counts the response bodies that this node holds for the request; nil: not counted
 }
