--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -110,6 +110,8 @@
 	targetMu         sync.Mutex // held by applyTarget
 	attachedInstance string     // instance and start time of the attached target; empty: none
 
+	connectTarget func(address string) exchanger // opens a pool of connections to a target; replaced by tests
+
 	background sync.WaitGroup
 	ctx        context.Context
 	stop       context.CancelFunc
@@ -153,6 +155,7 @@
 		failures:     event.NewLimiter(failuresPerSecond),
 		samples:      event.NewLimiter(samplesPerSecond),
 	}
+	s.connectTarget = func(address string) exchanger { return targetconn.NewPool(address) }
 	s.responseMemory = memory.NewBudget(int64(responseMemoryShare * float64(max(s.settings.MemoryBytes, minMemory))))
 	s.retryBurst.Store(&opts.Settings.RetryBurst)
 	s.ctx, s.stop = context.WithCancel(context.Background())
@@ -170,7 +173,21 @@
 		DialBackoff:       linkDialBackoff,
 		MaxBody:           maxForwardedBytes,
 	}, link.WebSocketDialer(client), linkHandler{s}, s.log)
-	s.path = mesh.New(mesh.Config{
+	s.path = s.newPath()
+	s.entry = entry.NewServer(entryHandler{s},
+		int(descriptorShare*float64(max(s.settings.Descriptors, minDescriptors))),
+		int64(requestMemoryShare*float64(max(s.settings.MemoryBytes, minMemory))))
+	var err error
+	if s.metrics, err = metrics.New(s.gauges); err != nil {
+		return nil, fmt.Errorf("sidecar: %w", err)
+	}
+	s.refreshTargets()
+	return s, nil
+}
+
+// newPath returns the request path, which uses the node's links and what it knows of targets.
+func (s *Sidecar) newPath() *mesh.Proxy {
+	return mesh.New(mesh.Config{
 		Address:     s.settings.PeerAddress,
 		Service:     s.settings.Service,
 		Routes:      &s.routes,
@@ -183,15 +200,6 @@
 		Limiter:     s.failures,
 		Retries:     s.settings.Retries,
 	})
-	s.entry = entry.NewServer(entryHandler{s},
-		int(descriptorShare*float64(max(s.settings.Descriptors, minDescriptors))),
-		int64(requestMemoryShare*float64(max(s.settings.MemoryBytes, minMemory))))
-	var err error
-	if s.metrics, err = metrics.New(s.gauges); err != nil {
-		return nil, fmt.Errorf("sidecar: %w", err)
-	}
-	s.refreshTargets()
-	return s, nil
 }
 
 // instanceAt returns the instance ID of the target that is attached to the node at the address.
--- a/internal/process/sidecar/sync_test.go
+++ b/internal/process/sidecar/sync_test.go
@@ -61,7 +61,8 @@
 	nodes     map[string]*Sidecar // by peer address; nodes that are down are absent
 	rows      map[string][]byte
 	config    []byte
-	storeDown bool // all calls of the store fail
+	storeDown bool           // all calls of the store fail
+	configure func(*Sidecar) // called before a node starts its loops; nil: nothing
 
 	latency    time.Duration   // of each message
 	poweredOff map[string]bool // nodes without power: messages that they wrote and that have not arrived are lost
@@ -173,6 +174,10 @@
 		go func() { _ = peer.pool.Accept(context.Background(), delayedConn{theirs, c, to}) }()
 		return delayedConn{ours, c, address}, nil
 	}, linkHandler{s}, s.log)
+	s.path = s.newPath()
+	if c.configure != nil {
+		c.configure(s)
+	}
 	c.mu.Lock()
 	c.nodes[address] = s
 	c.mu.Unlock()
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -160,7 +160,7 @@
 	case id == s.attachedInstance:
 	case open:
 		s.path.AttachTarget(st.Service, st.Instance, st.Born, admission.New(s.limitsOf(st)),
-			&target{pool: targetconn.NewPool(st.Address), codec: s.opts.Codec, onUnreachable: s.markTargetUnreachable})
+			&target{pool: s.connectTarget(st.Address), codec: s.opts.Codec, onUnreachable: s.markTargetUnreachable})
 	default:
 		s.path.DetachTarget()
 	}
