Send no requests to a target that says in its responses that it leaves

What callers saw: nothing yet; operators count a request that reaches such a target 2 s after its node has passed on a response that says so.

A target's phase came only from its heartbeats, and responses were passed on unread.

Change: the node beside the target treats the response like a report of a drain: it refuses and tells the others; a later report cannot undo it. Each node that gets such a response as the sender leaves the target process out by itself (directory.SetTargetLeaving), so it does not depend on what the node beside the target remembers after a restart.

--- a/internal/connection/wire/convert.go
+++ b/internal/connection/wire/convert.go
@@ -58,7 +58,7 @@
 		Part:             firstPart(r.Body),
 	}
 	if n := r.Notice; n != nil {
-		f.Notice = &Notice{Leaving: n.Leaving, RateLimited: n.RateLimited, RateLimit: n.RateLimit}
+		f.Notice = &Notice{Leaving: n.Leaving, Born: n.Born, RateLimited: n.RateLimited, RateLimit: n.RateLimit}
 	}
 	if r.Err != nil {
 		f.ErrStep, f.ErrPeer, f.ErrDetail = string(r.Err.Step), r.Err.Peer, r.Err.Detail
@@ -130,7 +130,7 @@
 		Load:             message.Load{InFlight: f.InFlight, Limit: f.Limit},
 	}
 	if n := f.Notice; n != nil {
-		r.Notice = &message.Notice{Leaving: n.Leaving, RateLimited: n.RateLimited, RateLimit: n.RateLimit}
+		r.Notice = &message.Notice{Leaving: n.Leaving, Born: n.Born, RateLimited: n.RateLimited, RateLimit: n.RateLimit}
 	}
 	if f.ErrStep != "" {
 		r.Err = &message.Error{Step: message.Step(f.ErrStep), Peer: f.ErrPeer, Detail: f.ErrDetail}
--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -136,6 +136,7 @@
 type Notice struct {
 	_           struct{} `cbor:",toarray"`
 	Leaving     bool
+	Born        int64
 	RateLimited bool
 	RateLimit   float64
 }
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -66,13 +66,26 @@
 
 	mu      sync.Mutex
 	members map[string]Member
-	down    map[string]time.Time // unreachable nodes, since when
-	sums    Sums                 // of members
+	down    map[string]time.Time   // unreachable nodes, since when
+	leaving map[targetID]time.Time // targets that have said in a response to this node that they leave, since when
+	sums    Sums                   // of members
 }
 
+// targetID identifies a target process. An instance ID can be used again by a later process.
+type targetID struct {
+	instance string
+	born     int64
+}
+
+// leavingRetention is the time for which a target that leaves is remembered. Targets leave within minutes, but an entry from
+// before can be received late, or again from a node that was restarted.
+const leavingRetention = time.Hour
+
 // New returns a directory that contains only the node's own entry.
 func New(self Member) *Directory {
-	d := &Directory{self: self.Address, members: map[string]Member{}, down: map[string]time.Time{}}
+	d := &Directory{
+		self: self.Address, members: map[string]Member{}, down: map[string]time.Time{}, leaving: map[targetID]time.Time{},
+	}
 	d.putLocked(self)
 	return d
 }
@@ -193,6 +206,20 @@
 	return ok
 }
 
+// SetTargetLeaving records that a target has said in a response to this node that it leaves. From then on Targets leaves it out,
+// whatever its own node says: that node may have been restarted and not know. It reports whether that was new.
+func (d *Directory) SetTargetLeaving(instance string, born int64, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	id := targetID{instance, born}
+	if _, ok := d.leaving[id]; ok {
+		return false
+	}
+	maps.DeleteFunc(d.leaving, func(_ targetID, since time.Time) bool { return now.Sub(since) > leavingRetention })
+	d.leaving[id] = now
+	return true
+}
+
 // Member returns the entry of a node.
 func (d *Directory) Member(address string) (Member, bool) {
 	d.mu.Lock()
@@ -227,13 +254,14 @@
 	return up, down
 }
 
-// Targets returns the entries of reachable nodes whose targets accept requests, by service.
+// Targets returns the entries of reachable nodes whose targets accept requests and have not told this node that they leave, by
+// service.
 func (d *Directory) Targets() map[string][]Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := map[string][]Member{}
 	for _, m := range d.members {
-		if m.Serving() && !d.isDownLocked(m.Address) {
+		if _, leaving := d.leaving[targetID{m.Instance, m.Born}]; m.Serving() && !leaving && !d.isDownLocked(m.Address) {
 			out[m.Service] = append(out[m.Service], m)
 		}
 	}
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -48,6 +48,6 @@
 		TargetReplaced, TargetChanged, TargetSilent, ReportRejected, PeerUnreachable, PeerReachable,
 		RoutesApplied, RoutesRejected, StoreLost, StoreRegained, NodeRegistered, SettingsReloaded, SettingsUnusable,
 		MemberChanged, PeerMessageFailed, TargetRefusesConnections, FollowerChanged, TargetFailing, TargetRecovered,
-		TargetRateLimited, TargetRateLimitEnded, TargetRateUnreadable,
+		TargetRateLimited, TargetRateLimitEnded, TargetRateUnreadable, TargetLeftOut,
 	}
 }
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -63,9 +63,14 @@
 	Instance func(address string) string
 	// Unreachable is called for each node that could not be reached.
 	Unreachable func(address string, cause error)
-	Log         *slog.Logger
-	Limiter     *event.Limiter // limits the rate of log lines about single requests
-	Retries     RetryBounds    // zero: defaultRetries
+	// TargetLeaving is called for each response that shows that the target process leaves, before the response is passed on. The
+	// process is named by its instance ID and its start time in Unix milliseconds.
+	TargetLeaving func(instance string, born int64)
+	// AttachedTargetLeaving is called once when the attached target has said in a response that it leaves.
+	AttachedTargetLeaving func(instance string, born int64)
+	Log                   *slog.Logger
+	Limiter               *event.Limiter // limits the rate of log lines about single requests
+	Retries               RetryBounds    // zero: defaultRetries
 }
 
 // RetryBounds are the operators' limits on the retries to one service, summed over all nodes.
@@ -91,8 +96,9 @@
 // attachedTarget is the target of this node with its admission control and its measurements.
 type attachedTarget struct {
 	service    string
-	instance   string // instance ID, see Config.Instance
-	born       int64  // start of the target process, Unix milliseconds; an instance ID can be used again
+	instance   string      // instance ID, see Config.Instance
+	leaving    atomic.Bool // the target has said in a response that it leaves
+	born       int64       // start of the target process, Unix milliseconds; an instance ID can be used again
 	control    *admission.Controller
 	target     Target
 	attachedAt time.Time
--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -74,10 +74,11 @@
 	n := &testNode{}
 	n.proxy = New(Config{
 		Address: "self", Service: "store", Routes: routes, Peers: n, Pickers: set, Shed: shed.New(),
-		Instance:    func(address string) string { return "i-" + address },
-		Unreachable: func(address string, _ error) { n.unreachable = append(n.unreachable, address) },
-		Log:         slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Limiter:     event.NewLimiter(1),
+		Instance:      func(address string) string { return "i-" + address },
+		Unreachable:   func(address string, _ error) { n.unreachable = append(n.unreachable, address) },
+		TargetLeaving: func(string, int64) {}, AttachedTargetLeaving: func(string, int64) {},
+		Log:     slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Limiter: event.NewLimiter(1),
 	})
 	return n
 }
--- a/internal/process/mesh/notice.go
+++ b/internal/process/mesh/notice.go
@@ -21,6 +21,9 @@
 	if g.rate.Observe(sent, time.Now(), *n) {
 		p.applyRate(g)
 	}
+	if n.Leaving && !g.leaving.Swap(true) {
+		p.cfg.AttachedTargetLeaving(g.instance, g.born)
+	}
 	if n.RateLimited && math.IsNaN(n.RateLimit) {
 		p.cfg.Limiter.Log(p.cfg.Log, event.TargetRateUnreadable, slog.String("instance", g.instance))
 	}
@@ -48,11 +51,19 @@
 // notice returns what this node knows of the attached target, for the node that sent a request to it, or nil if that is nothing
 // of note.
 func (g *attachedTarget) notice() *message.Notice {
-	rate := g.rate.Rate()
-	if rate == 0 {
+	rate, leaving := g.rate.Rate(), g.leaving.Load()
+	if rate == 0 && !leaving {
 		return nil
 	}
-	return &message.Notice{RateLimited: true, RateLimit: rate}
+	return &message.Notice{Leaving: leaving, Born: g.born, RateLimited: rate > 0, RateLimit: rate}
+}
+
+// learnNotice records what the node beside a target to which this node has sent a request knows of the target.
+func (p *Proxy) learnNotice(instance string, r *message.Response) {
+	if n := r.Notice; n != nil && n.Leaving {
+		p.cfg.TargetLeaving(instance, n.Born)
+	}
+	p.learnRate(instance, r)
 }
 
 // learnRate records the limit on requests per second of a target to which this node has sent a request. A response of the target
--- a/internal/process/mesh/notice_test.go
+++ b/internal/process/mesh/notice_test.go
@@ -91,10 +91,11 @@
 	routes.Store(table)
 	return New(Config{
 		Address: address, Service: "store", Routes: routes, Peers: f, Pickers: pickers, Shed: shed.New(),
-		Instance:    func(address string) string { return "i-" + address },
-		Unreachable: func(string, error) {},
-		Log:         slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Limiter:     event.NewLimiter(1),
+		Instance:      func(address string) string { return "i-" + address },
+		Unreachable:   func(string, error) {},
+		TargetLeaving: func(string, int64) {}, AttachedTargetLeaving: func(string, int64) {},
+		Log:     slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Limiter: event.NewLimiter(1),
 	})
 }
 
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -299,7 +299,7 @@
 	r = p.send(ctx, target.Address, &outgoing)
 	done(targetResult(r))
 	p.learnThresholds(f, r)
-	p.learnRate(outgoing.Instance, r)
+	p.learnNotice(outgoing.Instance, r)
 	// An error on the way to the node names the node's address as its peer; an error between that node and its target does not.
 	if r.Reason == message.ReasonConnection && r.Err != nil && r.Err.Peer == target.Address && target.Address != p.cfg.Address {
 		p.cfg.Unreachable(target.Address, r.Err)
--- a/internal/process/report/report.go
+++ b/internal/process/report/report.go
@@ -67,10 +67,13 @@
 	mu       sync.Mutex
 	state    State
 	departed map[string]int64 // start times of instances that have left
+	leaving  map[string]int64 // start times of instances that have said in a response that they leave
 }
 
 // NewTracker returns a tracker that knows of no target.
-func NewTracker() *Tracker { return &Tracker{departed: map[string]int64{}} }
+func NewTracker() *Tracker {
+	return &Tracker{departed: map[string]int64{}, leaving: map[string]int64{}}
+}
 
 // Observe updates the state with a report and returns its effect.
 func (t *Tracker) Observe(r Report, now time.Time) Verdict {
@@ -79,6 +82,9 @@
 	if born, ok := t.departed[r.Instance]; ok && r.Born <= born {
 		return Ignored
 	}
+	if born, ok := t.leaving[r.Instance]; ok && r.Born <= born && r.Phase == PhaseReady {
+		r.Phase = PhaseDraining
+	}
 	have := &t.state
 	same := have.Instance == r.Instance && have.Born == r.Born
 	switch {
@@ -114,6 +120,19 @@
 	return changed
 }
 
+// Drain records that an instance has said in a response that it leaves, whatever its reports say. It reports whether that changed
+// the state.
+func (t *Tracker) Drain(instance string, born int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving[instance] = max(t.leaving[instance], born)
+	if t.state.Instance != instance || t.state.Born != born || t.state.Phase == PhaseDraining || t.state.Phase == PhaseGone {
+		return false
+	}
+	t.state.Phase = PhaseDraining
+	return true
+}
+
 // Restore applies what other nodes know of the target from before a restart of this node. It can only make the state
 // stricter: an old report must not make a leaving instance ready again.
 func (t *Tracker) Restore(instance string, born, sequence int64, phase Phase) bool {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -188,17 +188,19 @@
 // newPath returns the request path, which uses the node's links and what it knows of targets.
 func (s *Sidecar) newPath() *mesh.Proxy {
 	return mesh.New(mesh.Config{
-		Address:     s.settings.PeerAddress,
-		Service:     s.settings.Service,
-		Routes:      &s.routes,
-		Peers:       s.pool,
-		Pickers:     s.pickers,
-		Shed:        shed.New(),
-		Instance:    s.instanceAt,
-		Unreachable: s.markUnreachable,
-		Log:         s.log,
-		Limiter:     s.failures,
-		Retries:     s.settings.Retries,
+		Address:               s.settings.PeerAddress,
+		Service:               s.settings.Service,
+		Routes:                &s.routes,
+		Peers:                 s.pool,
+		Pickers:               s.pickers,
+		Shed:                  shed.New(),
+		Instance:              s.instanceAt,
+		Unreachable:           s.markUnreachable,
+		TargetLeaving:         s.leaveOutTarget,
+		AttachedTargetLeaving: s.drainAttachedTarget,
+		Log:                   s.log,
+		Limiter:               s.failures,
+		Retries:               s.settings.Retries,
 	})
 }
 
@@ -221,6 +223,14 @@
 	}
 }
 
+// leaveOutTarget removes a target from load balancing that has said in a response to this node that it leaves.
+func (s *Sidecar) leaveOutTarget(instance string, born int64) {
+	if s.directory.SetTargetLeaving(instance, born, time.Now()) {
+		event.Log(s.log, event.TargetLeftOut, slog.String("instance", instance), slog.Int64("born", born))
+		s.refreshTargets()
+	}
+}
+
 // markReachable makes the node's target available to load balancing again.
 func (s *Sidecar) markReachable(address string) {
 	if s.directory.SetUp(address) {
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -144,6 +144,16 @@
 	return nil
 }
 
+// drainAttachedTarget refuses further requests to the attached target, which has said in a response that it leaves, and tells the
+// other nodes.
+func (s *Sidecar) drainAttachedTarget(instance string, born int64) {
+	if s.tracker.Drain(instance, born) {
+		event.Log(s.log, event.TargetChanged, slog.String("instance", instance), slog.String("phase", report.PhaseDraining.String()),
+			slog.String("source", "response"))
+	}
+	s.applyTarget()
+}
+
 // applyTarget attaches or detaches the target according to its state and announces that state. Requests are refused here
 // before any node is told, so that none reaches a target whose leave was acknowledged, although other nodes learn of the
 // leave later.
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -84,7 +84,8 @@
 
 // Notice is what a target says of itself in the header of a response, whatever the response is.
 type Notice struct {
-	Leaving bool // it stops soon and must get no further requests
+	Leaving bool  // it stops soon and must get no further requests
+	Born    int64 // start time of the target process, Unix milliseconds; set by the node beside the target
 	// RateLimit is the number of requests per second that the target takes from all nodes together, if RateLimited is set.
 	// NaN stands for a number that cannot be read.
 	RateLimited bool
