Measure what a limit on requests per second sustains over two seconds

Cause: the requests in flight that a limit sustains followed the mean latency of the last 16 requests.

Change: the estimate is requests in flight over departures, smoothed over about two seconds.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -112,6 +112,7 @@
 	rampFrom    time.Duration // start of the ramp; negative: no ramp in progress
 	rampTimer   *time.Timer
 	rate        RateLimiter // nil: no limit on requests per second
+	timeInUse   timeInUse
 	rateTimer   *time.Timer // dispatches when the rate allows the next request
 }
 
@@ -341,7 +342,7 @@
 // current time. It must be called with the mutex held and before the state changes.
 func (c *Controller) advance() time.Duration {
 	now := time.Since(c.origin)
-	c.meter.integrate(now, c.inUse(), c.sustained(), c.queue.len())
+	c.meter.integrate(now, c.inFlight, c.inUse(), c.sustained(), c.queue.len())
 	if now >= time.Duration(c.nextTick.Load()) {
 		c.tick(now)
 	}
@@ -355,6 +356,7 @@
 // tick ends a measurement interval.
 func (c *Controller) tick(now time.Duration) {
 	m := &c.meter
+	c.timeInUse.add(m)
 	expected := 0.0 // departures per interval with all slots in use
 	if c.latency.mean > 0 {
 		expected = float64(c.sustained()) * float64(tickInterval) / float64(c.latency.mean)
--- a/internal/process/admission/admission_test.go
+++ b/internal/process/admission/admission_test.go
@@ -216,7 +216,7 @@
 		for now := tickInterval; now <= 10*time.Second; now += tickInterval {
 			inFlight := min(tr.limit(), x.demand)
 			m := &meter{start: now - tickInterval, departures: 2 * min(inFlight, x.slots)}
-			m.integrate(tickInterval, inFlight, tr.limit(), x.demand-inFlight)
+			m.integrate(tickInterval, inFlight, inFlight, tr.limit(), x.demand-inFlight)
 			tr.observe(now, m, &latencyEstimate{mean: latency, variance: 1}, 0)
 		}
 		require.LessOrEqual(t, tr.learned, x.most)
--- a/internal/process/admission/meter.go
+++ b/internal/process/admission/meter.go
@@ -23,7 +23,8 @@
 	departures     int
 	unsuccessful   int // departures that failed, were cancelled or include a pause of the process
 
-	busy     float64 // requests in flight, integrated over time in seconds
+	inFlight float64 // requests in flight, integrated over time in seconds
+	busy     float64 // the same, but at least sustained while the limit on requests per second keeps others waiting
 	capacity float64 // limit, integrated over time
 	backlog  float64 // queue length, integrated over time
 
@@ -45,10 +46,11 @@
 	}
 }
 
-func (m *meter) integrate(now time.Duration, inFlight, limit, queued int) {
+func (m *meter) integrate(now time.Duration, inFlight, inUse, limit, queued int) {
 	dt := (now - m.last).Seconds()
 	m.last = now
-	m.busy += dt * float64(inFlight)
+	m.inFlight += dt * float64(inFlight)
+	m.busy += dt * float64(inUse)
 	m.capacity += dt * float64(limit)
 	m.backlog += dt * float64(queued)
 }
@@ -65,7 +67,7 @@
 func (m *meter) reset(now time.Duration) {
 	m.start, m.last = now, now
 	m.arrivals, m.aboveThreshold, m.queueRefusals, m.departures, m.unsuccessful = 0, 0, 0, 0, 0
-	m.busy, m.capacity, m.backlog = 0, 0, 0
+	m.inFlight, m.busy, m.capacity, m.backlog = 0, 0, 0, 0
 }
 
 // latencyEstimate holds the measured latency of requests at the target.
--- a/internal/process/admission/rate.go
+++ b/internal/process/admission/rate.go
@@ -74,12 +74,30 @@
 // fewer if the limit on requests per second allows fewer at the current latency (Little's law). Load, shedding and expected waits
 // are measured against it.
 func (c *Controller) sustained() int {
-	if !c.rateLimited() || c.latency.mean == 0 {
+	if !c.rateLimited() || c.timeInUse.departures == 0 {
 		return c.limit
 	}
-	return max(1, min(c.limit, int(math.Round(c.rate.Rate()*c.latency.mean.Seconds()))))
+	return max(1, min(c.limit, int(math.Round(c.rate.Rate()*c.timeInUse.mean()))))
 }
 
+// timeInUseWeight is the weight of one interval in the averages of timeInUse, which are taken over about two seconds.
+const timeInUseWeight = 0.05
+
+// timeInUse estimates the mean time for which a request is in flight. It is steadier than the mean latency of the last requests,
+// which alternates between short calls and long requests where a target serves both.
+type timeInUse struct {
+	inFlight   float64 // requests in flight, integrated over an interval, smoothed
+	departures float64 // in an interval, smoothed
+}
+
+func (t *timeInUse) add(m *meter) {
+	t.inFlight += (m.inFlight - t.inFlight) * timeInUseWeight
+	t.departures += (float64(m.departures) - t.departures) * timeInUseWeight
+}
+
+// mean returns the estimate in seconds. It must not be called before the first departure.
+func (t *timeInUse) mean() float64 { return t.inFlight / t.departures }
+
 // inUse returns the requests in flight, or sustained if the rate keeps a queued request from being sent.
 func (c *Controller) inUse() int {
 	if c.rateLimited() && c.queue.len() > 0 {
