Soak: let faults overlap at one VM, let targets name limits and say that they leave

Faults of the node, of its target and of the network now overlap at the same VM and come in series: kills in a row, a kill or pause within a graceful stop, reloads, configurations in quick succession. Targets name limits on requests per second and say in their responses that they leave; both bounds of the operators are checked from the attempts, which carry the VM and the time at which they were sent. One seed in four has planned work only, and there no request that ran may be cut off. The number of faults grows with the VMs.

--- a/test/sidecar/site_test.go
+++ b/test/sidecar/site_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -61,6 +62,8 @@
 	t            *testing.T
 	ip           string
 	service      string
+	number       int // in site.vms
+	site         *site
 	settingsFile string
 	log          *os.File
 
@@ -72,6 +75,7 @@
 	stoppedTargets []*standin.Target
 	targetProxy    *standin.Proxy // to the target
 	peerProxy      *standin.Proxy // to the node, for other nodes
+	disturbances   []disturbance  // of the node
 }
 
 // site is a complete deployment on loopback addresses.
@@ -81,6 +85,7 @@
 	storeProxy *standin.Proxy
 	vms        []*vm
 	version    uint64
+	told       toldNodes
 }
 
 // loopbackNetwork is the network of this process's loopback addresses. It depends on the process ID, so that concurrent
@@ -103,7 +108,7 @@
 	s.putConfiguration()
 	services := []string{"menu", "profile"}
 	for i := range vms {
-		v := &vm{t: t, ip: fmt.Sprintf("%s.%d", loopbackNetwork, 11+i), service: services[i%len(services)]}
+		v := &vm{t: t, ip: fmt.Sprintf("%s.%d", loopbackNetwork, 11+i), service: services[i%len(services)], number: i, site: s}
 		v.prepare(fmt.Sprintf("z%d", i/len(services)%2))
 		s.vms = append(s.vms, v)
 		t.Cleanup(v.close)
@@ -181,14 +186,22 @@
 		at(v.ip, portReadiness), at(v.ip, portControl), at(storeIP, portProxy))
 	require.NoError(v.t, os.WriteFile(v.settingsFile, []byte(text), 0o600))
 	var err error
-	v.log, err = os.Create(filepath.Join(dir, "log"))
+	if *soakLogs != "" {
+		dir = filepath.Join(*soakLogs, v.t.Name())
+		require.NoError(v.t, os.MkdirAll(dir, 0o700))
+	}
+	v.log, err = os.Create(filepath.Join(dir, fmt.Sprintf("node-%d.log", v.number)))
 	require.NoError(v.t, err)
 	v.targetProxy = standin.NewProxy(listen(v.t, at(v.ip, portProxy)), at(v.ip, portTarget))
 	v.peerProxy = standin.NewProxy(listen(v.t, at(v.ip, portPeers)), at(v.ip, portNode))
 }
 
 func (v *vm) startTarget() {
-	target := &standin.Target{Service: v.service, Slots: 20, Work: 10 * time.Millisecond}
+	target := &standin.Target{
+		Service: v.service, Slots: 20, Work: 10 * time.Millisecond,
+		CallSuffix:   func() string { return originSuffix(v.number) },
+		CallAnswered: func(r standin.Result) { v.site.told.record(v.number, r) },
+	}
 	if v.service == "menu" {
 		target.Calls = []string{"/profile/a", "/profile/b"}
 	}
@@ -205,6 +218,13 @@
 	v.stoppedTargets = append(v.stoppedTargets, v.target)
 }
 
+// allTargets returns the target and all that ran before on the VM.
+func (v *vm) allTargets() []*standin.Target {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return append(slices.Clone(v.stoppedTargets), v.target)
+}
+
 func (v *vm) startNode() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/test/sidecar/soak_test.go
+++ b/test/sidecar/soak_test.go
@@ -18,9 +18,10 @@
 
 var (
 	soakSeed  = flag.Uint64("soak.seed", 1, "first seed of the soak")
-	soakSeeds = flag.Int("soak.seeds", 1, "number of seeds, one after the other")
-	soakTime  = flag.Duration("soak.time", 10*time.Second, "how long faults are injected, for each seed")
-	soakVMs   = flag.Int("soak.vms", 6, "VMs of the site")
+	soakSeeds = flag.Int("soak.seeds", 2, "number of seeds, one after the other")
+	soakTime  = flag.Duration("soak.time", 25*time.Second, "how long faults are injected, for each seed")
+	soakLogs  = flag.String("soak.logs", "", "directory that keeps the logs of the nodes; empty: a temporary one")
+	soakVMs   = flag.Int("soak.vms", defaultVMs, "VMs of the site; a node, and a target in the process of the test, run on each")
 )
 
 // regressionSeeds are seeds that failed once, each with the cause in a comment. Every soak runs them.
@@ -28,8 +29,13 @@
 
 const (
 	soakCallers = 8
-	// concurrentFaults is the number of faults in force at the same time.
-	concurrentFaults = 3
+	defaultVMs  = 6
+	// graceLimit is the grace period in the nodes' settings.
+	graceLimit = 6 * time.Second
+	// drainReportTime is the time for which a target reports its drain; it is longer than the restart of a node takes.
+	drainReportTime = 10 * time.Second
+	// plannedSeeds is the number of seeds of which one has planned work only.
+	plannedSeeds = 4
 	// drainBound is the operators' limit on how long requests may still reach a target after its drain was acknowledged.
 	drainBound = 2 * time.Second
 	// configBound is the operators' limit on the time until a configuration is in force, plus their limit for a store that
@@ -43,7 +49,8 @@
 
 // TestSidecarSoak injects random faults, successive and overlapping, and checks the guarantees at callers and targets:
 // responses are complete and belong to their request, orders run at most once, a request is reported as not run only if that
-// is true, and a drained target gets no requests after drainBound.
+// is true, a drained target gets no requests after drainBound, and a target that says in its responses that it leaves or how many
+// requests it takes gets no more from nodes that know. With planned work only, no request that a target runs is cut off.
 func TestSidecarSoak(t *testing.T) {
 	seeds := append([]uint64{}, regressionSeeds...)
 	for i := range *soakSeeds {
@@ -76,96 +83,195 @@
 			}
 		})
 	}
-	s.injectFaults(seed, time.Now().Add(*soakTime))
+	kinds, planned := allFaults, seed%plannedSeeds == 0
+	if planned {
+		kinds = plannedWork
+	}
+	s.injectFaults(seed, time.Now().Add(*soakTime), kinds)
 	close(stop)
 	load.Wait()
-	s.verify(results)
+	s.verify(results, planned)
+	s.verifyNotices()
 	s.verifyRecovery(seed)
 }
 
 func (s *site) randomRequest(rng *rand.Rand, attempt string) result {
 	v := s.vms[rng.IntN(len(s.vms))]
+	attempt += originSuffix(v.number)
+	path, body := "/menu/x", ""
 	if rng.IntN(3) == 0 {
-		return send(v.ip, attempt, "/order/x", "order of "+attempt)
+		path, body = "/order/x", "order of "+attempt
 	}
-	return send(v.ip, attempt, "/menu/x", "")
+	r := send(v.ip, attempt, path, body)
+	s.told.record(v.number, r.Result)
+	return r
+}
+
+// faultKind is a kind of faults that follow each other, a few at a time, while faults of the other kinds go on. There is at most one
+// of a kind at a VM.
+type faultKind struct {
+	concurrent int
+	inject     func(*site, *rand.Rand, *vm)
 }
 
+// allFaults are the faults of most seeds, plannedWork those of a seed in which nothing may be lost.
+var (
+	allFaults   = []faultKind{{2, (*site).disturbNode}, {2, (*site).disturbTarget}, {1, (*site).disturbNetwork}}
+	plannedWork = []faultKind{{2, (*site).stopOrReloadNode}, {2, (*site).replaceOrLimitTarget}, {1, (*site).changeConfiguration}}
+)
+
 // injectFaults injects faults until the given time and waits until all have ended.
-func (s *site) injectFaults(seed uint64, end time.Time) {
+func (s *site) injectFaults(seed uint64, end time.Time, kinds []faultKind) {
 	var running sync.WaitGroup
-	idleVMs := make(chan *vm, len(s.vms)) // VMs without a fault of their own
-	for _, v := range s.vms {
-		idleVMs <- v
-	}
-	for i := range concurrentFaults {
-		running.Go(func() {
-			rng := rand.New(rand.NewPCG(seed, uint64(i)))
-			for time.Now().Before(end) {
-				v := <-idleVMs
-				s.injectFault(rng, v)
-				idleVMs <- v
-				time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
-			}
-		})
+	for k, kind := range kinds {
+		idleVMs := make(chan *vm, len(s.vms)) // VMs without a fault of this kind
+		for _, at := range rand.New(rand.NewPCG(seed, uint64(k))).Perm(len(s.vms)) {
+			idleVMs <- s.vms[at]
+		}
+		for i := range kind.concurrent * max(1, len(s.vms)/defaultVMs) {
+			running.Go(func() {
+				rng := rand.New(rand.NewPCG(seed, uint64(100*k+i)))
+				for time.Now().Before(end) {
+					v := <-idleVMs
+					kind.inject(s, rng, v)
+					idleVMs <- v
+					time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+				}
+			})
+		}
 	}
 	running.Wait()
 	s.storeProxy.SetFault(standin.Pass)
 	s.putConfiguration()
 }
 
-// injectFault injects one fault and ends it.
-func (s *site) injectFault(rng *rand.Rand, v *vm) {
-	randomDuration := func(limit time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(limit))) }
-	switch rng.IntN(13) {
-	case 0: // the node is killed
-		<-v.signal(syscall.SIGKILL, true)
-		time.Sleep(randomDuration(500 * time.Millisecond))
-		v.startNode()
-	case 1: // graceful stop, in half of the cases with a second signal
+func randomDuration(rng *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(rng.Int64N(int64(limit)))
+}
+
+// disturbNode kills, stops, pauses or reloads the node of a VM, also in series and before the last of them has ended.
+func (s *site) disturbNode(rng *rand.Rand, v *vm) {
+	switch rng.IntN(5) {
+	case 0:
+		for range 1 + rng.IntN(3) {
+			v.disturb(false, func() {
+				<-v.signal(syscall.SIGKILL, true)
+				time.Sleep(randomDuration(rng, 500*time.Millisecond))
+				v.startNode()
+			})
+			time.Sleep(randomDuration(rng, 2*time.Second))
+		}
+	case 1:
+		v.disturb(false, func() {
+			exited := v.signal(syscall.SIGTERM, true)
+			time.Sleep(randomDuration(rng, 3*time.Second))
+			if rng.IntN(2) == 0 {
+				v.signal(syscall.SIGSTOP, true)
+				time.Sleep(randomDuration(rng, time.Second))
+			}
+			v.signal(syscall.SIGKILL, true)
+			<-exited
+			v.startNode()
+		})
+	case 2:
+		v.disturb(false, func() {
+			v.signal(syscall.SIGSTOP, false)
+			time.Sleep(randomDuration(rng, 1500*time.Millisecond))
+			v.signal(syscall.SIGCONT, false)
+		})
+	default:
+		s.stopOrReloadNode(rng, v)
+	}
+}
+
+// stopOrReloadNode stops the node of a VM gracefully and starts it again, or tells it to reload its settings.
+func (s *site) stopOrReloadNode(rng *rand.Rand, v *vm) {
+	if rng.IntN(4) == 0 {
+		for range 1 + rng.IntN(3) {
+			v.signal(syscall.SIGHUP, false)
+			time.Sleep(randomDuration(rng, 300*time.Millisecond))
+		}
+		return
+	}
+	v.disturb(false, func() {
 		exited := v.signal(syscall.SIGTERM, true)
 		if rng.IntN(2) == 0 {
-			v.signal(syscall.SIGTERM, true)
+			time.Sleep(randomDuration(rng, time.Second))
+			v.signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}[rng.IntN(2)], true)
 		}
 		select {
 		case <-exited:
-		case <-time.After(6 * time.Second):
+		case <-time.After(graceLimit):
 			s.t.Errorf("node %s outlives its grace period", v.ip)
 			<-v.signal(syscall.SIGKILL, true)
 		}
 		v.startNode()
-	case 2: // the node is paused
-		v.signal(syscall.SIGSTOP, false)
-		time.Sleep(randomDuration(1500 * time.Millisecond))
-		v.signal(syscall.SIGCONT, false)
-	case 3:
-		v.signal(syscall.SIGHUP, false)
-	case 4: // the store cannot be reached or is slow, or its responses are lost
-		disturb(rng, s.storeProxy, randomDuration(2*time.Second))
-	case 5:
-		s.store.DropResponses(1 + rng.IntN(3))
-		s.store.FailNext(429, http.StatusServiceUnavailable)
-	case 6: // connections from the node to its target are disturbed
-		disturb(rng, v.targetProxy, randomDuration(time.Second))
-	case 10, 11: // links from other nodes are disturbed, while the node can still reach the others
-		disturb(rng, v.peerProxy, randomDuration(2*time.Second))
-	case 7: // the target drains and another instance replaces it
-		if v.target.Drain(2 * time.Second) {
-			time.Sleep(drainBound + randomDuration(500*time.Millisecond))
-		}
-		v.stopTarget()
-		v.startTarget()
-	case 8: // the target crashes and another instance replaces it
+	})
+}
+
+// disturbTarget crashes the target of a VM, lets it send endless responses or disturbs its connections.
+func (s *site) disturbTarget(rng *rand.Rand, v *vm) {
+	switch rng.IntN(6) {
+	case 0: // another instance replaces it
 		v.stopTarget()
-		time.Sleep(randomDuration(time.Second))
+		time.Sleep(randomDuration(rng, time.Second))
 		v.startTarget()
-	case 12: // the target sends endless responses
-		v.target.SendEndlessly(randomDuration(2 * time.Second))
-		time.Sleep(randomDuration(2 * time.Second))
+	case 1:
+		v.target.SendEndlessly(randomDuration(rng, 2*time.Second))
+		time.Sleep(randomDuration(rng, 2*time.Second))
 		assert.LessOrEqual(s.t, v.residentMemory(), int64(memoryLimit), "resident memory of %s", v.ip)
-	case 9:
+	case 2:
+		disturb(rng, v.targetProxy, randomDuration(rng, time.Second))
+	default:
+		s.replaceOrLimitTarget(rng, v)
+	}
+}
+
+// replaceOrLimitTarget lets the target of a VM leave, announced by a report and in half of the cases in its responses before, or name limits on the requests
+// per second that it takes.
+func (s *site) replaceOrLimitTarget(rng *rand.Rand, v *vm) {
+	if rng.IntN(2) == 0 {
+		for range 1 + rng.IntN(2) {
+			v.target.NameLimit([]float64{0, 2, 10, 30, 60}[rng.IntN(5)])
+			time.Sleep(limitSettleTime + limitWindow/2 + randomDuration(rng, limitWindow))
+		}
+		v.target.NameLimit(-1)
+		return
+	}
+	if rng.IntN(2) == 0 {
+		v.target.SayLeaving()
+		time.Sleep(randomDuration(rng, 2*drainBound))
+	}
+	if v.target.Drain(drainReportTime) {
+		time.Sleep(drainBound + randomDuration(rng, 500*time.Millisecond))
+	}
+	v.stopTarget()
+	v.startTarget()
+}
+
+// disturbNetwork disturbs the store, or the links from other nodes to the node of a VM, or changes the configuration.
+func (s *site) disturbNetwork(rng *rand.Rand, v *vm) {
+	switch rng.IntN(5) {
+	case 0: // the store cannot be reached or is slow, or its responses are lost
+		disturb(rng, s.storeProxy, randomDuration(rng, 2*time.Second))
+	case 1:
+		s.store.DropResponses(1 + rng.IntN(3))
+		s.store.FailNext(429, http.StatusServiceUnavailable)
+	case 2:
 		s.store.DropHistory()
 		s.storeProxy.ResetConnections()
+	case 3: // the node can still reach the others
+		v.disturb(true, func() { disturb(rng, v.peerProxy, randomDuration(rng, 2*time.Second)) })
+	case 4:
+		s.changeConfiguration(rng, v)
+	}
+}
+
+// changeConfiguration writes configurations in quick succession.
+func (s *site) changeConfiguration(rng *rand.Rand, _ *vm) {
+	for range 1 + rng.IntN(3) {
+		s.putConfiguration()
+		time.Sleep(randomDuration(rng, 500*time.Millisecond))
 	}
 }
 
@@ -177,14 +283,12 @@
 	p.ResetConnections()
 }
 
-// verify compares the responses that callers received with the requests that targets ran.
-func (s *site) verify(results []result) {
+// verify compares the responses that callers received with the requests that targets ran. With planned work only, each request
+// that ran has got a response of its target.
+func (s *site) verify(results []result, planned bool) {
 	runs := map[string]int{}
 	for _, v := range s.vms {
-		v.mu.Lock()
-		targets := append(append([]*standin.Target{}, v.stoppedTargets...), v.target)
-		v.mu.Unlock()
-		for _, target := range targets {
+		for _, target := range v.allTargets() {
 			for attempt, n := range target.Runs() {
 				runs[attempt] += n
 			}
@@ -209,6 +313,9 @@
 				assert.Zero(s.t, runs[r.attempt], "order %s was refused, but has run", r.attempt)
 			}
 		}
+		if planned && runs[r.attempt] > 0 {
+			assert.NotEmpty(s.t, r.Stamp, "request %s ran and was cut off with status %d", r.attempt, r.Status)
+		}
 		assert.NotContains(s.t, []int{400, 404, 413, 431}, r.Status, "a valid request was rejected")
 	}
 	s.t.Logf("%d requests, statuses %v", len(results), statuses)
