link: look for a link again before another dial to the same peer

What callers saw: a refusal (not run) that nothing called for.

Cause: a request looked for a link outside the mutex and dialed inside it. If the dial for another request ended in between, a second dial followed, and the peer ends the first link of a process when it accepts the next one.

Evidence: TestDialThatHasJustEndedIsNotRepeated failed before (2 dials) and passes. The same shape was looked for in targetconn (idle connections are taken under the mutex, each for one exchange), membership (senders check and add under one mutex) and directory (merges under the mutex): not found.

--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -150,8 +150,11 @@
 			return l, nil
 		}
 		dialing, err := p.startDial(s, address)
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, err
+		case dialing == nil:
+			continue
 		}
 		select {
 		case <-dialing:
@@ -161,14 +164,17 @@
 	}
 }
 
-// startDial starts a dial unless one is in progress, and returns the channel that is closed at its end. Within
-// Config.DialBackoff after a failed dial it returns the error of that dial.
+// startDial starts a dial unless one is in progress, and returns the channel that is closed at its end, or nil if the last one has
+// just ended with a usable link. Within Config.DialBackoff after a failed dial it returns the error of that dial.
 func (p *Pool) startDial(s *peerEntry, address string) (<-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.dialing != nil {
 		return s.dialing, nil
 	}
+	if l := s.link.Load(); l != nil && l.usable() {
+		return nil, nil
+	}
 	if s.failure != nil && time.Since(s.failedAt) < p.cfg.DialBackoff {
 		return nil, s.failure
 	}
--- a/internal/connection/link/pool_test.go
+++ b/internal/connection/link/pool_test.go
@@ -153,3 +153,21 @@
 		t.Logf("at most %d links: %d open, %.1f dials a second", *fleetLinks, seen.maxOpen, seen.dials)
 	})
 }
+
+// Guards against a second dial by a request that looked for a link just before the dial for another one ended: the peer closes the
+// first link then, and requests on it end as not run.
+func TestDialThatHasJustEndedIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pr := newPair(&testHandler{fn: echo})
+		defer pr.close()
+		require.Equal(t, message.Answered, pr.dialer.Send(t.Context(), "b", newRequest(nil, time.Second)).Outcome)
+		entry, ok := pr.dialer.peers.Load("b")
+		require.True(t, ok)
+		dialing, err := pr.dialer.startDial(entry.(*peerEntry), "b")
+		require.NoError(t, err)
+		if dialing != nil {
+			<-dialing
+		}
+		require.Equal(t, 1, pr.dials)
+	})
+}
