link, entry, rollout: start nothing after the close has begun to wait

What callers saw: nothing; a dial, a connection or a call could start while its owner closed, and outlive it. The race detector saw it once as a race of the wait group in TestDrainReachesAllNodesThroughRelays.

Cause: the wait groups grew after a check (the context of the pool, none in entry and for a settled change) that was not made under the mutex of what waits for them. The order: a node that stops closes its pool while the loop that reconnects has one of its messages between the check and the dial. That the one race report was this order is concluded from the code and the trace of its note; the report itself was not reproduced.

Change: the groups grow only under the mutex and while a flag is not set that the close sets under the same mutex before it waits.

Evidence: TestNoDialStartsAfterThePoolIsClosed, whose context runs the close between check and dial, failed before (a dial after Close had returned), as did TestNothingStartsAfterRunHasReturned and TestRequestOnAConnectionAcceptedDuringCloseIsNotRun (the request ran). The other wait groups that grow after the start: membership's senders do so under the mutex, those of inbound links only from goroutines that are waited for first, and that of the sidecar is waited for by tests only, after its pool was closed.

--- a/internal/connection/entry/entry.go
+++ b/internal/connection/entry/entry.go
@@ -83,7 +83,8 @@
 	mu        sync.Mutex
 	listeners []net.Listener
 	conns     map[*conn]struct{}
-	running   sync.WaitGroup
+	closed    bool
+	running   sync.WaitGroup // of connections; grows only under mu while closed is not set
 }
 
 // NewServer returns a server that limits the open connections to maxConns and the memory for request bodies to maxBodyMemory
@@ -115,20 +116,17 @@
 }
 
 // start serves a new connection. If maxConns is reached, it closes an idle connection to make room, or the new one if none is
-// idle.
+// idle. It also closes the new one after Close.
 func (s *Server) start(nc net.Conn) {
 	c := newConn(s, nc)
 	s.mu.Lock()
-	full := len(s.conns) >= s.maxConns
-	if full {
-		full = !s.evictLocked()
-	}
-	if !full {
+	refused := s.closed || len(s.conns) >= s.maxConns && !s.evictLocked()
+	if !refused {
 		s.conns[c] = struct{}{}
 		s.running.Add(1)
 	}
 	s.mu.Unlock()
-	if full {
+	if refused {
 		_ = nc.Close() // nothing was read, so the caller can retry immediately
 		return
 	}
@@ -187,6 +185,7 @@
 func (s *Server) Close() {
 	s.DisableKeepAlives()
 	s.mu.Lock()
+	s.closed = true
 	for _, l := range s.listeners {
 		_ = l.Close()
 	}
--- a/internal/connection/entry/stop_test.go
+++ b/internal/connection/entry/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -12,6 +13,22 @@
 	"github.com/stretchr/testify/require"
 )
 
+// Guards against a request on a connection that was accepted while the server closes, which then runs although Close has returned.
+func TestRequestOnAConnectionAcceptedDuringCloseIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &handler{}
+		s := NewServer(h, 10, 1500)
+		s.Close()
+		caller, served := net.Pipe()
+		defer caller.Close()
+		s.start(served)
+		_, err := io.WriteString(caller, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.ErrorIs(t, err, io.ErrClosedPipe)
+		synctest.Wait()
+		require.Empty(t, h.seen)
+	})
+}
+
 // backlog is a listener with connections in its accept queue. Close closes those that were not accepted.
 type backlog struct {
 	waiting chan net.Conn
--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -33,7 +33,8 @@
 	mu       sync.Mutex
 	accepted map[*inbound]struct{}
 	leaving  bool
-	running  sync.WaitGroup
+	closed   bool
+	running  sync.WaitGroup // of dials and accepted links; grows only under mu while closed is not set
 }
 
 // peerEntry holds the link to one peer.
@@ -178,12 +179,13 @@
 	if s.failure != nil && time.Since(s.failedAt) < p.cfg.DialBackoff {
 		return nil, s.failure
 	}
-	if err := p.ctx.Err(); err != nil {
-		return nil, context.Cause(p.ctx)
+	if !p.begin() {
+		return nil, errClosed
 	}
 	done := make(chan struct{})
 	s.dialing = done
-	p.running.Go(func() {
+	go func() {
+		defer p.running.Done()
 		defer p.closeSurplus()
 		defer close(done) // runs before closeSurplus, so that the callers do not wait for that
 		l, err := p.open(address)
@@ -193,10 +195,21 @@
 		if err == nil {
 			s.link.Store(l)
 		}
-	})
+	}()
 	return done, nil
 }
 
+// begin adds one to the running dials and links, unless the pool is closed.
+func (p *Pool) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.running.Add(1)
+	return true
+}
+
 // open dials a link. It does not use the context of the request that needs it, because other requests wait for the link too.
 func (p *Pool) open(address string) (*outbound, error) {
 	ctx, cancel := context.WithTimeout(p.ctx, p.cfg.DialTimeout)
@@ -348,7 +361,7 @@
 func (p *Pool) register(in *inbound) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.ctx.Err() != nil {
+	if p.closed {
 		return false
 	}
 	p.accepted[in] = struct{}{}
@@ -425,6 +438,9 @@
 // Close closes all links at once and waits for their goroutines. Requests that wait for a response get one that says whether
 // they can have run.
 func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
 	p.stop(errClosed)
 	p.running.Wait()
 	p.peers.Range(func(_, v any) bool {
--- a/internal/connection/link/pool_test.go
+++ b/internal/connection/link/pool_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,3 +172,43 @@
 		require.Equal(t, 1, pr.dials)
 	})
 }
+
+// hookedContext calls a function after its error was read, as if another goroutine ran there.
+type hookedContext struct {
+	context.Context
+	afterErr func()
+}
+
+func (c hookedContext) Err() error {
+	err := c.Context.Err()
+	c.afterErr()
+	return err
+}
+
+// Guards against a dial that starts while the pool closes and outlives it: Close waits for a group that grows meanwhile.
+func TestNoDialStartsAfterThePoolIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pr := newPair(&testHandler{fn: echo})
+		defer pr.close()
+		p := pr.dialer
+		var closed atomic.Bool
+		closePool := sync.OnceFunc(func() {
+			p.Close()
+			closed.Store(true)
+		})
+		p.ctx = hookedContext{p.ctx, func() {
+			go closePool()
+			time.Sleep(time.Second)
+		}}
+		late, dial := 0, p.dial
+		p.dial = func(ctx context.Context, address string) (Conn, error) {
+			if closed.Load() {
+				late++
+			}
+			return dial(ctx, address)
+		}
+		p.Send(t.Context(), "b", newRequest(nil, time.Minute))
+		closePool()
+		require.Zero(t, late, "dials after Close has returned")
+	})
+}
--- a/internal/version/rollout/runner.go
+++ b/internal/version/rollout/runner.go
@@ -82,7 +82,7 @@
 	options    Options
 	epoch      uint64
 	startedAt  time.Time  // the machine's clock was at 1 s at this time, not at 0, which stands for no time in messages
-	mu         sync.Mutex // guards machine, suspended, lastClock, waiters, viewNumber, confirmed, ctx and queuedCalls
+	mu         sync.Mutex // guards machine, suspended, lastClock, waiters, viewNumber, confirmed, returning, ctx and queuedCalls
 	machine    *Machine
 	suspended  Time      // time that the monotonic clock missed while the VM was suspended
 	lastClock  time.Time // reading of the last call of clock
@@ -94,7 +94,8 @@
 	confirmed   bool // as last published
 	sends       chan Envelope
 	apply       chan Event
-	calls       sync.WaitGroup
+	returning   bool           // Run starts nothing more
+	calls       sync.WaitGroup // grows only under mu while returning is not set
 	ctx         context.Context // of Run
 	queuedCalls []Call          // made before Run
 }
@@ -147,6 +148,9 @@
 		case <-ctx.Done():
 		}
 	}
+	r.mu.Lock()
+	r.returning = true
+	r.mu.Unlock()
 	r.calls.Wait()
 	wg.Wait()
 }
@@ -280,7 +284,7 @@
 		r.queuedCalls = append(r.queuedCalls, c)
 		return
 	}
-	if r.ctx.Err() != nil {
+	if r.returning {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
@@ -350,7 +354,7 @@
 	}
 	event.Log(r.options.Logger, e, slog.String("change", res.ID), slog.String("author", res.Author),
 		slog.Uint64("version", res.Version), slog.String("reason", string(res.Reason)))
-	if r.options.Settled != nil {
+	if r.options.Settled != nil && !r.returning {
 		r.calls.Go(func() { r.options.Settled(res) })
 	}
 }
--- a/internal/version/rollout/runner_test.go
+++ b/internal/version/rollout/runner_test.go
@@ -159,3 +159,15 @@
 	_, err = pf.Get(ctx, changePrefix+"x")
 	require.ErrorIs(t, err, platform.ErrNotFound)
 }
+
+// Guards against work that starts after Run has returned: Run waits for a group that grows meanwhile.
+func TestNothingStartsAfterRunHasReturned(t *testing.T) {
+	var settled atomic.Int32
+	r := NewRunner(Options{Address: "a", Settled: func(Result) { settled.Add(1) }, Logger: slog.New(slog.DiscardHandler)})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	r.Run(ctx)
+	r.step(func(Time) { r.notifySettled(Result{ID: "c", State: StateAccepted}) })
+	r.calls.Wait()
+	require.Zero(t, settled.Load())
+}
