--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -15,7 +15,7 @@
 	return &message.Request{
 		ID: message.ID{1, 2}, Span: message.SpanID{3}, Service: "menu", Method: "GET", Path: "/boards/1?x=1",
 		Header: http.Header{"Accept": {"text/plain"}}, Body: body, Priority: 513, Idempotent: true, Hop: 2,
-		Deadline: now.Add(time.Second), Retries: 2, Key: "k", Mode: message.ModeHome,
+		Deadline: now.Add(time.Second), Retries: 2, Key: "k", Mode: message.ModeHome, RateLimit: 43.8,
 	}
 }
 
@@ -46,6 +46,17 @@
 	}
 }
 
+// Guards against what a node knows of its target that is lost on the way to the node that sent the request, or back.
+func TestNoticeSurvivesEncoding(t *testing.T) {
+	for _, want := range []*message.Notice{nil, {Leaving: true, Born: 1796399561182}, {RateLimited: true, RateLimit: 43.8}} {
+		frames, err := EncodeResponse(9, message.ID{1}, &message.Response{Outcome: message.Answered, Status: 200, Notice: want})
+		require.NoError(t, err)
+		f, err := Decode(frames[0])
+		require.NoError(t, err)
+		require.Equal(t, want, f.(*Response).Message().Notice)
+	}
+}
+
 // Guards against decoded or encoded frames that change when the buffer of the connection or of the encoder is reused.
 func TestFramesDoNotShareBuffers(t *testing.T) {
 	want := request([]byte("body"), time.Now())
