Measure the capacity anew when a limit on requests per second changes

Cause: the threshold that sheds by priority starts from the capacity measured before; under a new limit it adapted over 1 to 5 s, in which the queue refused what the entries should have shed.

Change: the capacity is taken anew, starting with what the limit allows. The log line of a limit says whether a response of the target or a peer that remembers one set it. runner.go is formatted again.

--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -357,9 +357,12 @@
 func (c *Controller) tick(now time.Duration) {
 	m := &c.meter
 	c.timeInUse.add(m)
-	expected := 0.0 // departures per interval with all slots in use
-	if c.latency.mean > 0 {
-		expected = float64(c.sustained()) * float64(tickInterval) / float64(c.latency.mean)
+	expected := 0.0 // departures per interval with all slots in use, or at the limit on requests per second
+	switch {
+	case c.rateLimited():
+		expected = c.rate.Rate() * tickInterval.Seconds()
+	case c.latency.mean > 0:
+		expected = float64(c.limit) * float64(tickInterval) / float64(c.latency.mean)
 	}
 	c.shedder.adjust(now, m, &c.queue, c.queueLength(), expected)
 	if !c.rateLimited() {
--- a/internal/process/admission/rate.go
+++ b/internal/process/admission/rate.go
@@ -21,13 +21,14 @@
 	c.publish()
 }
 
-// RateChanged applies a changed limit on requests per second. The trials of the tuner, which compare the throughput at two limits
-// on requests in flight, say nothing while the rate bounds the throughput.
+// RateChanged applies a changed limit on requests per second. The capacity measured under another limit no longer holds, and the
+// trials of the tuner, which compare the throughput at two limits on requests in flight, say nothing while the rate bounds it.
 func (c *Controller) RateChanged() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.advance()
 	c.tuner.active = false
+	c.shedder.capacity = 0
 	c.limit = c.currentLimit(now)
 	c.trimQueue()
 	c.dispatch(now)
--- a/internal/process/mesh/notice.go
+++ b/internal/process/mesh/notice.go
@@ -19,7 +19,7 @@
 		return
 	}
 	if g.rate.Observe(sent, time.Now(), *n) {
-		p.applyRate(g)
+		p.applyRate(g, "response")
 	}
 	if n.Leaving && !g.leaving.Swap(true) {
 		p.cfg.AttachedTargetLeaving(g.instance, g.born)
@@ -32,12 +32,13 @@
 // restoreRate puts the limit on requests per second in force that another node has learned of the attached target.
 func (p *Proxy) restoreRate(g *attachedTarget, perSecond float64) {
 	if perSecond > 0 && g.rate.Restore(perSecond, time.Now()) {
-		p.applyRate(g)
+		p.applyRate(g, "peer")
 	}
 }
 
-// applyRate admits and logs by the limit on requests per second that has come into force.
-func (p *Proxy) applyRate(g *attachedTarget) {
+// applyRate makes admission use the limit on requests per second that has come into force, and logs it with its source: a response of
+// the target, or a peer that remembers one.
+func (p *Proxy) applyRate(g *attachedTarget, source string) {
 	g.control.RateChanged()
 	rate, load := g.rate.Rate(), g.control.Load()
 	e := event.TargetRateLimited
@@ -45,7 +46,7 @@
 		e = event.TargetRateLimitEnded
 	}
 	p.cfg.Limiter.Log(p.cfg.Log, e, slog.String("instance", g.instance), slog.Float64("per_second", rate),
-		slog.Int("in_flight", load.InFlight), slog.Int("limit", load.Limit))
+		slog.String("source", source), slog.Int("in_flight", load.InFlight), slog.Int("limit", load.Limit))
 }
 
 // notice returns what this node knows of the attached target, for the node that sent a request to it, or nil if that is nothing
--- a/internal/version/rollout/runner.go
+++ b/internal/version/rollout/runner.go
@@ -94,8 +94,8 @@
 	confirmed   bool // as last published
 	sends       chan Envelope
 	apply       chan Event
-	returning   bool           // Run starts nothing more
-	calls       sync.WaitGroup // grows only under mu while returning is not set
+	returning   bool            // Run starts nothing more
+	calls       sync.WaitGroup  // grows only under mu while returning is not set
 	ctx         context.Context // of Run
 	queuedCalls []Call          // made before Run
 }
