--- a/test/sidecar/soak_test.go
+++ b/test/sidecar/soak_test.go
@@ -17,7 +17,7 @@
 )
 
 var (
-	soakSeed  = flag.Uint64("soak.seed", 1, "first seed of the soak")
+	soakSeed  = flag.Uint64("soak.seed", plannedSeeds-1, "first seed of the soak; the default and the next one are of both kinds")
 	soakSeeds = flag.Int("soak.seeds", 2, "number of seeds, one after the other")
 	soakTime  = flag.Duration("soak.time", 25*time.Second, "how long faults are injected, for each seed")
 	soakLogs  = flag.String("soak.logs", "", "directory that keeps the logs of the nodes; empty: a temporary one")
