--- a/test/sidecar/notice_test.go
+++ b/test/sidecar/notice_test.go
@@ -70,29 +70,30 @@
 	}
 }
 
-// disturbance is a time in which a node was stopped, paused or cut off. Its own requests are excused unless it has been told since.
-type disturbance struct {
+// nodeFault is a time in which a node was stopped, paused or cut off. Requests that were sent at its VM do not count unless it has been
+// told since.
+type nodeFault struct {
 	from, until time.Time
 	cut         bool // the node ran on
 }
 
-// disturb records a disturbance of the node that lasts while f runs.
-func (v *vm) disturb(cut bool, f func()) {
+// duringFault records a fault of the node that lasts while f runs.
+func (v *vm) duringFault(cut bool, f func()) {
 	v.mu.Lock()
-	at := len(v.disturbances)
-	v.disturbances = append(v.disturbances, disturbance{from: time.Now(), cut: cut})
+	at := len(v.nodeFaults)
+	v.nodeFaults = append(v.nodeFaults, nodeFault{from: time.Now(), cut: cut})
 	v.mu.Unlock()
 	f()
 	v.mu.Lock()
-	v.disturbances[at].until = time.Now()
+	v.nodeFaults[at].until = time.Now()
 	v.mu.Unlock()
 }
 
-// undisturbedSince returns the time since which the node has not been disturbed at the given time, and false if it is disturbed then.
-func (v *vm) undisturbedSince(at time.Time, countCuts bool) (since time.Time, ok bool) {
+// steadySince returns the time since which the node has had no fault at the given time, and false if it has one then.
+func (v *vm) steadySince(at time.Time, countCuts bool) (since time.Time, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for _, d := range v.disturbances {
+	for _, d := range v.nodeFaults {
 		switch {
 		case d.from.After(at) || d.cut && !countCuts:
 		case d.until.IsZero() || d.until.After(at):
@@ -104,10 +105,10 @@
 	return since, true
 }
 
-// wasTold reports whether the node was told of something before the given time and has not been disturbed since, until a request
-// of it arrived.
+// wasTold reports whether the node was told of something before the given time and has had no fault since, until a request of it
+// arrived.
 func (s *site) wasTold(told map[toldKey][]time.Time, vm int, instance string, before, arrived time.Time, countCuts bool) bool {
-	since, ok := s.vms[vm].undisturbedSince(arrived, countCuts)
+	since, ok := s.vms[vm].steadySince(arrived, countCuts)
 	return ok && slices.ContainsFunc(told[toldKey{vm, instance}], func(at time.Time) bool { return at.After(since) && at.Before(before) })
 }
 
--- a/test/sidecar/site_test.go
+++ b/test/sidecar/site_test.go
@@ -75,7 +75,7 @@
 	stoppedTargets []*standin.Target
 	targetProxy    *standin.Proxy // to the target
 	peerProxy      *standin.Proxy // to the node, for other nodes
-	disturbances   []disturbance  // of the node
+	nodeFaults     []nodeFault    // that have begun
 }
 
 // site is a complete deployment on loopback addresses.
--- a/test/sidecar/soak_test.go
+++ b/test/sidecar/soak_test.go
@@ -116,7 +116,7 @@
 
 // allFaults are the faults of most seeds, plannedWork those of a seed in which nothing may be lost.
 var (
-	allFaults   = []faultKind{{2, (*site).disturbNode}, {2, (*site).disturbTarget}, {1, (*site).disturbNetwork}}
+	allFaults   = []faultKind{{2, (*site).faultOfNode}, {2, (*site).faultOfTarget}, {1, (*site).faultOfNetwork}}
 	plannedWork = []faultKind{{2, (*site).stopOrReloadNode}, {2, (*site).replaceOrLimitTarget}, {1, (*site).changeConfiguration}}
 )
 
@@ -149,12 +149,12 @@
 	return time.Duration(rng.Int64N(int64(limit)))
 }
 
-// disturbNode kills, stops, pauses or reloads the node of a VM, also in series and before the last of them has ended.
-func (s *site) disturbNode(rng *rand.Rand, v *vm) {
+// faultOfNode kills, stops, pauses or reloads the node of a VM, also in series and before the last of them has ended.
+func (s *site) faultOfNode(rng *rand.Rand, v *vm) {
 	switch rng.IntN(5) {
 	case 0:
 		for range 1 + rng.IntN(3) {
-			v.disturb(false, func() {
+			v.duringFault(false, func() {
 				<-v.signal(syscall.SIGKILL, true)
 				time.Sleep(randomDuration(rng, 500*time.Millisecond))
 				v.startNode()
@@ -162,7 +162,7 @@
 			time.Sleep(randomDuration(rng, 2*time.Second))
 		}
 	case 1:
-		v.disturb(false, func() {
+		v.duringFault(false, func() {
 			exited := v.signal(syscall.SIGTERM, true)
 			time.Sleep(randomDuration(rng, 3*time.Second))
 			if rng.IntN(2) == 0 {
@@ -174,7 +174,7 @@
 			v.startNode()
 		})
 	case 2:
-		v.disturb(false, func() {
+		v.duringFault(false, func() {
 			v.signal(syscall.SIGSTOP, false)
 			time.Sleep(randomDuration(rng, 1500*time.Millisecond))
 			v.signal(syscall.SIGCONT, false)
@@ -193,7 +193,7 @@
 		}
 		return
 	}
-	v.disturb(false, func() {
+	v.duringFault(false, func() {
 		exited := v.signal(syscall.SIGTERM, true)
 		if rng.IntN(2) == 0 {
 			time.Sleep(randomDuration(rng, time.Second))
@@ -209,8 +209,8 @@
 	})
 }
 
-// disturbTarget crashes the target of a VM, lets it send endless responses or disturbs its connections.
-func (s *site) disturbTarget(rng *rand.Rand, v *vm) {
+// faultOfTarget crashes the target of a VM, lets it send endless responses or harms its connections.
+func (s *site) faultOfTarget(rng *rand.Rand, v *vm) {
 	switch rng.IntN(6) {
 	case 0: // another instance replaces it
 		v.stopTarget()
@@ -249,8 +249,8 @@
 	v.startTarget()
 }
 
-// disturbNetwork disturbs the store, or the links from other nodes to the node of a VM, or changes the configuration.
-func (s *site) disturbNetwork(rng *rand.Rand, v *vm) {
+// faultOfNetwork harms the store, or the links from other nodes to the node of a VM, or changes the configuration.
+func (s *site) faultOfNetwork(rng *rand.Rand, v *vm) {
 	switch rng.IntN(5) {
 	case 0: // the store cannot be reached or is slow, or its responses are lost
 		disturb(rng, s.storeProxy, randomDuration(rng, 2*time.Second))
@@ -261,7 +261,7 @@
 		s.store.DropHistory()
 		s.storeProxy.ResetConnections()
 	case 3: // the node can still reach the others
-		v.disturb(true, func() { disturb(rng, v.peerProxy, randomDuration(rng, 2*time.Second)) })
+		v.duringFault(true, func() { disturb(rng, v.peerProxy, randomDuration(rng, 2*time.Second)) })
 	case 4:
 		s.changeConfiguration(rng, v)
 	}
