mesh: let a target that limits its requests speak for itself only

Cause: a target at its limit refused with a threshold, and thresholds are averaged over the targets of a service, so entry nodes shed requests that a target without a limit had slots for; and after two refusals a request was refused, although a third target had room.

Change: refusals of limited targets do not end the search (four offers at most, as before), and their threshold counts for the service only if no other target had room, or with nothing else to go by the entries would send what all refuse.

TestLimitedTargetsSpeakForThemselves covers both directions.

--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -33,7 +33,10 @@
 	// The response reports the shedding threshold of this service, the lowest priority that its target admits. Upstream nodes
 	// shed requests below it, see package shed. A threshold of zero is reported too: it ends that shedding before the last
 	// higher threshold expires there.
-	r.Thresholds = append(r.Thresholds, message.Threshold{Service: req.Service, Priority: g.control.Threshold()})
+	// A target that limits its requests per second speaks for itself only, so its answers carry no threshold of the service.
+	if r.Outcome == message.NotRun || !r.RateLimited() {
+		r.Thresholds = append(r.Thresholds, message.Threshold{Service: req.Service, Priority: g.control.Threshold()})
+	}
 	return r
 }
 
--- a/internal/process/mesh/notice_test.go
+++ b/internal/process/mesh/notice_test.go
@@ -248,3 +248,28 @@
 		})
 	}
 }
+
+// Guards against requests that are shed or refused because some targets have taken as many requests as they name, while another
+// target has free slots; and against entry nodes that send what all targets refuse.
+func TestLimitedTargetsSpeakForThemselves(t *testing.T) {
+	refusal := func() *message.Response {
+		r := refusedBy(message.ReasonOverload)
+		r.Notice = &message.Notice{RateLimited: true, RateLimit: 3}
+		r.Thresholds = []message.Threshold{{Service: "menu", Priority: topRank << 8}}
+		return r
+	}
+	n := newNode(t, maxOffers)
+	for i := range 5 {
+		for range maxOffers - 1 {
+			n.answers = append(n.answers, refusal())
+		}
+		n.answers = append(n.answers, &message.Response{Outcome: message.Answered, Status: http.StatusOK})
+		require.Equal(t, message.Answered, n.proxy.Serve(t.Context(), request("/menu/1", strconv.Itoa(i))).Outcome)
+		require.Len(t, n.sent, (i+1)*maxOffers)
+	}
+	for range maxOffers {
+		n.answers = append(n.answers, refusal())
+	}
+	require.Equal(t, message.StepAdmit, n.proxy.Serve(t.Context(), request("/menu/1", "a")).Err.Step)
+	require.Equal(t, message.StepShed, n.proxy.Serve(t.Context(), request("/menu/1", "b")).Err.Step)
+}
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -19,7 +19,8 @@
 	// target.
 	maxOffers = 4
 	// maxOverloadRefusals is the number of targets without a free slot after whose refusals the request itself is refused:
-	// further offers would add to the overload.
+	// further offers would add to the overload. Targets that name a limit on requests per second are not counted: their refusal
+	// says nothing about the others.
 	maxOverloadRefusals = 2
 	// minRetryAfter and retryAfterSpread determine the retry-after time of a refused request, which is random between the minimum
 	// and their sum, so that refused requests do not return together. It is long enough for a queue to advance and for a starting
@@ -60,7 +61,7 @@
 	parent           *run // run that made the call; nil for a new request
 	service          string
 	arrivals         int      // attempts that reached a target, or may have
-	overloadRefusals int      // attempts that were refused because of overload
+	overloadRefusals int      // attempts that were refused because of overload, see maxOverloadRefusals
 	tried            []string // addresses of the nodes to which it was offered
 
 	last          *message.Response // of the latest attempt
@@ -77,7 +78,7 @@
 	if mayHaveArrived(r) {
 		f.arrivals++
 	}
-	if r.Reason == message.ReasonOverload {
+	if r.Reason == message.ReasonOverload && !r.RateLimited() {
 		f.overloadRefusals++
 	}
 	if failedByItself(r) {
@@ -116,6 +117,9 @@
 	r := p.shed(f)
 	if r == nil {
 		r = p.tryTargets(ctx, f)
+		if refusedByLimit(r) {
+			p.learnThresholds(f, r) // no other target had room either
+		}
 	}
 	if f.parent == nil && r.Outcome == message.NotRun && r.Reason == message.ReasonOverload {
 		r.RetryAfter = f.retryAfterWithinObjective(r.RetryAfter)
@@ -269,6 +273,10 @@
 	return r.Outcome == message.Answered && r.Status == http.StatusInternalServerError && !r.DownstreamFailed
 }
 
+// refusedByLimit reports whether a target refused the request that limits its requests per second. Its threshold counts for the
+// service only if no other target had room: a threshold makes the entry nodes shed for all targets.
+func refusedByLimit(r *message.Response) bool { return r.Outcome == message.NotRun && r.RateLimited() }
+
 // logRetry logs that a request is retried at another target after the response r. The attribute "sent" counts the attempts so far
 // that reached a target, or may have.
 func (p *Proxy) logRetry(f *forwardedRequest, r *message.Response) {
@@ -298,7 +306,9 @@
 	outgoing.RateLimit = p.knownRates.get(outgoing.Instance)
 	r = p.send(ctx, target.Address, &outgoing)
 	done(targetResult(r))
-	p.learnThresholds(f, r)
+	if !refusedByLimit(r) {
+		p.learnThresholds(f, r)
+	}
 	p.learnNotice(outgoing.Instance, r)
 	// An error on the way to the node names the node's address as its peer; an error between that node and its target does not.
 	if r.Reason == message.ReasonConnection && r.Err != nil && r.Err.Peer == target.Address && target.Address != p.cfg.Address {
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -82,6 +82,9 @@
 	Notice *Notice
 }
 
+// RateLimited reports whether the target is known to limit its requests per second.
+func (r *Response) RateLimited() bool { return r.Notice != nil && r.Notice.RateLimited }
+
 // Notice is what a target says of itself in the header of a response, whatever the response is.
 type Notice struct {
 	Leaving bool  // it stops soon and must get no further requests
