--- a/internal/process/mesh/notice_test.go
+++ b/internal/process/mesh/notice_test.go
@@ -132,8 +132,9 @@
 	address, instance string
 	work              time.Duration
 
+	notice message.Notice
+
 	mu       sync.Mutex
-	notice   message.Notice
 	arrivals []time.Time
 }
 
@@ -151,18 +152,10 @@
 	case <-ctx.Done():
 		return message.UnknownOutcome(message.ReasonDeadline, message.Errorf(message.StepRun, g.instance, "test"))
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	n := g.notice
 	return &message.Response{Outcome: message.Answered, Status: http.StatusOK, Notice: &n}
 }
 
-func (g *noticeTarget) say(n message.Notice) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.notice = n
-}
-
 // Bounds of the operators on the requests to a target that names a limit: in any limitWindow that begins settleTime after it first
 // named the limit, it gets at most limitFactor times what the limit allows, and limitSlack requests.
 const (
