--- a/internal/process/directory/digest.go
+++ b/internal/process/directory/digest.go
@@ -118,18 +118,32 @@
 // HigherRanked returns the reachable nodes of this node's availability zone that are not stopping and rank before this
 // node. The rank is the hash of the address, so all nodes agree on it.
 func (d *Directory) HigherRanked() []Member {
+	return d.ranked(func(toSelf int) bool { return toSelf < 0 })
+}
+
+// LowerRanked is like HigherRanked for the nodes that rank after this one, the first of them in the order of their ranks.
+func (d *Directory) LowerRanked(n int) []Member {
+	list := d.ranked(func(toSelf int) bool { return toSelf > 0 })
+	slices.SortFunc(list, func(a, b Member) int { return CompareRanks(a.Address, b.Address) })
+	return list[:min(n, len(list))]
+}
+
+// ranked returns the reachable nodes of this node's availability zone that are not stopping and whose rank, compared with that of
+// this node, is wanted.
+func (d *Directory) ranked(wanted func(toSelf int) bool) []Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	self := d.members[d.self]
-	rank := xxhash.Sum64String(d.self)
+	zone := d.members[d.self].Zone
 	var out []Member
 	for address, m := range d.members {
-		if m.Zone != self.Zone || m.NodeLeaving || d.isDownLocked(address) {
-			continue
-		}
-		if cmp.Or(cmp.Compare(xxhash.Sum64String(address), rank), cmp.Compare(address, d.self)) < 0 {
+		if m.Zone == zone && !m.NodeLeaving && !d.isDownLocked(address) && wanted(CompareRanks(address, d.self)) {
 			out = append(out, m)
 		}
 	}
 	return out
 }
+
+// CompareRanks orders the addresses of the nodes of an availability zone: the first ones follow the platform's store.
+func CompareRanks(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+}
--- a/internal/process/sidecar/platform.go
+++ b/internal/process/sidecar/platform.go
@@ -23,8 +23,16 @@
 	// changes from them. maxFollowers bounds the nodes that try while others cannot use the store.
 	followersPerZone = 2
 	maxFollowers     = 4 * followersPerZone
+	// standIns is the number of nodes of an availability zone, after the first in rank, that are told of each contact of the first
+	// with the store, and follow the store themselves if they hear of none.
+	standIns = 4
+	// contactPollWait is the duration of one long poll of the node that tells the others of its contacts. contactTimeout is the time
+	// after the last contact that they heard of from which they follow the store themselves. Operators require that a configuration is
+	// in force within two seconds, so it leaves time to read the store and to pass the configuration on.
+	contactPollWait = 1300 * time.Millisecond
+	contactTimeout  = contactPollWait + 250*time.Millisecond
 	// followerCheckInterval is the time between checks of whether this node is a follower.
-	followerCheckInterval = 250 * time.Millisecond
+	followerCheckInterval = 100 * time.Millisecond
 	// followerStandDown is the mean time for which a follower that cannot use the store leaves its role to another node. Those
 	// that rank first try again sooner.
 	followerStandDown = 4 * time.Second
@@ -90,7 +98,8 @@
 
 // isFollower reports whether this node is a follower of the store for its availability zone. All nodes of a zone agree on
 // their order, by a hash of the address; the first followersPerZone of them that can use the store are followers. So a
-// node that reaches no other one of its zone is a follower.
+// node that reaches no other one of its zone is a follower. A follower can be frozen, slow or cut off without anyone being told, so
+// the standIns next nodes follow the store too while they hear of no contact.
 func (s *Sidecar) isFollower() bool {
 	uptime := time.Since(s.started)
 	if !s.registered.Load() && uptime < registrationTimeout {
@@ -103,7 +112,34 @@
 			usable++
 		}
 	}
-	return usable < followersPerZone && len(higherRanked) < maxFollowers || s.routes.Load() == nil && uptime >= peerConfigTimeout
+	return usable < followersPerZone && len(higherRanked) < maxFollowers ||
+		len(higherRanked) <= standIns && !s.hearsOfContacts() ||
+		s.routes.Load() == nil && uptime >= peerConfigTimeout
+}
+
+// hearsOfContacts reports whether this node knows of a recent contact of a higher-ranked node with the store.
+func (s *Sidecar) hearsOfContacts() bool {
+	return time.Since(s.started)-time.Duration(s.heardOfContact.Load()) < contactTimeout
+}
+
+// announceContact tells the stand-ins of a contact with the store, unless a higher-ranked node does. It reports whether it did.
+func (s *Sidecar) announceContact() bool {
+	if s.hearsOfContacts() && len(s.directory.HigherRanked()) > 0 {
+		return false
+	}
+	msg := s.message()
+	msg.StoreContact = true
+	for _, m := range s.directory.LowerRanked(standIns) {
+		s.send(m.Address, msg)
+	}
+	return true
+}
+
+// recordContact records that another node was in contact with the store.
+func (s *Sidecar) recordContact(from string) {
+	if directory.CompareRanks(from, s.settings.PeerAddress) < 0 {
+		s.heardOfContact.Store(int64(time.Since(s.started)))
+	}
 }
 
 // setStoreUnreachable announces to the other nodes whether this one can use the store.
@@ -120,7 +156,7 @@
 	state := storeState{log: s.log, step: "configuration"}
 	retry := backoff{limit: maxFollowerBackoff}
 	var after platform.Version
-	follower := false
+	follower, announces := false, false
 	for s.ctx.Err() == nil {
 		if isFollower := s.isFollower(); isFollower != follower {
 			follower = isFollower
@@ -137,7 +173,7 @@
 		if after == (platform.Version{}) {
 			after, err = s.readConfig()
 		} else {
-			after, err = s.pollConfig(after)
+			after, err = s.pollConfig(after, announces)
 		}
 		s.observeEpoch(state.step, s.opts.Operator.Epoch(), slog.String("from", from.String()), slog.String("next", after.String()))
 		if errors.Is(err, platform.ErrHistoryUnavailable) {
@@ -148,6 +184,7 @@
 		switch {
 		case err == nil:
 			retry.next = 0
+			announces = s.announceContact()
 		case s.routes.Load() == nil || s.ranksFirst():
 			retry.delay(s.ctx)
 		default:
@@ -184,8 +221,13 @@
 	return row.Version, nil
 }
 
-func (s *Sidecar) pollConfig(after platform.Version) (platform.Version, error) {
-	rows, next, err := s.opts.Operator.Follow(s.ctx, after, meanFeedWait/2+rand.N(meanFeedWait))
+// pollConfig waits for a change of the configuration: for a short time if this node announces its contacts.
+func (s *Sidecar) pollConfig(after platform.Version, announces bool) (platform.Version, error) {
+	wait := meanFeedWait/2 + rand.N(meanFeedWait)
+	if announces {
+		wait = contactPollWait
+	}
+	rows, next, err := s.opts.Operator.Follow(s.ctx, after, wait)
 	if err != nil {
 		return after, err
 	}
--- a/internal/process/sidecar/scale_test.go
+++ b/internal/process/sidecar/scale_test.go
@@ -23,6 +23,7 @@
 	*cluster
 	shared      *sharedStore
 	unreachable atomic.Bool // calls of this node fail
+	silent      atomic.Bool // calls of this node, also those in progress, are not answered
 }
 
 // sharedStore is the state that is common to the countedStores of all nodes.
@@ -38,6 +39,10 @@
 	if s.unreachable.Load() {
 		return errStoreDown
 	}
+	if s.silent.Load() {
+		time.Sleep(StoreTimeout)
+		return errStoreDown
+	}
 	return nil
 }
 
@@ -73,6 +78,10 @@
 	s.shared.mu.Unlock()
 	select {
 	case <-changed:
+		if s.silent.Load() {
+			time.Sleep(wait + time.Second) // the response is lost
+			return nil, after, errStoreDown
+		}
 	case <-time.After(wait):
 		return nil, after, nil
 	case <-ctx.Done():
@@ -108,7 +117,7 @@
 func runFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{
-			cluster: &cluster{t: t, nodes: map[string]*Sidecar{}, rows: map[string][]byte{}, latency: time.Millisecond, poweredOff: map[string]bool{}},
+			cluster: &cluster{t: t, nodes: map[string]*Sidecar{}, rows: map[string][]byte{}, latency: time.Millisecond, poweredOff: map[string]bool{}, frozen: map[string]bool{}},
 			store:   &sharedStore{version: 4, changed: make(chan struct{})},
 			stores:  map[string]*countedStore{},
 		}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -100,6 +100,7 @@
 	targetUnreachable atomic.Bool // connections to the target fail
 	storeEpoch        platform.NewestEpoch
 	registryEpoch     platform.NewestEpoch // in which this node has last seen the registry complete
+	heardOfContact    atomic.Int64         // time from the start to the last StoreContact of a higher-ranked node, in nanoseconds
 	following         atomic.Bool          // this node follows the store for its availability zone
 	registered        atomic.Bool          // registered in the store; the nodes that started before are known
 	ownStateRecovered atomic.Bool          // this node's state before a restart is known, or the wait for it is over
@@ -168,14 +169,7 @@
 	})
 	s.pickers = balance.NewSet(s.settings.Zone, policy.New().Balance)
 	client := &http.Client{Transport: &http.Transport{Proxy: nil, DisableCompression: true}}
-	s.pool = link.NewPool(link.Config{
-		Self:              link.Peer{Address: s.settings.PeerAddress, Incarnation: incarnation, Zone: s.settings.Zone},
-		HeartbeatInterval: linkHeartbeatInterval,
-		HeartbeatTimeout:  linkHeartbeatTimeout,
-		DialTimeout:       linkDialTimeout,
-		DialBackoff:       linkDialBackoff,
-		MaxBody:           maxForwardedBytes,
-	}, link.WebSocketDialer(client), linkHandler{s}, s.log)
+	s.pool = link.NewPool(s.linkConfig(), link.WebSocketDialer(client), linkHandler{s}, s.log)
 	s.path = s.newPath()
 	s.entry = entry.NewServer(entryHandler{s},
 		int(descriptorShare*float64(max(s.settings.Descriptors, minDescriptors))),
@@ -188,6 +182,19 @@
 	return s, nil
 }
 
+func (s *Sidecar) linkConfig() link.Config {
+	return link.Config{
+		Self: link.Peer{
+			Address: s.settings.PeerAddress, Incarnation: uint64(s.started.UnixMilli()), Zone: s.settings.Zone,
+		},
+		HeartbeatInterval: linkHeartbeatInterval,
+		HeartbeatTimeout:  linkHeartbeatTimeout,
+		DialTimeout:       linkDialTimeout,
+		DialBackoff:       linkDialBackoff,
+		MaxBody:           maxForwardedBytes,
+	}
+}
+
 // newPath returns the request path, which uses the node's links and what it knows of targets.
 func (s *Sidecar) newPath() *mesh.Proxy {
 	return mesh.New(mesh.Config{
--- a/internal/process/sidecar/sync.go
+++ b/internal/process/sidecar/sync.go
@@ -38,6 +38,8 @@
 	// Epoch and Sum belong to Version.
 	Epoch uint64 `cbor:"15,keyasint,omitempty"`
 	Sum   uint64 `cbor:"16,keyasint,omitempty"`
+	// StoreContact says that the store has just answered the sender.
+	StoreContact bool `cbor:"19,keyasint,omitempty"`
 }
 
 func (m *viewMessage) setStamp(stamp routing.Stamp) {
@@ -334,6 +336,9 @@
 		s.confirmed.record(msg.Confirmed)
 		return
 	}
+	if msg.StoreContact {
+		s.recordContact(in.from)
+	}
 	s.directory.Introduce(in.from, "")
 	s.markReachable(in.from)
 	changed := s.merge(msg.Members)
--- a/internal/process/sidecar/sync_test.go
+++ b/internal/process/sidecar/sync_test.go
@@ -66,21 +66,22 @@
 
 	latency    time.Duration   // of each message
 	poweredOff map[string]bool // nodes without power: messages that they wrote and that have not arrived are lost
+	frozen     map[string]bool // nodes that stand still: messages to and from them are lost, and dials hang
 }
 
 // delayedConn is one node's end of a connection, with latency and loss.
 type delayedConn struct {
 	*pipe
-	c    *cluster
-	node string
+	c          *cluster
+	node, peer string
 }
 
 func (w delayedConn) Write(ctx context.Context, b []byte) error {
 	time.Sleep(w.c.latency)
 	w.c.mu.Lock()
-	poweredOff := w.c.poweredOff[w.node]
+	lost := w.c.poweredOff[w.node] || w.c.frozen[w.node] || w.c.frozen[w.peer]
 	w.c.mu.Unlock()
-	if poweredOff {
+	if lost {
 		return nil
 	}
 	return w.pipe.Write(ctx, b)
@@ -163,16 +164,20 @@
 		},
 	})
 	require.NoError(c.t, err)
-	s.pool = link.NewPool(link.Config{Self: link.Peer{Address: address, Incarnation: uint64(s.started.UnixMilli())}}, func(_ context.Context, to string) (link.Conn, error) {
+	s.pool = link.NewPool(s.linkConfig(), func(ctx context.Context, to string) (link.Conn, error) {
 		c.mu.Lock()
-		peer := c.nodes[to]
+		peer, hangs := c.nodes[to], c.frozen[to] || c.frozen[address]
 		c.mu.Unlock()
-		if peer == nil {
+		switch {
+		case hangs:
+			<-ctx.Done()
+			return nil, ctx.Err()
+		case peer == nil:
 			return nil, errors.New("connection refused")
 		}
 		ours, theirs := newPipe()
-		go func() { _ = peer.pool.Accept(context.Background(), delayedConn{theirs, c, to}) }()
-		return delayedConn{ours, c, address}, nil
+		go func() { _ = peer.pool.Accept(context.Background(), delayedConn{theirs, c, to, address}) }()
+		return delayedConn{ours, c, address, to}, nil
 	}, linkHandler{s}, s.log)
 	s.path = s.newPath()
 	if c.configure != nil {
