--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -10,6 +10,7 @@
 package balance
 
 import (
+	"encoding/binary"
 	"log/slog"
 	"math"
 	"math/rand/v2"
@@ -18,6 +19,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
@@ -191,7 +194,27 @@
 // called with the result of the request; calls after the first have no effect.
 func (p *Picker) Pick(exclude ...string) (Target, func(Result), bool) {
 	now, set, snap := p.now(), p.settings.Load(), p.snapshot.Load()
-	m := (&pick{p, set, now, exclude}).choose(snap)
+	return p.begin((&pick{p, set, now, exclude}).choose(snap), now)
+}
+
+// Size returns the number of targets.
+func (p *Picker) Size() int { return len(p.snapshot.Load().all) }
+
+// PickStable is like Pick, but nodes that know the same targets choose the same one for a key, whatever their state.
+func (p *Picker) PickStable(key uint64, exclude ...string) (Target, func(Result), bool) {
+	var best *candidate
+	var highest uint64
+	for _, m := range p.snapshot.Load().all {
+		weight := xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(m.Address), key))
+		if !slices.Contains(exclude, m.Address) && (best == nil || weight > highest) {
+			best, highest = m, weight
+		}
+	}
+	return p.begin(best, p.now())
+}
+
+// begin counts a request at the chosen target.
+func (p *Picker) begin(m *candidate, now int64) (Target, func(Result), bool) {
 	if m == nil {
 		return Target{}, nil, false
 	}
--- a/internal/process/event/mesh.go
+++ b/internal/process/event/mesh.go
@@ -39,4 +39,8 @@
 	TargetRateUnreadable     = Event{871, slog.LevelWarn, "target names a limit of requests per second that cannot be read", "Correct the target; the limit that it named before stays in force."}
 	RegistryRepaired         = Event{873, slog.LevelInfo, "table of nodes repaired after the store came back from an older copy", ""}
 	TargetLeftOut            = Event{872, slog.LevelInfo, "target says in a response that it leaves, it gets no requests from this node", ""}
+	TargetEnded              = Event{874, slog.LevelWarn, "target ended without notice", "Check the target process on this VM; requests that were in progress at several ends are held."}
+	SuspectHeld              = Event{875, slog.LevelWarn, "request is held, targets ended while they ran it", "Find what its callers send: lines with the same fingerprint name them."}
+	SuspectTried             = Event{876, slog.LevelInfo, "request that was held runs as a trial", ""}
+	SuspectCleared           = Event{877, slog.LevelInfo, "request is no longer held, a target has answered it", ""}
 )
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -72,10 +72,15 @@
 	if err != nil {
 		return p.refuseUnadmitted(err), window.RunStats{}
 	}
-	run := p.activeRuns.begin(req, w)
+	if refusal := p.refuseHeldAtTarget(req); refusal != nil {
+		permit.Release(admission.Result{Cancelled: true})
+		return refusal, window.RunStats{}
+	}
+	run := p.activeRuns.begin(g, req, w)
 	start := time.Now()
 	r := g.target.Do(ctx, req)
 	took := time.Since(start)
+	p.observeSuspect(g, req, r)
 	p.observeNotice(g, start, r.Notice)
 	permit.Release(admission.Result{
 		Latency:   took,
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -24,6 +24,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/quarantine"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/ratelimit"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/window"
@@ -68,9 +69,12 @@
 	TargetLeaving func(instance string, born int64)
 	// AttachedTargetLeaving is called once when the attached target has said in a response that it leaves.
 	AttachedTargetLeaving func(instance string, born int64)
-	Log                   *slog.Logger
-	Limiter               *event.Limiter // limits the rate of log lines about single requests
-	Retries               RetryBounds    // zero: defaultRetries
+	Quarantine            *quarantine.Table // suspects that this node knows of; nil: a table of its own
+	// Suspected is called with what this node has learned of suspects, for other nodes; nil: it is not passed on.
+	Suspected func([]quarantine.Record)
+	Log       *slog.Logger
+	Limiter   *event.Limiter // limits the rate of log lines about single requests
+	Retries   RetryBounds    // zero: defaultRetries
 }
 
 // RetryBounds are the operators' limits on the retries to one service, summed over all nodes.
@@ -87,7 +91,8 @@
 	cfg        Config
 	activeRuns *activeRuns
 
-	attachedTarget atomic.Pointer[attachedTarget]
+	attachedTarget atomic.Pointer[attachedTarget] // nil while no target is attached
+	latestTarget   atomic.Pointer[attachedTarget] // the last one that was attached
 	knownRates     knownRates
 	buckets        sync.Map     // map of service to *retry.RankedBucket
 	burst          atomic.Value // float64; set by SetRetryBurst
@@ -105,6 +110,8 @@
 	failures   balance.FailureRate // its clock starts at attachedAt
 	windows    window.Set          // limits on runs in progress, by route
 	rate       *ratelimit.Limiter  // limit on requests per second that the target names
+	cutOff     cutOffRequests
+	ended      atomic.Bool // TargetEnded was called
 }
 
 // New returns a proxy without an attached target.
@@ -112,6 +119,12 @@
 	if cfg.Retries == (RetryBounds{}) {
 		cfg.Retries = defaultRetries
 	}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = quarantine.New()
+	}
+	if cfg.Suspected == nil {
+		cfg.Suspected = func([]quarantine.Record) {}
+	}
 	return &Proxy{cfg: cfg, activeRuns: newActiveRuns()}
 }
 
@@ -123,6 +136,7 @@
 	g := &attachedTarget{
 		service: service, instance: instance, born: born, control: control, target: target, attachedAt: time.Now(), rate: rate,
 	}
+	p.latestTarget.Store(g)
 	if old := p.attachedTarget.Swap(g); old != nil {
 		old.control.StopAdmitting()
 	}
--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -431,7 +431,7 @@
 		require.Len(t, n.sent, 1)
 		require.Equal(t, message.Answered, n.proxy.Serve(t.Context(), request("/order/1", "order")).Outcome)
 
-		run := n.proxy.activeRuns.begin(delivered("root", 0, priorityOf(testRoutes[0], "root", false)), nil)
+		run := n.proxy.activeRuns.begin(&attachedTarget{}, delivered("root", 0, priorityOf(testRoutes[0], "root", false)), nil)
 		require.Equal(t, message.Answered, n.proxy.Serve(t.Context(), request("/menu/1", "root.1")).Outcome,
 			"a call is not shed by a threshold within its rank")
 		require.Empty(t, run.thresholds.Thresholds())
--- a/internal/process/mesh/runs.go
+++ b/internal/process/mesh/runs.go
@@ -13,6 +13,8 @@
 
 // run is a request in progress at the attached target. The calls that the target makes for it belong to the same chain.
 type run struct {
+	req             *message.Request // as sent to the target; its body may only be read while the run is in progress
+	target          *attachedTarget
 	attempt         string // attempt ID of the request
 	priority        message.Priority
 	hop             uint8
@@ -34,8 +36,8 @@
 
 func newActiveRuns() *activeRuns { return &activeRuns{byAttempt: map[string]*run{}} }
 
-func (t *activeRuns) begin(req *message.Request, w *window.Window) *run {
-	r := &run{window: w, attempt: req.Attempt, priority: req.Priority, hop: req.Hop, deadline: req.Deadline}
+func (t *activeRuns) begin(g *attachedTarget, req *message.Request, w *window.Window) *run {
+	r := &run{req: req, target: g, window: w, attempt: req.Attempt, priority: req.Priority, hop: req.Hop, deadline: req.Deadline}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.byAttempt[req.Attempt] = r
@@ -50,6 +52,19 @@
 	}
 }
 
+// requestsAt returns the requests that are in progress at a target process. They are copies that stay valid when the run ends.
+func (t *activeRuns) requestsAt(instance string, born int64) []message.Request {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []message.Request
+	for _, r := range t.byAttempt {
+		if r.target.instance == instance && r.target.born == born {
+			out = append(out, *r.req)
+		}
+	}
+	return out
+}
+
 // parent returns the run that made the call with the given attempt ID, or nil if none is known; the call is then treated as a new
 // request. Both the suffix of the call and the attempt ID of the run may contain dots, so parent shortens the ID at one dot after
 // another, from the right, until a run has it.
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -63,6 +63,7 @@
 	arrivals         int      // attempts that reached a target, or may have
 	overloadRefusals int      // attempts that were refused because of overload, see maxOverloadRefusals
 	tried            []string // addresses of the nodes to which it was offered
+	trialKey         uint64   // of a request that was held and may run once, see Picker.PickStable; zero for all others
 
 	last          *message.Response // of the latest attempt
 	targetFailure *message.Response // latest response for which failedByItself is true
@@ -114,7 +115,10 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	start := time.Now()
-	r := p.shed(f)
+	r := p.refuseHeld(f)
+	if r == nil {
+		r = p.shed(f)
+	}
 	if r == nil {
 		r = p.tryTargets(ctx, f)
 		if refusedByLimit(r) {
@@ -238,7 +242,7 @@
 			return f.finalResponse()
 		}
 		f.record(r)
-		if ctx.Err() != nil || !f.shouldRetry(r) {
+		if ctx.Err() != nil || !f.shouldRetry(r) || f.mayHaveRun && !p.mayRetrySuspect(f.req) {
 			return f.finalResponse()
 		}
 		if tookRetry = mayHaveArrived(r); tookRetry && !bucket.Take(rank) {
@@ -296,7 +300,7 @@
 	if picker == nil {
 		return p.refuse(message.ReasonNoTarget, message.StepPick, randomRetryAfter(), "service %q has no target", f.service), false
 	}
-	target, done, ok := picker.Pick(f.tried...)
+	target, done, ok := f.pick(picker)
 	if !ok {
 		return p.refuse(message.ReasonNoTarget, message.StepPick, randomRetryAfter(), "service %q has no target left", f.service), false
 	}
@@ -314,12 +318,20 @@
 	if r.Reason == message.ReasonConnection && r.Err != nil && r.Err.Peer == target.Address && target.Address != p.cfg.Address {
 		p.cfg.Unreachable(target.Address, r.Err)
 	}
-	if r.Outcome == message.NotRun && r.RetryAfter == 0 {
+	if r.Outcome == message.NotRun && r.RetryAfter == 0 && r.Reason != message.ReasonQuarantined {
 		r.RetryAfter = randomRetryAfter()
 	}
 	return r, true
 }
 
+// pick chooses the target for the next attempt.
+func (f *forwardedRequest) pick(picker *balance.Picker) (balance.Target, func(balance.Result), bool) {
+	if f.trialKey != 0 {
+		return picker.PickStable(f.trialKey, f.tried...)
+	}
+	return picker.Pick(f.tried...)
+}
+
 func (p *Proxy) send(ctx context.Context, address string, req *message.Request) *message.Response {
 	if address == p.cfg.Address {
 		return p.Deliver(ctx, req)
--- /dev/null
+++ b/internal/process/mesh/suspects.go
@@ -0,0 +1,164 @@
+package mesh
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/quarantine"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+)
+
+const (
+	// cutOffWindow is the time before the end of a target process in which a request that got no answer counts as in progress at
+	// the end: the target's connections break before its node knows that the process has ended.
+	cutOffWindow = 2 * time.Second
+	// manyTargets stands for the targets of a service where the node that forwards the request has counted them.
+	manyTargets = 2
+	// maxCutOff bounds the requests without an answer that are remembered for cutOffWindow. Targets have fewer slots.
+	maxCutOff = 512
+)
+
+// refuseHeld refuses a request that is held, and returns nil for any other one. Of requests that may run as a trial, nodes send all
+// to the same target, where the node lets only one run at a time.
+func (p *Proxy) refuseHeld(f *forwardedRequest) *message.Response {
+	if p.cfg.Quarantine.Empty() {
+		return nil
+	}
+	fp := quarantine.FingerprintOf(f.req)
+	targets := 0
+	if picker := p.cfg.Pickers.Picker(f.service); picker != nil {
+		targets = picker.Size()
+	}
+	switch p.cfg.Quarantine.Check(fp, targets, time.Now()) {
+	case quarantine.Held:
+		return p.quarantined(message.StepPick, fp)
+	case quarantine.Trial:
+		f.trialKey = fp.Key() | 1
+	case quarantine.Free:
+	}
+	return nil
+}
+
+// refuseHeldAtTarget is like refuseHeld for a request that is about to be sent to the attached target. The node that forwarded it
+// may not have known of the suspicion.
+func (p *Proxy) refuseHeldAtTarget(req *message.Request) *message.Response {
+	if p.cfg.Quarantine.Empty() {
+		return nil
+	}
+	fp := quarantine.FingerprintOf(req)
+	now := time.Now()
+	switch p.cfg.Quarantine.Check(fp, manyTargets, now) {
+	case quarantine.Held:
+		return p.quarantined(message.StepAdmit, fp)
+	case quarantine.Trial:
+		if !p.cfg.Quarantine.BeginTrial(fp, now) {
+			return p.quarantined(message.StepAdmit, fp)
+		}
+		event.Log(p.cfg.Log, event.SuspectTried, slog.String("id", req.Attempt), slog.String("fingerprint", fp.String()))
+	case quarantine.Free:
+	}
+	return nil
+}
+
+// quarantined returns the refusal of a request that is held. It states no time to retry after: the request should not be sent again.
+func (p *Proxy) quarantined(step message.Step, fp quarantine.Fingerprint) *message.Response {
+	return p.refuse(message.ReasonQuarantined, step, 0, "targets ended while they ran request %s", fp)
+}
+
+// mayRetrySuspect reports whether a request that may have run without an answer may be sent to another target.
+func (p *Proxy) mayRetrySuspect(req *message.Request) bool {
+	return p.cfg.Quarantine.Empty() || p.cfg.Quarantine.MayRetry(quarantine.FingerprintOf(req))
+}
+
+// observeSuspect records the result of a request that was sent to the attached target: an answer ends a suspicion, and a request
+// without one may have been in progress when the target ended.
+func (p *Proxy) observeSuspect(g *attachedTarget, req *message.Request, r *message.Response) {
+	switch {
+	case r.Outcome == message.Unknown && r.Reason != message.ReasonCancelled:
+		g.cutOff.add(quarantine.FingerprintOf(req), time.Now())
+	case r.Outcome == message.Answered && !p.cfg.Quarantine.Empty():
+		fp := quarantine.FingerprintOf(req)
+		cleared, ends := p.cfg.Quarantine.Answered(fp, time.Now())
+		if ends == 0 {
+			return
+		}
+		if ends >= quarantine.MaxEnds {
+			event.Log(p.cfg.Log, event.SuspectCleared, slog.String("id", req.Attempt), slog.String("fingerprint", fp.String()))
+		}
+		p.cfg.Suspected([]quarantine.Record{cleared})
+	}
+}
+
+// TargetEnded records that the process of a target on this VM has ended, other than by its own announcement. The requests that
+// were in progress there become suspects.
+func (p *Proxy) TargetEnded(instance string, born int64) {
+	g := p.latestTarget.Load()
+	if g == nil || g.instance != instance || g.born != born || g.ended.Swap(true) {
+		return // this node has sent it nothing, or its end is recorded
+	}
+	now := time.Now()
+	var inProgress []quarantine.Fingerprint
+	for _, req := range p.activeRuns.requestsAt(instance, born) {
+		inProgress = append(inProgress, quarantine.FingerprintOf(&req))
+	}
+	inProgress = append(inProgress, g.cutOff.take(now)...)
+	news := p.cfg.Quarantine.Ended(quarantine.EndOf(instance, born), inProgress, now)
+	event.Log(p.cfg.Log, event.TargetEnded, slog.String("instance", instance), slog.Int64("born", born),
+		slog.Int("in_progress", len(inProgress)), slog.Int("suspects", len(news)))
+	p.logHeld(news)
+	if len(news) > 0 {
+		p.cfg.Suspected(news)
+	}
+}
+
+// logHeld logs which of the suspects are held.
+func (p *Proxy) logHeld(news []quarantine.Record) {
+	for _, r := range news {
+		if r.Held() {
+			p.cfg.Limiter.Log(p.cfg.Log, event.SuspectHeld, slog.String("fingerprint", r.Fingerprint.String()), slog.Int("ends", len(r.Ends)))
+		}
+	}
+}
+
+// cutOffRequests are the latest requests that a target has not answered. It is safe for concurrent use.
+type cutOffRequests struct {
+	mu   sync.Mutex
+	list []cutOffRequest // in the order of their times
+}
+
+type cutOffRequest struct {
+	fingerprint quarantine.Fingerprint
+	at          time.Time
+}
+
+func (c *cutOffRequests) add(fp quarantine.Fingerprint, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropOldLocked(now)
+	if len(c.list) >= maxCutOff {
+		c.list = c.list[1:]
+	}
+	c.list = append(c.list, cutOffRequest{fp, now})
+}
+
+// take returns the requests within cutOffWindow and forgets them.
+func (c *cutOffRequests) take(now time.Time) []quarantine.Fingerprint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropOldLocked(now)
+	var out []quarantine.Fingerprint
+	for _, r := range c.list {
+		out = append(out, r.fingerprint)
+	}
+	c.list = nil
+	return out
+}
+
+// dropOldLocked removes the requests from before cutOffWindow. The caller holds the mutex.
+func (c *cutOffRequests) dropOldLocked(now time.Time) {
+	for len(c.list) > 0 && now.Sub(c.list[0].at) > cutOffWindow {
+		c.list = c.list[1:]
+	}
+}
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -31,6 +31,7 @@
 	Version   int64 // configuration version in force
 	Links     int64 // open links to and from peers
 	Epoch     int64 // of the platform's store
+	Held      int64 // requests that are held, see package quarantine
 	// RateLimit is the limit on requests per second that the local target names; zero: none.
 	RateLimit float64
 }
@@ -89,6 +90,7 @@
 	members := gauge("wigeoncleat.members", "Members known.")
 	version := gauge("wigeoncleat.configuration.version", "Configuration version in force.")
 	epoch := gauge("wigeoncleat.store.epoch", "Times that the platform's store has come back from an older copy.")
+	held := gauge("wigeoncleat.quarantine.held", "Requests that are held because targets ended while they ran them.")
 	links := gauge("wigeoncleat.links", "Open links to and from peers.")
 	rateLimit, err := meter.Float64ObservableGauge("wigeoncleat.target.rate_limit", metric.WithUnit("{request}/s"),
 		metric.WithDescription("Limit on requests per second that the target beside the node names; zero: none."))
@@ -107,6 +109,7 @@
 		o.ObserveInt64(version, g.Version)
 		o.ObserveInt64(links, g.Links)
 		o.ObserveInt64(epoch, g.Epoch)
+		o.ObserveInt64(held, g.Held)
 		o.ObserveFloat64(rateLimit, g.RateLimit)
 		for name, n := range invariant.Counts() {
 			o.ObserveInt64(violations, n, metric.WithAttributes(attribute.String("invariant", string(name))))
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -27,6 +27,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/mesh"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/metrics"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/quarantine"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/report"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
@@ -89,6 +90,7 @@
 	pickers        *balance.Set
 	directory      *directory.Directory
 	tracker        *report.Tracker
+	quarantine     *quarantine.Table
 	entry          *entry.Server
 	responseMemory *memory.Budget // budget for response bodies held by the node
 	metrics        *metrics.Metrics
@@ -108,9 +110,13 @@
 	puller            puller       // only accessed by the gossip loop
 	pendingRelay      pendingRelay // only accessed by the gossip loop
 	recentCallers     recentCallers
+	suspectNews       *suspectNews // records that the other nodes are to be told of
 	confirmed         confirmedRevision
 	reconnectNow      chan struct{} // wakes the reconnect loop
 
+	endCheckMu   sync.Mutex // held by checkTargetEnded
+	endCheckedAt time.Time
+
 	targetMu         sync.Mutex // held by applyTarget
 	attachedInstance string     // instance and start time of the attached target; empty: none
 
@@ -154,6 +160,7 @@
 		log:          opts.Log,
 		started:      time.Now(),
 		tracker:      report.NewTracker(),
+		quarantine:   quarantine.New(),
 		inbox:        make(chan inboundMessage, inboxSize),
 		reconnectNow: make(chan struct{}, 1),
 		failures:     event.NewLimiter(failuresPerSecond),
@@ -170,6 +177,7 @@
 	s.pickers = balance.NewSet(s.settings.Zone, policy.New().Balance)
 	client := &http.Client{Transport: &http.Transport{Proxy: nil, DisableCompression: true}}
 	s.pool = link.NewPool(s.linkConfig(), link.WebSocketDialer(client), linkHandler{s}, s.log)
+	s.suspectNews = &suspectNews{send: s.broadcastSuspects}
 	s.path = s.newPath()
 	s.entry = entry.NewServer(entryHandler{s},
 		int(descriptorShare*float64(max(s.settings.Descriptors, minDescriptors))),
@@ -208,6 +216,8 @@
 		Unreachable:           s.markUnreachable,
 		TargetLeaving:         s.leaveOutTarget,
 		AttachedTargetLeaving: s.drainAttachedTarget,
+		Quarantine:            s.quarantine,
+		Suspected:             s.suspectNews.add,
 		Log:                   s.log,
 		Limiter:               s.failures,
 		Retries:               s.settings.Retries,
@@ -286,6 +296,7 @@
 		Members: int64(s.directory.Size()), Links: int64(dialed + accepted),
 		RateLimit: s.path.RateLimit(),
 		Epoch:     int64(s.storeEpoch.Load()),
+		Held:      int64(s.quarantine.HeldCount()),
 	}
 	if t := s.routes.Load(); t != nil {
 		g.Version = int64(t.Version)
--- a/internal/process/sidecar/sync.go
+++ b/internal/process/sidecar/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -11,6 +12,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/directory"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/quarantine"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
 )
 
@@ -40,6 +42,9 @@
 	Sum   uint64 `cbor:"16,keyasint,omitempty"`
 	// StoreContact says that the store has just answered the sender.
 	StoreContact bool `cbor:"19,keyasint,omitempty"`
+	// SuspectsSum is that of the sender's table of suspects, see package quarantine. Suspects are records that the receiver may lack.
+	SuspectsSum uint64              `cbor:"17,keyasint,omitempty"`
+	Suspects    []quarantine.Record `cbor:"18,keyasint,omitempty"`
 }
 
 func (m *viewMessage) setStamp(stamp routing.Stamp) {
@@ -80,6 +85,8 @@
 	ownEntryRetryDelay = linkDialBackoff + 50*time.Millisecond
 	// pageSize is the number of entries in one message. An entry takes about 130 bytes; a message has at most 256 KiB.
 	pageSize = 1000
+	// maxSuspects is the number of suspects in one message, at about 40 bytes each.
+	maxSuspects = 128
 )
 
 // broadcast sends a change of this node's own entry to all nodes: directly to those of its availability zone, and
@@ -106,6 +113,22 @@
 	}
 }
 
+// broadcastSuspects sends records of suspects to all nodes.
+func (s *Sidecar) broadcastSuspects(list []quarantine.Record) {
+	zone, others := s.directory.Neighbours()
+	msg := s.message()
+	for page := range slices.Chunk(list, maxSuspects) {
+		msg.Suspects, msg.Relay = page, false
+		for _, address := range zone {
+			s.send(address, msg)
+		}
+		msg.Relay = true
+		for _, address := range sampleZones(others, relaysPerZone) {
+			s.send(address, msg)
+		}
+	}
+}
+
 // sampleZones returns up to n random nodes of each zone.
 func sampleZones(zones map[string][]string, n int) []string {
 	var out []string
@@ -117,7 +140,7 @@
 }
 
 func (s *Sidecar) message() viewMessage {
-	msg := viewMessage{Digest: s.directory.Digest()}
+	msg := viewMessage{Digest: s.directory.Digest(), SuspectsSum: s.quarantine.Sum()}
 	msg.setStamp(s.stamp())
 	return msg
 }
@@ -177,6 +200,7 @@
 				s.send(address, s.message())
 			}
 			s.checkFollowers()
+			s.quarantine.Expire(time.Now())
 			timer.Reset(gossipInterval/2 + rand.N(gossipInterval))
 		}
 	}
@@ -215,11 +239,12 @@
 // pendingRelay is what was received from another availability zone and is to be passed on in this one. It is only
 // accessed by the gossip loop.
 type pendingRelay struct {
-	members map[string]directory.Member
-	config  bool // the active configuration is new in this zone
+	members  map[string]directory.Member
+	suspects []quarantine.Record
+	config   bool // the active configuration is new in this zone
 }
 
-func (g *pendingRelay) pending() bool { return len(g.members) > 0 || g.config }
+func (g *pendingRelay) pending() bool { return len(g.members) > 0 || len(g.suspects) > 0 || g.config }
 
 func (g *pendingRelay) add(list []directory.Member) {
 	if g.members == nil {
@@ -240,6 +265,7 @@
 	for _, m := range s.pendingRelay.members {
 		msg.Members = append(msg.Members, m)
 	}
+	msg.Suspects = s.pendingRelay.suspects
 	s.pendingRelay = pendingRelay{}
 	for _, address := range zone {
 		s.sendPages(address, msg)
@@ -255,6 +281,7 @@
 			return
 		}
 		msg.Config, msg.WantEntries, msg.WantConfig, msg.WantBuckets, msg.OwnEntryComplete = nil, false, false, nil, false
+		msg.Suspects = nil
 	}
 }
 
@@ -345,8 +372,10 @@
 	if msg.OwnEntryComplete && !s.ownStateRecovered.Swap(true) {
 		s.applyTarget()
 	}
+	suspects := s.quarantine.Merge(msg.Suspects, time.Now())
 	if msg.Relay {
 		s.pendingRelay.add(changed)
+		s.pendingRelay.suspects = append(s.pendingRelay.suspects, suspects...)
 	}
 	if msg.WantConfirmed != 0 {
 		s.send(in.from, viewMessage{Confirmed: msg.WantConfirmed})
@@ -354,12 +383,18 @@
 	if len(msg.Config) > 0 {
 		s.applyPeerConfig(msg.Config, msg.Epoch, in.from)
 	}
-	s.replyTo(in.from, msg)
+	s.replyTo(in.from, msg, len(suspects) > 0)
 }
 
-// replyTo sends what the other node lacks, and requests what this one lacks.
-func (s *Sidecar) replyTo(to string, msg viewMessage) {
+// replyTo sends what the other node lacks, and requests what this one lacks. The argument newSuspects says whether the message
+// contained suspects that were news.
+func (s *Sidecar) replyTo(to string, msg viewMessage, newSuspects bool) {
 	reply := s.message()
+	// Without news in it, the answer to a list of suspects would be the same list once more.
+	suspectsDiffer := msg.SuspectsSum != reply.SuspectsSum && (len(msg.Suspects) == 0 || newSuspects)
+	if suspectsDiffer {
+		reply.Suspects = s.quarantine.Records(maxSuspects, msg.Suspects, time.Now())
+	}
 	if msg.WantConfig {
 		s.addConfig(&reply)
 	}
@@ -367,7 +402,7 @@
 	s.puller.observe(time.Now(), reply.stamp(), msg.stamp(), to)
 	reply.WantConfig = s.puller.due(time.Now(), reply.stamp())
 	older := reply.stamp().NewerThan(msg.stamp()) && !msg.WantConfig // the other node may not know of the newer version
-	if older || reply.WantConfig || len(reply.Config) > 0 || len(reply.Members) > 0 || len(reply.Sums) > 0 || len(reply.WantBuckets) > 0 {
+	if older || suspectsDiffer || reply.WantConfig || len(reply.Config) > 0 || len(reply.Members) > 0 || len(reply.Sums) > 0 || len(reply.WantBuckets) > 0 {
 		s.sendPages(to, reply)
 	}
 }
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/targetconn"
@@ -25,7 +26,8 @@
 type target struct {
 	pool          exchanger
 	codec         Codec
-	onUnreachable func() // called when connections to the target fail repeatedly
+	onUnreachable func(error) // called when connections to the target fail repeatedly
+	onBrokenOff   func()      // called when the target has broken off a request, before the request is answered
 
 	dialFailures atomic.Int32 // consecutive failures to connect
 }
@@ -63,10 +65,13 @@
 	var failed *targetconn.Error
 	if errors.As(err, &failed) && !failed.Sent {
 		if ctx.Err() == nil && t.dialFailures.Add(1) >= maxDialFailures {
-			t.onUnreachable()
+			t.onUnreachable(err)
 		}
 		return message.Refuse(reason, message.Errorf(message.StepRun, req.Instance, "%v", err))
 	}
+	if ctx.Err() == nil {
+		t.onBrokenOff()
+	}
 	return message.UnknownOutcome(reason, message.Errorf(message.StepRun, req.Instance, "%v", err))
 }
 
@@ -116,12 +121,14 @@
 		event.Log(s.log, event.ReportRejected, slog.String("error", err.Error()))
 		return err
 	}
+	before := s.tracker.State(time.Now())
 	verdict := s.tracker.Observe(r, time.Now())
 	if verdict != report.Ignored {
 		s.targetUnreachable.Store(false) // a report shows that it runs
 	}
 	switch verdict {
 	case report.Replaced:
+		s.targetEnded(before)
 		event.Log(s.log, event.TargetReplaced, slog.String("instance", r.Instance), slog.Int64("born", r.Born),
 			slog.Int64("sequence", r.Sequence), slog.String("phase", r.Phase.String()), slog.Int("slots", r.Slots))
 	case report.Changed:
@@ -170,7 +177,10 @@
 	case id == s.attachedInstance:
 	case open:
 		s.path.AttachTarget(st.Service, st.Instance, st.Born, admission.New(s.limitsOf(st)),
-			&target{pool: s.connectTarget(st.Address), codec: s.opts.Codec, onUnreachable: s.markTargetUnreachable})
+			&target{
+				pool: s.connectTarget(st.Address), codec: s.opts.Codec,
+				onUnreachable: s.markTargetUnreachable, onBrokenOff: s.checkTargetEnded,
+			})
 	default:
 		s.path.DetachTarget()
 	}
@@ -178,11 +188,14 @@
 	s.publishTarget(st, open)
 }
 
-// markTargetUnreachable detaches a target that accepts no connections until it does again.
-func (s *Sidecar) markTargetUnreachable() {
+// markTargetUnreachable detaches a target that accepts no connections until it does again. If it refuses them, its process has ended.
+func (s *Sidecar) markTargetUnreachable(cause error) {
 	if s.targetUnreachable.Swap(true) {
 		return
 	}
+	if errors.Is(cause, syscall.ECONNREFUSED) {
+		s.targetEnded(s.tracker.State(time.Now()))
+	}
 	event.Log(s.log, event.TargetRefusesConnections, slog.String("target", s.settings.TargetAddress))
 	go s.applyTarget() // in a new goroutine: the caller is a request to the target that is being detached
 }
@@ -198,7 +211,7 @@
 	}
 	conn, err := net.DialTimeout("tcp", s.settings.TargetAddress, probeTimeout)
 	if err != nil {
-		s.markTargetUnreachable()
+		s.markTargetUnreachable(err)
 		return
 	}
 	_ = conn.Close() // nothing was written
--- a/internal/process/sidecar/target_test.go
+++ b/internal/process/sidecar/target_test.go
@@ -51,7 +51,7 @@
 // it, and the requests that met them count as not run.
 func TestRefusedConnectionsDetachTheTarget(t *testing.T) {
 	detached := 0
-	tg := &target{pool: &refusingTarget{}, codec: stubCodec{}, onUnreachable: func() { detached++ }}
+	tg := &target{pool: &refusingTarget{}, codec: stubCodec{}, onUnreachable: func(error) { detached++ }}
 	tg.Do(t.Context(), &message.Request{})
 	require.Zero(t, detached, "a single connection can be lost")
 	r := tg.Do(t.Context(), &message.Request{})
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -155,6 +155,7 @@
 	ReasonKeyRequired         // the route requires an idempotency key
 	ReasonDeclined            // the target declares that it did nothing, because one of its calls was not run
 	ReasonTargetUnable        // the target declares that it did nothing, and made no call
+	ReasonQuarantined         // the request was in progress at several target processes when they ended, see package quarantine
 )
 
 var reasonNames = [...]string{
@@ -176,6 +177,7 @@
 	ReasonKeyRequired:  "key-required",
 	ReasonDeclined:     "declined",
 	ReasonTargetUnable: "target-unable",
+	ReasonQuarantined:  "quarantined",
 }
 
 // String returns the name used in logs, metrics and error bodies.
