--- a/internal/connection/targetconn/targetconn.go
+++ b/internal/connection/targetconn/targetconn.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +26,9 @@
 
 // Exchange is one request with the rules for its response.
 type Exchange struct {
+	// ID identifies the request on its connection. Two requests with the same ID do not share a connection if the first was answered
+	// with a failure: a second copy of that response could not be told from the response to the second request. Empty: no ID.
+	ID     string
 	Method string
 	Bytes  []byte // the encoded request, header and body
 	// Fresh excludes connections that were idle for maxFreshIdle or longer. The target may have closed such a connection
@@ -129,13 +133,14 @@
 	nc        net.Conn
 	in        limitedReader
 	br        *bufio.Reader
+	failed    []string      // IDs of the requests that were answered with a failure
 	idleSince time.Time     // when the connection became idle
 	idleLimit time.Duration // idle time after which it is not reused
 }
 
 // Do sends the request and returns the response. Its errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, x *Exchange) (*Response, error) {
-	c, err := p.get(ctx, x.Fresh)
+	c, err := p.get(ctx, x)
 	if err != nil {
 		return nil, &Error{Err: fmt.Errorf("connect to target %s: %w", p.address, err)}
 	}
@@ -145,7 +150,7 @@
 		err = errors.Join(ctx.Err(), err)
 		reusable = false
 	}
-	if reusable {
+	if reusable && c.record(x, a) {
 		p.put(c)
 	} else {
 		_ = c.nc.Close()
@@ -156,16 +161,28 @@
 	return nil, &Error{Sent: true, Err: fmt.Errorf("exchange with target %s: %w", p.address, err)}
 }
 
+// maxFailedIDs bounds the failures that are remembered for a connection. A connection with more is closed.
+const maxFailedIDs = 64
+
+// record remembers the ID of a request that was answered with a failure. It reports whether the connection may be used again.
+func (c *conn) record(x *Exchange, a *Response) bool {
+	if a == nil || x.ID == "" || a.Status < http.StatusBadRequest {
+		return true
+	}
+	c.failed = append(c.failed, x.ID)
+	return len(c.failed) <= maxFailedIDs
+}
+
 // get returns a usable idle connection, or a new one.
-func (p *Pool) get(ctx context.Context, fresh bool) (*conn, error) {
+func (p *Pool) get(ctx context.Context, x *Exchange) (*conn, error) {
 	now := time.Now()
 	for {
-		c := p.pop()
+		c := p.pop(x.ID)
 		if c == nil {
 			break
 		}
 		idle := now.Sub(c.idleSince)
-		if idle < c.idleLimit && (!fresh || idle < maxFreshIdle) && c.usable() {
+		if idle < c.idleLimit && (!x.Fresh || idle < maxFreshIdle) && c.usable() {
 			return c, nil
 		}
 		_ = c.nc.Close()
@@ -182,16 +199,17 @@
 	return c, nil
 }
 
-func (p *Pool) pop() *conn {
+// pop removes the most recently used idle connection that has not answered a request of the given ID with a failure.
+func (p *Pool) pop(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; id == "" || !slices.Contains(c.failed, id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(c *conn) {
--- a/internal/connection/targetconn/targetconn_test.go
+++ b/internal/connection/targetconn/targetconn_test.go
@@ -42,6 +42,7 @@
 
 func exchange(id string) *Exchange {
 	return &Exchange{
+		ID:      id,
 		Method:  http.MethodGet,
 		Bytes:   []byte("GET /" + id + " HTTP/1.1\r\nHost: x\r\nId: " + id + "\r\n\r\n"),
 		Matches: func(h http.Header) bool { return h.Get("Id") == id },
@@ -203,7 +204,7 @@
 		a, err := p.Do(t.Context(), x)
 		require.NoError(t, err)
 		require.Equal(t, "early", string(a.Body))
-		require.Nil(t, p.pop())
+		require.Nil(t, p.pop(""))
 		time.Sleep(time.Minute)
 	})
 }
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -44,6 +44,7 @@
 // Do implements mesh.Target.
 func (t *target) Do(ctx context.Context, req *message.Request) *message.Response {
 	a, err := t.pool.Do(ctx, &targetconn.Exchange{
+		ID:      req.Attempt,
 		Method:  req.Method,
 		Bytes:   t.codec.EncodeRequest(req, time.Now()),
 		Fresh:   !req.Idempotent, // it cannot be retried if the target closed an idle connection unnoticed
