--- a/internal/process/node/target_test.go
+++ b/internal/process/node/target_test.go
@@ -58,6 +58,30 @@
 	}
 }
 
+// Guards against a request that is reported as declined, or sent to another target, while this one runs it: the target has sent an
+// earlier response that declines a request once more.
+func TestDeclineThatIsSentAgainIsNoAnswer(t *testing.T) {
+	const decline = "HTTP/1.1 503 Busy\r\nWigeon-Declined: true\r\nContent-Length: 0\r\n\r\n"
+	c := startTarget(t, func(n int, conn net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err != nil {
+			return
+		}
+		if n > 1 {
+			_, _ = io.WriteString(conn, completeResponse)
+			return
+		}
+		_, _ = io.WriteString(conn, decline)
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = io.WriteString(conn, decline)
+		}
+	})
+	first := c.Do(t.Context(), targetRequest(http.MethodGet, nil))
+	require.Equal(t, message.Declined, first.Header.Get(message.HeaderDeclined))
+	second := c.Do(t.Context(), targetRequest(http.MethodGet, nil))
+	require.Empty(t, second.Header.Get(message.HeaderDeclined))
+}
+
+
 // Guards against a request that hangs until its deadline because the target responds before it has read a large body.
 func TestTargetAnswersBeforeTheBody(t *testing.T) {
 	c := startTarget(t, func(_ int, conn net.Conn, in *bufio.Reader) {
--- a/internal/process/node/targettransport.go
+++ b/internal/process/node/targettransport.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
 const (
@@ -23,13 +26,16 @@
 	savedLocationHeader = "Wigeon-Held-Location"
 )
 
-var errUnsolicitedResponse = errors.New("response received before the request was sent")
+var (
+	errUnsolicitedResponse = errors.New("response received before the request was sent")
+	errDeclinedTwice       = errors.New("second response on one connection that declines a request")
+)
 
-// targetTransport is an http.Transport with two additional checks. It hides the Location header of redirects, because the
+// targetTransport is an http.Transport with additional checks. It hides the Location header of redirects, because the
 // client would follow them: each step would be an attempt that the retry budget of the request does not count, and the
 // kratos client has no option to turn this off. It also rejects a response that was received before its request was sent:
 // the target sent more than one response to the previous request, and http.Transport notices that only if it reads the
-// extra response before the next request is sent.
+// extra response before the next request is sent. It closes a connection after a response that declines a request.
 type targetTransport struct {
 	transport http.Transport
 }
@@ -52,6 +58,14 @@
 	}}
 }
 
+// closingBody closes the connection of a response with its body.
+type closingBody struct {
+	io.ReadCloser
+	conn net.Conn
+}
+
+func (b closingBody) Close() error { return errors.Join(b.ReadCloser.Close(), b.conn.Close()) }
+
 // RoundTrip implements http.RoundTripper. The caller must pass the header of the response to restoreLocation.
 func (t *targetTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn *targetConn
@@ -70,6 +84,15 @@
 		_ = resp.Body.Close()
 		return nil, errUnsolicitedResponse
 	}
+	if conn != nil && resp.Header.Get(message.HeaderDeclined) != "" {
+		// A second copy of it could not be told from the response to the next request, and would claim that this one was not run.
+		if conn.declined.Swap(true) {
+			_ = conn.Close()
+			_ = resp.Body.Close()
+			return nil, errDeclinedTwice
+		}
+		resp.Body = closingBody{resp.Body, conn}
+	}
 	resp.Header.Del(savedLocationHeader)
 	if location, ok := resp.Header[locationHeader]; ok {
 		resp.Header[savedLocationHeader] = location
@@ -89,7 +112,8 @@
 // targetConn counts the reads that returned data.
 type targetConn struct {
 	net.Conn
-	reads atomic.Int64
+	reads    atomic.Int64
+	declined atomic.Bool // it has carried a response that declines a request
 }
 
 func (c *targetConn) Read(p []byte) (int, error) {
