--- a/internal/connection/targetconn/faulty_test.go
+++ b/internal/connection/targetconn/faulty_test.go
@@ -61,3 +61,29 @@
 		p.Close()
 	})
 }
+
+// Guards against a response whose head broke off and that reaches the caller as a success with an empty or short body.
+func TestResponseThatEndsInItsHeadIsAnError(t *testing.T) {
+	// A body without length ends with the connection, so only its head is cut.
+	untilClose := "HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\nServer: x\r\n\r\n"
+	for _, whole := range []string{
+		response("a", ""),
+		response("a", "body"),
+		"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\n" + response("a", ""),
+		untilClose,
+	} {
+		for n := range len(whole) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeTarget{scripts: []func(net.Conn, *bufio.Reader){func(c net.Conn, br *bufio.Reader) {
+					readOne(t, br)
+					_, _ = io.WriteString(c, whole[:n])
+				}}}
+				_, err := do(t, f.pool(), "a")
+				var failed *Error
+				require.ErrorAs(t, err, &failed, "%q", whole[:n])
+				require.True(t, failed.Sent)
+			})
+		}
+	}
+}
--- a/internal/process/node/target_test.go
+++ b/internal/process/node/target_test.go
@@ -82,6 +82,20 @@
 }
 
 
+// Guards against a response whose head broke off and that reaches the caller as a success with an empty body.
+func TestResponseThatEndsInItsHeadIsNoSuccess(t *testing.T) {
+	c := startTarget(t, func(n int, conn net.Conn, in *bufio.Reader) {
+		if _, err := http.ReadRequest(in); err == nil {
+			_, _ = io.WriteString(conn, completeResponse[:n%(len(completeResponse)-1)])
+		}
+		_ = conn.Close()
+	})
+	for range len(completeResponse) - 1 {
+		r := c.Do(t.Context(), targetRequest(http.MethodPost, []byte("x")))
+		require.Equal(t, message.Unknown, r.Outcome, "%v", r)
+	}
+}
+
 // Guards against a request that hangs until its deadline because the target responds before it has read a large body.
 func TestTargetAnswersBeforeTheBody(t *testing.T) {
 	c := startTarget(t, func(_ int, conn net.Conn, in *bufio.Reader) {
