--- a/cmd/wigeoncleat-sidecar/main.go
+++ b/cmd/wigeoncleat-sidecar/main.go
@@ -124,6 +124,8 @@
 		Operator:     operator,
 		ConfigKey:    platform.ConfigKey,
 		DecodeConfig: platform.DecodeConfig,
+
+		CheckPeerAddress: platform.CheckPeerAddress,
 		Reload: func() (sidecar.Settings, error) {
 			next, err := platform.LoadSettings(path)
 			next.PeerListen = settings.PeerListen
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -50,6 +50,6 @@
 		RoutesApplied, RoutesRejected, StoreLost, StoreRegained, NodeRegistered, SettingsReloaded, SettingsUnusable,
 		MemberChanged, PeerMessageFailed, TargetRefusesConnections, FollowerChanged, TargetFailing, TargetRecovered,
 		TargetRateLimited, TargetRateLimitEnded, TargetRateUnreadable, TargetLeftOut, RegistryRepaired,
-		TargetEnded, SuspectHeld, SuspectTried, SuspectCleared,
+		TargetEnded, SuspectHeld, SuspectTried, SuspectCleared, RowIgnored,
 	}
 }
--- a/internal/process/event/mesh.go
+++ b/internal/process/event/mesh.go
@@ -42,5 +42,6 @@
 	TargetEnded              = Event{874, slog.LevelWarn, "target ended without notice", "Check the target process on this VM; requests that were in progress at several ends are held."}
 	SuspectHeld              = Event{875, slog.LevelWarn, "request is held, targets ended while they ran it", "Find what its callers send: lines with the same fingerprint name them."}
 	SuspectTried             = Event{876, slog.LevelInfo, "request that was held runs as a trial", ""}
+	RowIgnored               = Event{878, slog.LevelWarn, "row in the table of nodes cannot be that of a node, it is ignored", "Find out who writes to the table, and remove the row."}
 	SuspectCleared           = Event{877, slog.LevelInfo, "request is no longer held, a target has answered it", ""}
 )
--- a/internal/process/node/target_test.go
+++ b/internal/process/node/target_test.go
@@ -81,7 +81,6 @@
 	require.Empty(t, second.Header.Get(message.HeaderDeclined))
 }
 
-
 // Guards against a response whose head broke off and that reaches the caller as a success with an empty body.
 func TestResponseThatEndsInItsHeadIsNoSuccess(t *testing.T) {
 	c := startTarget(t, func(n int, conn net.Conn, in *bufio.Reader) {
--- a/internal/process/sidecar/registry.go
+++ b/internal/process/sidecar/registry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/directory"
@@ -54,7 +55,7 @@
 	if err != nil {
 		return 0, err
 	}
-	rows, err := s.opts.Nodes.List(ctx, "", maxNodes)
+	rows, err := s.listNodes(ctx)
 	if err == nil && s.opts.Nodes.Epoch() != written.Epoch {
 		err = fmt.Errorf("%w: the store was restored after the node had written its row", platform.ErrUnavailable)
 	}
@@ -69,6 +70,34 @@
 	return len(rows), nil
 }
 
+// maxZoneName bounds the name of an availability zone, in bytes. The keys of rows have the same limit.
+const maxZoneName = 200
+
+// listNodes returns the rows of the registry, without those that cannot be of a node: other programs can write to the table too.
+func (s *Sidecar) listNodes(ctx context.Context) ([]platform.Row, error) {
+	rows, err := s.opts.Nodes.List(ctx, "", maxNodes)
+	if err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(rows, func(row platform.Row) bool {
+		err := s.checkRow(row)
+		if err != nil {
+			s.failures.Log(s.log, event.RowIgnored, slog.String("key", row.Key), slog.String("error", err.Error()))
+		}
+		return err != nil
+	}), nil
+}
+
+func (s *Sidecar) checkRow(row platform.Row) error {
+	if len(row.Value) > maxZoneName {
+		return fmt.Errorf("availability zone of %d bytes", len(row.Value))
+	}
+	if s.opts.CheckPeerAddress == nil {
+		return nil
+	}
+	return s.opts.CheckPeerAddress(row.Key)
+}
+
 // deregister removes the node's row, so that nodes that start later do not try to reach it. The removal has a condition: it may take
 // effect late, when a new process at this address has registered.
 func (s *Sidecar) deregister() {
@@ -122,7 +151,7 @@
 func (s *Sidecar) repairRegistryOnce() (written int, err error) {
 	ctx, cancel := context.WithTimeout(s.ctx, StoreTimeout)
 	defer cancel()
-	rows, err := s.opts.Nodes.List(ctx, "", maxNodes)
+	rows, err := s.listNodes(ctx)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -66,13 +66,14 @@
 
 // Options are the dependencies of the process.
 type Options struct {
-	Settings     Settings
-	Log          *slog.Logger
-	Codec        Codec
-	Nodes        Store
-	Operator     Operator
-	ConfigKey    string // key of the operator's row that holds the configuration
-	DecodeConfig func([]byte) (*routing.Table, error)
+	Settings         Settings
+	Log              *slog.Logger
+	Codec            Codec
+	Nodes            Store
+	Operator         Operator
+	ConfigKey        string // key of the operator's row that holds the configuration
+	DecodeConfig     func([]byte) (*routing.Table, error)
+	CheckPeerAddress func(address string) error // returns an error if no node can have the address; nil: any can be one's
 	// Reload reads the settings again.
 	Reload func() (Settings, error)
 }
