--- a/internal/process/audit/audit.go
+++ b/internal/process/audit/audit.go
@@ -276,8 +276,11 @@
 	return fmt.Sprintf("%s%019d-%s", keyPrefix, math.MaxInt64-e.Nanos, e.ID)
 }
 
+// OutcomeUnreadable is the outcome of an entry that stands for a row that cannot be read; its ID is the key of the row.
+const OutcomeUnreadable = "unreadable"
+
 // List returns at most limit entries, newest first by the clocks of the nodes that wrote them. Entries that are still
-// in the buffers of nodes are missing.
+// in the buffers of nodes are missing. One row that cannot be read does not hide the others.
 func (t *Trail) List(ctx context.Context, limit int) ([]Entry, error) {
 	rows, err := t.table.List(ctx, keyPrefix, limit)
 	if err != nil {
@@ -286,7 +289,7 @@
 	out := make([]Entry, len(rows))
 	for i, row := range rows {
 		if err := cbor.Unmarshal(row.Value, &out[i]); err != nil {
-			return nil, fmt.Errorf("audit: row %s: %w", row.Key, err)
+			out[i] = Entry{ID: row.Key, Outcome: OutcomeUnreadable, Reason: err.Error()}
 		}
 		out[i].Time = time.Unix(0, out[i].Nanos)
 	}
--- a/internal/process/audit/audit_test.go
+++ b/internal/process/audit/audit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
 	"github.com/wigeoncleat/wigeoncleat/internal/standin/memory"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/rollout"
 )
@@ -67,6 +69,23 @@
 	})
 }
 
+// Guards against an audit trail that cannot be read any more because another program has left an odd row in it.
+func TestOddRowDoesNotHideTheTrail(t *testing.T) {
+	pf := memory.New()
+	trail := New(pf, "n1", 10, discardLogger())
+	trail.Add(Entry{Kind: KindDrain, Subject: "1", Time: time.Unix(1000, 0)})
+	require.NoError(t, trail.Flush(t.Context()))
+	for _, value := range []string{"", "\xff", strings.Repeat("\x81", 60<<10), "\xc2\x58\x20" + strings.Repeat("\xff", 32)} {
+		_, err := pf.Put(t.Context(), keyPrefix+"odd", []byte(value), platform.Condition{})
+		require.NoError(t, err)
+		entries, err := trail.List(t.Context(), 10)
+		require.NoError(t, err)
+		require.Len(t, entries, 2)
+		require.Equal(t, "1", entries[0].Subject)
+		require.Equal(t, OutcomeUnreadable, entries[1].Outcome)
+	}
+}
+
 // Guards against an entry of a change without its author, its files or the reason why it was refused.
 func TestChangeEntry(t *testing.T) {
 	pf := memory.New()
