--- a/internal/process/mesh/suspects.go
+++ b/internal/process/mesh/suspects.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// cutOffWindow is the time before the end of a target process in which a request that got no answer counts as in progress at
-	// the end: the target's connections break before its node knows that the process has ended.
-	cutOffWindow = 2 * time.Second
+	// cutOffMargin is the time before the last answer of a target in which a request that got none still counts as cut off by the
+	// end of the target process: its connections do not all break at the same moment.
+	cutOffMargin = 100 * time.Millisecond
 	// manyTargets stands for the targets of a service where the node that forwards the request has counted them.
 	manyTargets = 2
-	// maxCutOff bounds the requests without an answer that are remembered for cutOffWindow. Targets have fewer slots.
+	// maxCutOff bounds the requests without an answer that are remembered. Most targets have fewer slots.
 	maxCutOff = 512
 )
 
@@ -78,7 +78,11 @@
 	switch {
 	case r.Outcome == message.Unknown && r.Reason != message.ReasonCancelled:
 		g.cutOff.add(quarantine.FingerprintOf(req), time.Now())
-	case r.Outcome == message.Answered && !p.cfg.Quarantine.Empty():
+	case r.Outcome == message.Answered:
+		g.cutOff.answered(time.Now())
+		if p.cfg.Quarantine.Empty() {
+			return
+		}
 		fp := quarantine.FingerprintOf(req)
 		cleared, ends := p.cfg.Quarantine.Answered(fp, time.Now())
 		if ends == 0 {
@@ -103,7 +107,7 @@
 	for _, req := range p.activeRuns.requestsAt(instance, born) {
 		inProgress = append(inProgress, quarantine.FingerprintOf(&req))
 	}
-	inProgress = append(inProgress, g.cutOff.take(now)...)
+	inProgress = append(inProgress, g.cutOff.take()...)
 	news := p.cfg.Quarantine.Ended(quarantine.EndOf(instance, born), inProgress, now)
 	event.Log(p.cfg.Log, event.TargetEnded, slog.String("instance", instance), slog.Int64("born", born),
 		slog.Int("in_progress", len(inProgress)), slog.Int("suspects", len(news)))
@@ -122,10 +126,12 @@
 	}
 }
 
-// cutOffRequests are the latest requests that a target has not answered. It is safe for concurrent use.
+// cutOffRequests are the requests that a target has not answered since it last answered one: the node may learn much later that the
+// target process had ended. It is safe for concurrent use.
 type cutOffRequests struct {
-	mu   sync.Mutex
-	list []cutOffRequest // in the order of their times
+	mu         sync.Mutex
+	list       []cutOffRequest // in the order of their times
+	lastAnswer time.Time
 }
 
 type cutOffRequest struct {
@@ -133,21 +139,28 @@
 	at          time.Time
 }
 
+// answered records that the target process lives.
+func (c *cutOffRequests) answered(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastAnswer = now
+}
+
 func (c *cutOffRequests) add(fp quarantine.Fingerprint, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.dropOldLocked(now)
+	c.dropLocked()
 	if len(c.list) >= maxCutOff {
 		c.list = c.list[1:]
 	}
 	c.list = append(c.list, cutOffRequest{fp, now})
 }
 
-// take returns the requests within cutOffWindow and forgets them.
-func (c *cutOffRequests) take(now time.Time) []quarantine.Fingerprint {
+// take returns the requests and forgets them.
+func (c *cutOffRequests) take() []quarantine.Fingerprint {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.dropOldLocked(now)
+	c.dropLocked()
 	var out []quarantine.Fingerprint
 	for _, r := range c.list {
 		out = append(out, r.fingerprint)
@@ -156,9 +169,9 @@
 	return out
 }
 
-// dropOldLocked removes the requests from before cutOffWindow. The caller holds the mutex.
-func (c *cutOffRequests) dropOldLocked(now time.Time) {
-	for len(c.list) > 0 && now.Sub(c.list[0].at) > cutOffWindow {
+// dropLocked removes the requests after which the target has still answered others. The caller holds the mutex.
+func (c *cutOffRequests) dropLocked() {
+	for len(c.list) > 0 && c.lastAnswer.Sub(c.list[0].at) > cutOffMargin {
 		c.list = c.list[1:]
 	}
 }
