--- a/test/sidecar/site_test.go
+++ b/test/sidecar/site_test.go
@@ -77,6 +77,7 @@
 	stoppedTargets []*standin.Target
 	targetProxy    *standin.Proxy // to the target
 	peerProxy      *standin.Proxy // to the node, for other nodes
+	replacing      sync.Mutex     // held while the target is stopped and another one started
 	nodeFaults     []nodeFault    // that have begun
 }
 
@@ -90,6 +91,7 @@
 	version    atomic.Uint64
 	config     []byte // as written last
 	told       toldNodes
+	deadly     deadlyRequests
 }
 
 // loopbackNetwork is the network of this process's loopback addresses. It depends on the process ID, so that concurrent
@@ -219,7 +221,9 @@
 		Service: v.service, Slots: 20, Work: 10 * time.Millisecond,
 		CallSuffix:   func() string { return originSuffix(v.number) },
 		CallAnswered: func(r standin.Result) { v.site.told.record(v.number, r) },
+		DeadlyPath:   deadlyPath,
 	}
+	target.Ended = func() { v.site.deadly.endTarget(v, target) }
 	if v.service == "menu" {
 		target.Calls = []string{"/profile/a", "/profile/b"}
 	}
@@ -229,6 +233,15 @@
 	v.target = target
 }
 
+// replaceTarget ends the target of the VM and starts another one after a pause.
+func (v *vm) replaceTarget(pause time.Duration) {
+	v.replacing.Lock()
+	defer v.replacing.Unlock()
+	v.stopTarget()
+	time.Sleep(pause)
+	v.startTarget()
+}
+
 func (v *vm) stopTarget() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -236,6 +249,12 @@
 	v.stoppedTargets = append(v.stoppedTargets, v.target)
 }
 
+func (v *vm) currentTarget() *standin.Target {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.target
+}
+
 // allTargets returns the target and all that ran before on the VM.
 func (v *vm) allTargets() []*standin.Target {
 	v.mu.Lock()
--- a/test/sidecar/soak_test.go
+++ b/test/sidecar/soak_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/platform"
 	"github.com/wigeoncleat/wigeoncleat/platform/standin"
 )
@@ -45,6 +47,8 @@
 	configBound = 7 * time.Second
 	// memoryLimit is the memory limit in the nodes' settings, in bytes.
 	memoryLimit = 284 << 20
+	// maxHeldShare bounds the share of requests that are held because they were in progress when targets ended.
+	maxHeldShare = 0.1
 	// recoveredShare is the share of requests that must succeed once all faults have ended.
 	recoveredShare = 0.99
 )
@@ -52,7 +56,7 @@
 // TestSidecarSoak injects random faults, successive and overlapping, and checks the guarantees at callers and targets:
 // responses are complete and belong to their request, orders run at most once, a request is reported as not run only if that
 // is true, a drained target gets no requests after drainBound, and a target that says in its responses that it leaves or how many
-// requests it takes gets no more from nodes that know. With planned work only, no request that a target runs is cut off.
+// requests it takes gets no more from nodes that know, and a request that ends targets reaches few of them. With planned work only, no request that a target runs is cut off.
 func TestSidecarSoak(t *testing.T) {
 	seeds := append([]uint64{}, regressionSeeds...)
 	for i := range *soakSeeds {
@@ -91,12 +95,15 @@
 	kinds, planned := allFaults, seed%plannedSeeds == 0
 	if planned {
 		kinds = plannedWork
+	} else {
+		load.Go(func() { s.sendDeadly(rand.New(rand.NewPCG(seed, 50)), stop) })
 	}
 	s.injectFaults(seed, time.Now().Add(*soakTime), kinds)
 	close(stop)
 	load.Wait()
 	s.verify(results, planned)
 	s.verifyNotices()
+	s.verifyDeadly()
 	s.verifyRecovery(seed)
 	s.verifyRegistry()
 }
@@ -260,11 +267,9 @@
 func (s *site) faultOfTarget(rng *rand.Rand, v *vm) {
 	switch rng.IntN(6) {
 	case 0: // another instance replaces it
-		v.stopTarget()
-		time.Sleep(randomDuration(rng, time.Second))
-		v.startTarget()
+		v.replaceTarget(randomDuration(rng, time.Second))
 	case 1:
-		v.target.SendEndlessly(randomDuration(rng, 2*time.Second))
+		v.currentTarget().SendEndlessly(randomDuration(rng, 2*time.Second))
 		time.Sleep(randomDuration(rng, 2*time.Second))
 		assert.LessOrEqual(s.t, v.residentMemory(), int64(memoryLimit), "resident memory of %s", v.ip)
 	case 2:
@@ -279,21 +284,20 @@
 func (s *site) replaceOrLimitTarget(rng *rand.Rand, v *vm) {
 	if rng.IntN(2) == 0 {
 		for range 1 + rng.IntN(2) {
-			v.target.NameLimit([]float64{0, 2, 10, 30, 60}[rng.IntN(5)])
+			v.currentTarget().NameLimit([]float64{0, 2, 10, 30, 60}[rng.IntN(5)])
 			time.Sleep(limitSettleTime + limitWindow/2 + randomDuration(rng, limitWindow))
 		}
-		v.target.NameLimit(-1)
+		v.currentTarget().NameLimit(-1)
 		return
 	}
 	if rng.IntN(2) == 0 {
-		v.target.SayLeaving()
+		v.currentTarget().SayLeaving()
 		time.Sleep(randomDuration(rng, 2*drainBound))
 	}
-	if v.target.Drain(drainReportTime) {
+	if v.currentTarget().Drain(drainReportTime) {
 		time.Sleep(drainBound + randomDuration(rng, 500*time.Millisecond))
 	}
-	v.stopTarget()
-	v.startTarget()
+	v.replaceTarget(0)
 }
 
 // faultOfNetwork harms the store, or the links from other nodes to the node of a VM, or changes the configuration.
@@ -346,9 +350,12 @@
 			assert.LessOrEqual(s.t, target.LastRunAfterDrain(), drainBound, "a request reached a target of %s after its drain", v.ip)
 		}
 	}
-	statuses := map[int]int{}
+	statuses, held := map[int]int{}, 0
 	for _, r := range results {
 		statuses[r.Status]++
+		if r.Status == http.StatusServiceUnavailable && strings.HasPrefix(r.Body, message.ReasonQuarantined.String()) {
+			held++
+		}
 		if r.Status == http.StatusOK {
 			want := r.attempt + " /menu/x "
 			if r.order {
@@ -369,7 +376,8 @@
 		}
 		assert.NotContains(s.t, []int{400, 404, 413, 431}, r.Status, "a valid request was rejected")
 	}
-	s.t.Logf("%d requests, statuses %v", len(results), statuses)
+	assert.LessOrEqual(s.t, float64(held), maxHeldShare*float64(len(results)), "requests held that end no target")
+	s.t.Logf("%d requests, statuses %v, %d held", len(results), statuses, held)
 }
 
 // verifyRecovery checks that the system has recovered: every node serves the newest configuration and nearly every request.
