--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -32,6 +32,8 @@
 	retention = 10 * time.Minute
 	// heldRetention is the same time for a suspect that is held.
 	heldRetention = 24 * time.Hour
+	// maxAge bounds the age that a record of another node can state, in milliseconds. At that age it is forgotten in any case.
+	maxAge = int64(2 * heldRetention / time.Millisecond)
 	// maxRecords bounds the memory for records, at about 200 bytes each.
 	maxRecords = 4096
 	// maxStoredEnds bounds the ends of one record.
@@ -209,7 +211,8 @@
 		t.removeLocked(in.Fingerprint)
 		have = nil
 	}
-	next := record{answers: in.Answers, lastEnd: now.Add(-time.Duration(max(0, in.Age)) * time.Millisecond)}
+	age := time.Duration(min(max(0, in.Age), maxAge)) * time.Millisecond
+	next := record{answers: in.Answers, lastEnd: now.Add(-age)}
 	switch {
 	case have == nil || in.Answers > have.answers:
 		next.ends = union(nil, in.Ends)
