--- a/internal/process/mesh/suspects.go
+++ b/internal/process/mesh/suspects.go
@@ -53,9 +53,11 @@
 	case quarantine.Held:
 		return p.quarantined(message.StepAdmit, fp)
 	case quarantine.Trial:
-		if !p.cfg.Quarantine.BeginTrial(fp, now) {
+		begun, ok := p.cfg.Quarantine.BeginTrial(fp, now)
+		if !ok {
 			return p.quarantined(message.StepAdmit, fp)
 		}
+		p.cfg.Suspected([]quarantine.Record{begun})
 		event.Log(p.cfg.Log, event.SuspectTried, slog.String("id", req.Attempt), slog.String("fingerprint", fp.String()))
 	case quarantine.Free:
 	}
@@ -80,9 +82,6 @@
 		g.cutOff.add(quarantine.FingerprintOf(req), time.Now())
 	case r.Outcome == message.Answered:
 		g.cutOff.answered(time.Now())
-		if p.cfg.Quarantine.Empty() {
-			return
-		}
 		fp := quarantine.FingerprintOf(req)
 		cleared, ends := p.cfg.Quarantine.Answered(fp, time.Now())
 		if ends == 0 {
--- a/internal/process/mesh/suspects_test.go
+++ b/internal/process/mesh/suspects_test.go
@@ -81,7 +81,9 @@
 		time.AfterFunc(spreadTime, func() {
 			for _, other := range f.nodes {
 				if other != n && !f.isDown(other.index) {
-					other.table.Merge(list, time.Now())
+					if _, cleared := other.table.Merge(list, time.Now()); len(cleared) > 0 {
+						other.proxy.cfg.Suspected(cleared)
+					}
 				}
 			}
 		})
--- a/internal/process/quarantine/fingerprint.go
+++ b/internal/process/quarantine/fingerprint.go
@@ -46,7 +46,7 @@
 		return 0
 	}
 	b := append([]byte(nil), fp[:]...)
-	b = binary.LittleEndian.AppendUint64(b, r.answers)
+	b = append(binary.LittleEndian.AppendUint64(b, r.answers), r.trials)
 	for _, end := range r.ends {
 		b = binary.LittleEndian.AppendUint64(b, uint64(end))
 	}
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -3,8 +3,8 @@
 // When a target process ends, the node beside it knows which requests were in progress, but not whether one of them was the cause.
 // All of them become suspects. A suspect that was in progress at MaxEnds ends and was never answered in between is held: nodes
 // refuse it for a while, and then let it run once, as a trial. An answer ends the suspicion, because a request that crashes its
-// targets is never answered. So a request that was in progress by chance is released soon, and one that crashes targets runs
-// rarely.
+// targets is never answered. For the same reason a request that was answered shortly before an end does not become a suspect. So a
+// request that was in progress by chance is released soon, and one that crashes targets runs rarely.
 //
 // Each attempt of a caller has another ID, so a request is recognised by its content. Nodes exchange their records, and the result
 // of Merge does not depend on the order in which they arrive.
@@ -41,12 +41,11 @@
 	// lastTargetHold is the time for which a suspect is held in any case while its service has one target left: a trial could end that
 	// one before the others are back.
 	lastTargetHold = 10 * time.Second
-	// trialTimeout is the time after the start of a trial without a result from which another one may start.
-	trialTimeout = 5 * time.Second
 )
 
-// holdTimes are the times for which a suspect is held after each end from MaxEnds on. After the last one there is no other trial
-// until the record is forgotten: operators accept three further targets that one request crashes.
+// holdTimes are the times for which a suspect is held, each longer after an end from MaxEnds on, or after the start of a trial: the node
+// of the trial may be lost before it can tell the result. After the last one there is no other trial until the record is forgotten:
+// operators accept three further targets that one request crashes.
 var holdTimes = [...]time.Duration{2 * time.Second, 10 * time.Second, 2 * time.Minute}
 
 // Verdict says whether a request may run.
@@ -68,8 +67,10 @@
 	// Answers counts the answers that ended a suspicion. Of two records with different counts, the higher one holds.
 	Answers uint64 `cbor:"2,keyasint,omitempty"`
 	Ends    []End  `cbor:"3,keyasint,omitempty"` // since the last answer, in ascending order
-	// Age is the time since the newest end, in milliseconds when the record was sent.
-	Age int64 `cbor:"4,keyasint,omitempty"`
+	// Age is the time since the newest end, TrialAge that since the start of the latest trial, in milliseconds when the record was sent.
+	Age      int64 `cbor:"4,keyasint,omitempty"`
+	Trials   uint8 `cbor:"5,keyasint,omitempty"` // since the last answer
+	TrialAge int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Held reports whether the suspect was in progress at enough ends to be held.
@@ -80,11 +81,16 @@
 	answers uint64
 	ends    []End // in ascending order; never changed, so that records that were sent stay valid
 	lastEnd time.Time
-	trial   time.Time // start of the latest trial at this node's target
+	trials  uint8
+	trial   time.Time // start of the latest trial
 }
 
 func (r *record) export(fp Fingerprint, now time.Time) Record {
-	return Record{fp, r.answers, r.ends, now.Sub(r.lastEnd).Milliseconds()}
+	out := Record{Fingerprint: fp, Answers: r.answers, Ends: r.ends, Age: now.Sub(r.lastEnd).Milliseconds(), Trials: r.trials}
+	if r.trials > 0 {
+		out.TrialAge = now.Sub(r.trial).Milliseconds()
+	}
+	return out
 }
 
 func (r *record) expired(now time.Time) bool {
@@ -96,24 +102,28 @@
 }
 
 func (r *record) verdict(now time.Time) Verdict {
-	n := len(r.ends) - MaxEnds
-	switch {
-	case n < 0:
+	if len(r.ends) < MaxEnds {
 		return Free
-	case n >= len(holdTimes) || now.Sub(r.lastEnd) < holdTimes[n]:
+	}
+	since := r.lastEnd
+	if r.trial.After(since) {
+		since = r.trial
+	}
+	n := max(len(r.ends)-MaxEnds, int(r.trials))
+	if n >= len(holdTimes) || now.Sub(since) < holdTimes[n] {
 		return Held
-	default:
-		return Trial
 	}
+	return Trial
 }
 
 // Table holds the suspects that a node knows of.
 type Table struct {
 	size atomic.Int64 // of records; lets requests pass without the mutex while there is no suspect
 
-	mu      sync.Mutex
-	records map[Fingerprint]*record
-	sum     uint64 // see Sum
+	mu       sync.Mutex
+	records  map[Fingerprint]*record
+	sum      uint64 // see Sum
+	answered recentAnswers
 }
 
 // New returns an empty table.
@@ -145,27 +155,30 @@
 	return r == nil || len(r.ends) < maxRetryEnds
 }
 
-// BeginTrial reports whether the request may run at this node's target now as its trial, and if so records that.
-func (t *Table) BeginTrial(fp Fingerprint, now time.Time) bool {
+// BeginTrial reports whether the request may run at this node's target now as its trial, and if so returns the new record.
+func (t *Table) BeginTrial(fp Fingerprint, now time.Time) (begun Record, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[fp]
-	if r == nil {
-		return true
-	}
-	if r.verdict(now) != Trial || now.Sub(r.trial) < trialTimeout {
-		return false
+	if r == nil || r.verdict(now) != Trial {
+		return Record{}, false
 	}
-	r.trial = now
-	return true
+	next := *r
+	next.trials, next.trial = r.trials+1, now
+	t.putLocked(fp, &next)
+	return next.export(fp, now), true
 }
 
-// Ended records the end of a target process with the requests that were in progress there. It returns their records.
+// Ended records the end of a target process with the requests that were in progress there. It returns the records of those that are
+// suspects.
 func (t *Table) Ended(end End, inProgress []Fingerprint, now time.Time) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Record
 	for _, fp := range inProgress {
+		if t.answered.has(fp, now) {
+			continue
+		}
 		var answers uint64
 		if r := t.records[fp]; r != nil {
 			answers = r.answers
@@ -177,11 +190,17 @@
 	return out
 }
 
-// Answered records that a target has answered a request. It returns the new record and the number of ends that were held against
-// the request; zero: it was no suspect.
+// Answered records that this node's target has answered a request. It returns the new record and the number of ends that were held
+// against the request; zero: it was no suspect.
 func (t *Table) Answered(fp Fingerprint, now time.Time) (cleared Record, ends int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.answered.add(fp, now)
+	return t.clearLocked(fp, now)
+}
+
+// clearLocked ends the suspicion of a request. The caller holds the mutex.
+func (t *Table) clearLocked(fp Fingerprint, now time.Time) (cleared Record, ends int) {
 	r := t.records[fp]
 	if r == nil || len(r.ends) == 0 {
 		return Record{}, 0
@@ -191,17 +210,24 @@
 	return t.records[fp].export(fp, now), ends
 }
 
-// Merge adds the records of another node and returns those that were news.
-func (t *Table) Merge(list []Record, now time.Time) []Record {
+// Merge adds the records of another node and returns those that were news. Suspects that this node's target has answered shortly before
+// are cleared, and their records, which the other node lacks, are returned too.
+func (t *Table) Merge(list []Record, now time.Time) (news, cleared []Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []Record
 	for _, r := range list {
-		if t.mergeLocked(r, now) {
-			out = append(out, t.records[r.Fingerprint].export(r.Fingerprint, now))
+		if !t.mergeLocked(r, now) {
+			continue
 		}
+		if t.answered.has(r.Fingerprint, now) {
+			if c, ends := t.clearLocked(r.Fingerprint, now); ends > 0 {
+				cleared = append(cleared, c)
+				continue
+			}
+		}
+		news = append(news, t.records[r.Fingerprint].export(r.Fingerprint, now))
 	}
-	return out
+	return news, cleared
 }
 
 // mergeLocked merges one record and reports whether that changed anything. The caller holds the mutex.
@@ -211,8 +237,10 @@
 		t.removeLocked(in.Fingerprint)
 		have = nil
 	}
-	age := time.Duration(min(max(0, in.Age), maxAge)) * time.Millisecond
-	next := record{answers: in.Answers, lastEnd: now.Add(-age)}
+	next := record{answers: in.Answers, lastEnd: now.Add(-duration(in.Age)), trials: in.Trials}
+	if in.Trials > 0 {
+		next.trial = now.Add(-duration(in.TrialAge))
+	}
 	switch {
 	case have == nil || in.Answers > have.answers:
 		next.ends = union(nil, in.Ends)
@@ -220,10 +248,12 @@
 		return false
 	default:
 		next.ends = union(have.ends, in.Ends)
-		if slices.Equal(next.ends, have.ends) {
+		if slices.Equal(next.ends, have.ends) && next.trials <= have.trials {
 			return false
 		}
-		next.trial = have.trial
+		if have.trials >= next.trials {
+			next.trials, next.trial = have.trials, have.trial
+		}
 		if have.lastEnd.After(next.lastEnd) {
 			next.lastEnd = have.lastEnd
 		}
@@ -238,6 +268,11 @@
 	return true
 }
 
+// duration returns an age of a record.
+func duration(milliseconds int64) time.Duration {
+	return time.Duration(min(max(0, milliseconds), maxAge)) * time.Millisecond
+}
+
 // union returns the ends of both lists in ascending order, at most maxStoredEnds.
 func union(a, b []End) []End {
 	out := slices.Concat(a, b)
--- a/internal/process/quarantine/quarantine_test.go
+++ b/internal/process/quarantine/quarantine_test.go
@@ -34,7 +34,7 @@
 
 	now, runs := start, 0
 	for n := int64(4); now.Sub(start) < 12*time.Hour; now = now.Add(100 * time.Millisecond) {
-		if table.Check(fp, 4, now) == Trial && table.BeginTrial(fp, now) {
+		if _, ok := table.BeginTrial(fp, now); ok {
 			runs++
 			endAll(table, now, fp, n)
 			n++
@@ -50,8 +50,8 @@
 	endAll(table, start, fp, 1, 2, 3)
 	now := start.Add(holdTimes[0])
 	require.Equal(t, Trial, table.Check(fp, 4, now))
-	require.True(t, table.BeginTrial(fp, now))
-	require.False(t, table.BeginTrial(fp, now), "one at a time")
+	requireTrial(t, true, table, fp, now)
+	requireTrial(t, false, table, fp, now) // one at a time
 	cleared, ends := table.Answered(fp, now)
 	require.Equal(t, 3, ends)
 	require.Equal(t, Free, table.Check(fp, 4, now))
@@ -81,8 +81,58 @@
 	table, fp := New(), fingerprint("/a")
 	endAll(table, start, fp, 1, 2, 3)
 	now := start.Add(holdTimes[0])
-	require.True(t, table.BeginTrial(fp, now))
-	require.True(t, table.BeginTrial(fp, now.Add(trialTimeout)))
+	requireTrial(t, true, table, fp, now)
+	requireTrial(t, true, table, fp, now.Add(holdTimes[1]))
+}
+
+func requireTrial(t *testing.T, want bool, table *Table, fp Fingerprint, now time.Time) {
+	t.Helper()
+	_, ok := table.BeginTrial(fp, now)
+	require.Equal(t, want, ok)
+}
+
+// Guards against more trials than operators accept because the nodes at which they ran were lost before they could tell the result, or
+// because a second node begins one meanwhile.
+func TestTrialsCountWithoutTheirResults(t *testing.T) {
+	table, other, fp := New(), New(), fingerprint("/a")
+	endAll(table, start, fp, 1, 2, 3)
+	trials := 0
+	for now := start; now.Sub(start) < time.Hour; now = now.Add(100 * time.Millisecond) {
+		other.Merge(table.Records(10, nil, now), now)
+		table.Merge(other.Records(10, nil, now), now)
+		for _, node := range []*Table{table, other} {
+			if begun, ok := node.BeginTrial(fp, now); ok {
+				trials++
+				table.Merge([]Record{begun}, now)
+				other.Merge([]Record{begun}, now)
+			}
+		}
+	}
+	require.Equal(t, len(holdTimes), trials)
+	require.Equal(t, table.Sum(), other.Sum())
+}
+
+// Guards against requests that are held although targets answer them all the time, because the ends become known late or at a node whose
+// own target has answered none.
+func TestRequestThatTargetsAnswerIsNoSuspect(t *testing.T) {
+	table, other, fp := New(), New(), fingerprint("/a")
+	table.Answered(fp, start)
+	endAll(table, start.Add(answerWindow-time.Millisecond), fp, 1, 2, 3)
+	require.Equal(t, Free, table.Check(fp, 4, start.Add(answerWindow)))
+
+	endAll(other, start.Add(time.Second), fp, 1, 2, 3)
+	_, cleared := table.Merge(other.Records(10, nil, start.Add(time.Second)), start.Add(time.Second))
+	require.Len(t, cleared, 1)
+	other.Merge(cleared, start.Add(time.Second))
+	require.Equal(t, Free, other.Check(fp, 4, start.Add(time.Second)))
+
+	later := start.Add(3 * answerWindow)
+	endAll(table, later, fp, 4, 5, 6)
+	require.Equal(t, Held, table.Check(fp, 4, later), "it may crash targets since")
+	for i := range 3 * maxAnswers {
+		table.Answered(fingerprint(fmt.Sprint(i)), later)
+	}
+	require.LessOrEqual(t, len(table.answered.current)+len(table.answered.previous), 2*maxAnswers)
 }
 
 // Guards against requests that are told apart although they are the same, and the reverse.
@@ -109,22 +159,27 @@
 	r := rand.New(rand.NewPCG(1, 2))
 	a := New()
 	var news []Record
+	now := start
 	for n := range 200 {
 		fp := fingerprint(fmt.Sprint(r.IntN(10)))
-		if r.IntN(4) == 0 {
-			cleared, ends := a.Answered(fp, start)
-			if ends > 0 {
+		switch now = now.Add(time.Second); r.IntN(8) {
+		case 0:
+			if cleared, ends := a.Answered(fp, now); ends > 0 {
 				news = append(news, cleared)
 			}
-			continue
+		case 1:
+			if begun, ok := a.BeginTrial(fp, now); ok {
+				news = append(news, begun)
+			}
+		default:
+			news = append(news, a.Ended(EndOf("i", int64(n)), []Fingerprint{fp}, now)...)
 		}
-		news = append(news, a.Ended(EndOf("i", int64(n)), []Fingerprint{fp}, start)...)
 	}
 	for range 20 {
 		b := New()
 		r.Shuffle(len(news), func(i, j int) { news[i], news[j] = news[j], news[i] })
-		b.Merge(news, start)
-		b.Merge(news[:50], start)
+		b.Merge(news, now)
+		b.Merge(news[:50], now)
 		require.Equal(t, a.Sum(), b.Sum())
 	}
 	require.NotZero(t, a.Sum())
--- a/internal/process/sidecar/sync.go
+++ b/internal/process/sidecar/sync.go
@@ -372,7 +372,10 @@
 	if msg.OwnEntryComplete && !s.ownStateRecovered.Swap(true) {
 		s.applyTarget()
 	}
-	suspects := s.quarantine.Merge(msg.Suspects, time.Now())
+	suspects, cleared := s.quarantine.Merge(msg.Suspects, time.Now())
+	if len(cleared) > 0 {
+		s.suspectNews.add(cleared)
+	}
 	if msg.Relay {
 		s.pendingRelay.add(changed)
 		s.pendingRelay.suspects = append(s.pendingRelay.suspects, suspects...)
