--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -110,8 +110,8 @@
 	failures   balance.FailureRate // its clock starts at attachedAt
 	windows    window.Set          // limits on runs in progress, by route
 	rate       *ratelimit.Limiter  // limit on requests per second that the target names
-	cutOff     cutOffRequests
-	ended      atomic.Bool // TargetEnded was called
+	cutOff     *cutOffRequests     // of the target process
+	ended      atomic.Bool         // TargetEnded was called
 }
 
 // New returns a proxy without an attached target.
@@ -135,6 +135,10 @@
 	control.SetRate(rate)
 	g := &attachedTarget{
 		service: service, instance: instance, born: born, control: control, target: target, attachedAt: time.Now(), rate: rate,
+		cutOff: &cutOffRequests{},
+	}
+	if before := p.latestTarget.Load(); before != nil && before.instance == instance && before.born == born {
+		g.cutOff = before.cutOff // the process was only detached
 	}
 	p.latestTarget.Store(g)
 	if old := p.attachedTarget.Swap(g); old != nil {
--- a/internal/process/mesh/suspects.go
+++ b/internal/process/mesh/suspects.go
@@ -16,6 +16,8 @@
 	cutOffMargin = 100 * time.Millisecond
 	// manyTargets stands for the targets of a service where the node that forwards the request has counted them.
 	manyTargets = 2
+	// maxHeldLines bounds the log lines about suspects for one end of a target.
+	maxHeldLines = 10
 	// maxCutOff bounds the requests without an answer that are remembered. Most targets have fewer slots.
 	maxCutOff = 512
 )
@@ -118,9 +120,11 @@
 
 // logHeld logs which of the suspects are held.
 func (p *Proxy) logHeld(news []quarantine.Record) {
+	logged := 0
 	for _, r := range news {
-		if r.Held() {
-			p.cfg.Limiter.Log(p.cfg.Log, event.SuspectHeld, slog.String("fingerprint", r.Fingerprint.String()), slog.Int("ends", len(r.Ends)))
+		if r.Held() && logged < maxHeldLines {
+			logged++
+			event.Log(p.cfg.Log, event.SuspectHeld, slog.String("fingerprint", r.Fingerprint.String()), slog.Int("ends", len(r.Ends)))
 		}
 	}
 }
--- a/internal/process/mesh/suspects_test.go
+++ b/internal/process/mesh/suspects_test.go
@@ -300,3 +300,25 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against a request that ends a target and is forgotten because its node detaches and attaches the target again before it learns of
+// the end, as it does when connections fail.
+func TestRequestsCutOffOutliveADetach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(t, 1)
+		n := f.nodes[0]
+		limits := admission.Limits{Slots: 10, Connections: 10, QueueLength: 10, QueueMaxWait: time.Second}
+		req := delivered("a", 0, 1<<8)
+		req.Path, req.Instance, req.Deadline = "/menu/slow", n.instance(), time.Now().Add(5*time.Second)
+		done := make(chan *message.Response)
+		go func() { done <- n.proxy.Deliver(t.Context(), req) }()
+		time.Sleep(10 * time.Millisecond)
+		close(n.ended)
+		require.Equal(t, message.Unknown, (<-done).Outcome)
+		n.proxy.DetachTarget()
+		n.proxy.AttachTarget("menu", n.instance(), n.born, admission.New(limits), n)
+		n.proxy.TargetEnded(n.instance(), n.born)
+		require.Len(t, n.table.Records(10, nil, time.Now()), 1)
+		time.Sleep(time.Minute)
+	})
+}
