--- a/internal/process/mesh/suspects.go
+++ b/internal/process/mesh/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"sync"
 	"time"
 
@@ -76,14 +77,17 @@
 	return p.cfg.Quarantine.Empty() || p.cfg.Quarantine.MayRetry(quarantine.FingerprintOf(req))
 }
 
-// observeSuspect records the result of a request that was sent to the attached target: an answer ends a suspicion, and a request
-// without one may have been in progress when the target ended.
+// observeSuspect records the result of a request that was sent to the attached target: an answer that is no failure ends a suspicion,
+// and a request without an answer may have been in progress when the target ended.
 func (p *Proxy) observeSuspect(g *attachedTarget, req *message.Request, r *message.Response) {
 	switch {
 	case r.Outcome == message.Unknown && r.Reason != message.ReasonCancelled:
 		g.cutOff.add(quarantine.FingerprintOf(req), time.Now())
 	case r.Outcome == message.Answered:
 		g.cutOff.answered(time.Now())
+		if r.Status >= http.StatusInternalServerError {
+			return // it may have failed before the point at which it would crash the target, for example because of a call
+		}
 		fp := quarantine.FingerprintOf(req)
 		cleared, ends := p.cfg.Quarantine.Answered(fp, time.Now())
 		if ends == 0 {
--- a/internal/process/mesh/suspects_test.go
+++ b/internal/process/mesh/suspects_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +39,8 @@
 	born  int64
 	ended chan struct{} // closed at the end of the target process
 	runs  map[string]int
+
+	failing atomic.Bool // calls of the target fail, so that it answers with a failure at once
 }
 
 const (
@@ -129,6 +132,9 @@
 	n.runs[req.Path]++
 	ended := n.ended
 	n.fleet.mu.Unlock()
+	if n.failing.Load() {
+		return &message.Response{Outcome: message.Answered, Status: http.StatusInternalServerError, DownstreamFailed: true}
+	}
 	work := 50 * time.Millisecond
 	if strings.Contains(req.Path, "deadly") {
 		time.Sleep(time.Millisecond)
@@ -255,6 +261,29 @@
 	}
 }
 
+// Guards against a request that crashes targets and is released because a target answered its trial with a failure, before the point
+// at which it would have crashed.
+func TestFailureIsNoProofOfInnocence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(t, 6)
+		deadly := func(int) string { return "/menu/deadly" }
+		f.send(time.Second, 50*time.Millisecond, deadly)
+		require.GreaterOrEqual(t, len(f.ends), 3)
+		time.Sleep(restartTime)
+		for _, n := range f.nodes {
+			n.failing.Store(true)
+		}
+		before := len(f.ends)
+		f.send(time.Second, 50*time.Millisecond, deadly)
+		for _, n := range f.nodes {
+			n.failing.Store(false)
+		}
+		f.send(8*time.Second, 50*time.Millisecond, deadly)
+		require.Len(t, f.ends, before)
+		time.Sleep(time.Minute)
+	})
+}
+
 // Guards against several requests that crash targets at once, which hide behind one another.
 func TestSeveralRequestsThatCrashTargetsAreHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
