entry: end connections on which requests are always in progress when the server stops

Cause: a response announced the end of its connection only if no other request was pending or arriving. The condition is there because requests behind such a response count as unread, but nothing made it come true while the caller kept sending.

Change: from the start of a stop a connection reads no request after those that are pending or arriving. The last of them is known then, and its response announces the end; callers send again what they sent behind it.

Evidence: TestStopEndsAConnectionThatIsNeverIdle and TestRequestThatArrivesDuringAStopEndsItsConnection fail before (the end is never announced within 50 responses; the response of the request that arrived during the stop does not announce it) and pass after.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -303,6 +303,7 @@
 	c.lastDone = done
 	c.pending++
 	c.reading = false
+	c.closed = c.srv.closing.Load() // the last one: its response announces the end of the connection
 	c.mu.Unlock()
 	c.srv.active.Add(1)
 	go func() {
@@ -380,6 +381,14 @@
 	_, _ = io.Copy(io.Discard, c.nc)
 }
 
+// endAfterPending reads no request after those that are pending or arriving. Responses cannot announce the end of the connection
+// while a caller always has further requests on it.
+func (c *conn) endAfterPending() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = c.closed || c.pending > 0 && !c.reading // a request that is arriving ends the connection in dispatch
+}
+
 // closeIdle ends the connection if no request is pending or arriving, and reports whether it did.
 func (c *conn) closeIdle() bool {
 	c.mu.Lock()
--- a/internal/connection/entry/entry.go
+++ b/internal/connection/entry/entry.go
@@ -76,8 +76,8 @@
 	maxConns int
 	bodies   *memory.Budget // for the bodies of pending requests
 
-	active    atomic.Int64 // requests that were read and not answered yet
-	closing   atomic.Bool
+	active    atomic.Int64              // requests that were read and not answered yet
+	closing   atomic.Bool               // each connection ends with the requests that have begun to arrive
 	closeTime atomic.Pointer[time.Time] // when idle connections and listeners are closed; nil: not set
 
 	mu        sync.Mutex
@@ -153,15 +153,28 @@
 // Active returns the number of requests that were read and not answered yet.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
-// Connections returns the number of open connections.
+// Connections returns the number of open connections, also of those that wait for their callers to read the last response.
 func (s *Server) Connections() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.conns)
 }
 
-// DisableKeepAlives ends each connection with the response to its last pending request. New connections are still served.
-func (s *Server) DisableKeepAlives() { s.closing.Store(true) }
+// DisableKeepAlives ends each connection with the response to its last request that has begun to arrive, or to its next one if
+// there is none. What callers send behind that is not read. New connections are still served.
+func (s *Server) DisableKeepAlives() {
+	s.closing.Store(true)
+	s.forEach((*conn).endAfterPending)
+}
+
+// forEach calls the function for each connection.
+func (s *Server) forEach(f func(*conn)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		f(c)
+	}
+}
 
 // CloseIdle disables keep-alives and, after CloseDelay, stops accepting and closes the connections without pending requests.
 // It returns at once. A listener without SetDeadline is closed without delay.
