Refuse requests that arrive too late in a graceful stop, and wait for callers to read the last response

What callers saw: a request whose header or body was still arriving when a node stopped was taken at any time of the grace period, passed on, and cut off with the process, orders among them.

Cause: new connections end 2.5 s after SIGTERM, but a request that has begun to arrive on an open one only had the usual times, 3 s for the header and 30 s for the body. The steps of a stop did not fit into a short grace period either, and a body that stopped arriving ended its connection without a response, with all requests before it.

Change: 3 s after SIGTERM, or half of a shorter grace period, what has not arrived completely is refused with 503: it has not run, and will not. A body that stops arriving gets 408. The steps of a stop are scaled to a grace period shorter than 6 s. The process also waits for connections whose callers may still read the last response: its end would reset those with unread bytes (suspected only; no run shows a lost response). The logs of a stop tell what it waits for: requests of callers, those that are arriving, connections, requests of other nodes, and those at the target (events 102, 103 and 110, new).

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -47,6 +47,7 @@
 	r         io.Reader
 	remaining int  // bytes that may still be read; negative: no limit
 	exceeded  bool // a read failed with errHeaderSize
+	expired   bool // a read failed because of its deadline; a parser can report that as malformed input
 }
 
 var errHeaderSize = errors.New("header exceeds its limit")
@@ -63,6 +64,7 @@
 	if l.remaining > 0 {
 		l.remaining -= n
 	}
+	l.expired = l.expired || errors.Is(err, os.ErrDeadlineExceeded)
 	return n, err
 }
 
@@ -136,10 +138,25 @@
 		return errServerClosed
 	}
 	c.reading = true
-	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.setArrivalDeadlineLocked(limits.HeaderTimeout)
 	return nil
 }
 
+// setArrivalDeadline limits the time for the rest of a request to arrive. None is left once the server takes no further requests.
+func (c *conn) setArrivalDeadline(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setArrivalDeadlineLocked(d)
+}
+
+// setArrivalDeadlineLocked is setArrivalDeadline for callers that hold the mutex.
+func (c *conn) setArrivalDeadlineLocked(d time.Duration) {
+	if c.srv.refusing.Load() {
+		d = 0
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(d))
+}
+
 // setIdleDeadline sets the deadline for the next request to arrive while none is pending. The caller holds the mutex.
 func (c *conn) setIdleDeadline(idle time.Duration) {
 	deadline := time.Time{}
@@ -200,6 +217,7 @@
 func (c *conn) readRequest(limits Limits) (*Request, error) {
 	arrived := time.Now()
 	c.in.remaining, c.in.exceeded = max(0, limits.HeaderBytes-c.br.Buffered())+readBuffer, false
+	c.in.expired = false
 	hr, err := http.ReadRequest(c.br)
 	if err != nil {
 		return nil, c.headerError(err)
@@ -218,16 +236,23 @@
 			return nil, err
 		}
 	}
+	if c.srv.refusing.Load() {
+		r.memory.Release()
+		return nil, errStopping
+	}
 	return r, nil
 }
 
+// errStopping rejects a request that has not arrived before the server stops.
+var errStopping = &RejectError{http.StatusServiceUnavailable, "the node stops and takes no further requests"}
+
 // headerError returns a RejectError for a header that cannot be read, or err if the connection itself has failed.
 func (c *conn) headerError(err error) error {
 	switch {
 	case c.in.exceeded:
 		return &RejectError{http.StatusRequestHeaderFieldsTooLarge, errHeaderSize.Error()}
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &RejectError{http.StatusRequestTimeout, "header did not arrive in time"}
+	case c.in.expired:
+		return c.lateError("header did not arrive in time")
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
 		return err
 	default:
@@ -235,6 +260,14 @@
 	}
 }
 
+// lateError returns the error for a request that did not arrive in time.
+func (c *conn) lateError(detail string) error {
+	if c.srv.refusing.Load() {
+		return errStopping
+	}
+	return &RejectError{http.StatusRequestTimeout, detail}
+}
+
 func isNetError(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op)
@@ -253,7 +286,7 @@
 
 func (c *conn) readBody(r *Request, limits Limits) error {
 	hr := r.Request
-	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	c.setArrivalDeadline(bodyTimeout)
 	if strings.EqualFold(hr.Header.Get("Expect"), "100-continue") {
 		if err := c.sendContinue(); err != nil {
 			return err
@@ -268,6 +301,8 @@
 		return errMemory
 	case errors.Is(err, memory.ErrSize):
 		return &RejectError{http.StatusRequestEntityTooLarge, "body exceeds its limit"}
+	case c.in.expired:
+		return c.lateError("body did not arrive in time")
 	case isNetError(err), errors.Is(err, io.ErrUnexpectedEOF):
 		return err
 	default:
@@ -389,6 +424,15 @@
 	c.closed = c.closed || c.pending > 0 && !c.reading // a request that is arriving ends the connection in dispatch
 }
 
+// refuseArriving ends the wait for the rest of a request.
+func (c *conn) refuseArriving() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		_ = c.nc.SetReadDeadline(time.Now())
+	}
+}
+
 // closeIdle ends the connection if no request is pending or arriving, and reports whether it did.
 func (c *conn) closeIdle() bool {
 	c.mu.Lock()
--- a/internal/connection/entry/drain_test.go
+++ b/internal/connection/entry/drain_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -53,3 +56,88 @@
 		require.True(t, last)
 	})
 }
+
+// Guards against a request whose body arrives so late in a stop that the process ends before the response: it must be refused as not
+// run, also behind other requests, and whether it is half read in its header, its body or in chunks.
+func TestRequestThatArrivesTooLateInAStopIsRefused(t *testing.T) {
+	for name, half := range map[string]string{
+		"header":        "POST /x HTTP/1.1\r\nHost: x\r\nContent-Le",
+		"body":          "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\nhalf",
+		"chunks":        "POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"expected body": "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\nExpect: 100-continue\r\n\r\n",
+	} {
+		for _, before := range []string{"", get("/50ms/before")} {
+			t.Run(name+strings.TrimSuffix(strings.ReplaceAll(before[:min(len(before), 17)], "/", " "), " HTTP"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c, br, h, s := connect(t)
+					go func() { _, _ = io.WriteString(c, before+half) }()
+					time.Sleep(100 * time.Millisecond)
+					s.CloseIdle()
+					time.Sleep(time.Second)
+					s.RefuseArriving()
+					if before != "" {
+						_, body, last := read(t, br)
+						require.Equal(t, "/50ms/before ", body)
+						require.False(t, last)
+					}
+					status, _, last := read(t, br)
+					if status == http.StatusContinue {
+						status, _, last = read(t, br)
+					}
+					require.Equal(t, http.StatusServiceUnavailable, status)
+					require.True(t, last)
+					require.NotContains(t, h.seen, "/x")
+				})
+			})
+		}
+	}
+}
+
+// Guards against a request that was complete when the rest of the stop's arrivals were refused, and is refused with them.
+func TestCompleteRequestIsNotRefusedInAStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, br, _, s := connect(t)
+		write(t, c, get("/1s/a"))
+		synctest.Wait()
+		s.CloseIdle()
+		s.RefuseArriving()
+		status, body, last := read(t, br)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, "/1s/a ", body)
+		require.True(t, last)
+	})
+}
+
+// Guards against a body that stops arriving and that ends its connection without a response, with all requests before it.
+func TestBodyThatStopsArrivingIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, br, h, _ := connect(t)
+		write(t, c, get("/1s/a")+"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\nhalf")
+		status, body, _ := read(t, br)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, "/1s/a ", body)
+		status, _, last := read(t, br)
+		require.Equal(t, http.StatusRequestTimeout, status)
+		require.True(t, last)
+		require.Equal(t, []string{"/1s/a"}, h.seen)
+	})
+}
+
+// Guards against a process that exits while a caller has not read its last response: the exit resets a connection with unread bytes,
+// and the response can be lost. Such a connection must count until its caller had time to read.
+func TestConnectionCountsWhileItsCallerMayStillRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, br, _, s := connect(t)
+		write(t, c, get("/100ms/a"))
+		synctest.Wait()
+		s.CloseIdle()
+		_, _, last := read(t, br)
+		require.True(t, last)
+		synctest.Wait()
+		require.Equal(t, 1, s.Connections())
+		time.Sleep(lingerTime)
+		synctest.Wait()
+		require.Zero(t, s.Connections())
+		_ = c.Close()
+	})
+}
--- a/internal/connection/entry/entry.go
+++ b/internal/connection/entry/entry.go
@@ -78,6 +78,7 @@
 
 	active    atomic.Int64              // requests that were read and not answered yet
 	closing   atomic.Bool               // each connection ends with the requests that have begun to arrive
+	refusing  atomic.Bool               // requests that have not arrived completely are rejected
 	closeTime atomic.Pointer[time.Time] // when idle connections and listeners are closed; nil: not set
 
 	mu        sync.Mutex
@@ -160,6 +161,19 @@
 	return len(s.conns)
 }
 
+// Arriving returns the number of requests that have begun to arrive and are not complete.
+func (s *Server) Arriving() int {
+	n := 0
+	s.forEach(func(c *conn) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.reading {
+			n++
+		}
+	})
+	return n
+}
+
 // DisableKeepAlives ends each connection with the response to its last request that has begun to arrive, or to its next one if
 // there is none. What callers send behind that is not read. New connections are still served.
 func (s *Server) DisableKeepAlives() {
@@ -176,6 +190,12 @@
 	}
 }
 
+// RefuseArriving rejects the requests that have begun to arrive and are not complete, with status 503.
+func (s *Server) RefuseArriving() {
+	s.refusing.Store(true)
+	s.forEach((*conn).refuseArriving)
+}
+
 // CloseIdle disables keep-alives and, after CloseDelay, stops accepting and closes the connections without pending requests.
 // It returns at once. A listener without SetDeadline is closed without delay.
 func (s *Server) CloseIdle() {
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -13,6 +13,7 @@
 	ServerFailed        = Event{106, slog.LevelError, "server failed", "Check that the address in the settings is free and belongs to this VM."}
 	AuditEncodingFailed = Event{108, slog.LevelError, "audit entry of a change could not be encoded", "Report the line with the lines around it: this is a fault of the program."}
 	StoreRestored       = Event{109, slog.LevelWarn, "platform store came back from an older copy of its data", "Compare the table with what was written since the copy; nodes restore their own rows."}
+	DrainClosing        = Event{110, slog.LevelInfo, "graceful stop accepts no further connections", ""}
 	LeaveUnsent         = Event{107, slog.LevelWarn, "leave was not sent to all peers", "Nothing: the other nodes find out by their probes."}
 )
 
@@ -36,7 +37,7 @@
 func All() []Event {
 	return []Event{
 		ProcessStarted, ProcessStopped, DrainStarted, DrainIncomplete, SettingsRead, InvariantViolated, ServerFailed,
-		LeaveUnsent, AuditEncodingFailed, StoreRestored,
+		LeaveUnsent, AuditEncodingFailed, StoreRestored, DrainClosing,
 		LinkOpened, LinkClosed, LinkSilent, LinkRefused, FrameInvalid, RequestOutlivedLink,
 		TargetAnnounced, TargetLeaseExpired,
 		TargetEjected, LimitLowered, LimitRaised,
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -12,12 +12,10 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
-	"github.com/wigeoncleat/wigeoncleat/internal/connection/entry"
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/link"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/httpserver"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/pause"
-	"github.com/wigeoncleat/wigeoncleat/internal/process/report"
 )
 
 // Handlers are the HTTP handlers of the interfaces whose formats the platform defines, the environment in which the VM
@@ -34,19 +32,6 @@
 }
 
 const (
-	// acceptPeriod is the time after the start of a graceful stop in which callers still connect: the platform checks
-	// readiness once a second and stops sending callers after two failed checks.
-	acceptPeriod = 2500 * time.Millisecond
-	// handoverPeriod is the time after the start of a graceful stop at which the requests for the attached target's service
-	// are left to other targets: other nodes are told to send this one no more. Until then the target's slots are still
-	// used.
-	handoverPeriod = 1500 * time.Millisecond
-	// exitMargin is the time before the end of the grace period at which the process exits even with requests in flight.
-	// It leaves time for closeTimeout and for delays on a busy processor.
-	exitMargin        = 800 * time.Millisecond
-	drainPollInterval = 20 * time.Millisecond
-	// defaultGrace applies if the settings contain no grace period.
-	defaultGrace = 6 * time.Second
 	// MetricsPort is the port of the metrics interface. It is also written in the deployment file, so it cannot be a
 	// setting.
 	MetricsPort = "9464"
@@ -164,43 +149,3 @@
 	s.retryBurst.Store(&next.RetryBurst)
 	s.refreshTargets()
 }
-
-// drain stops this node gracefully: callers are turned away, other nodes stop using the target, and requests in flight
-// complete. The drain of a target, by its report or notice, stops only the requests to that target.
-func (s *Sidecar) drain() {
-	start := time.Now()
-	grace := s.settings.Grace
-	if grace <= 0 {
-		grace = defaultGrace
-	}
-	event.Log(s.log, event.DrainStarted, slog.Int("active", s.entry.Active()+s.pool.Active()))
-	s.leaving.Store(true)
-	s.entry.DisableKeepAlives()
-	targetNotReady := s.tracker.State(start).Phase != report.PhaseReady
-	if targetNotReady {
-		s.background.Go(s.deregister) // in the background: the store may be unavailable, and the stop must not wait for it
-	}
-	handedOver, closed := false, false
-	for {
-		elapsed := time.Since(start)
-		if !handedOver && (targetNotReady || elapsed >= handoverPeriod) {
-			handedOver = true
-			s.applyTarget()
-			s.pool.GoAway()
-		}
-		if !closed && elapsed >= acceptPeriod {
-			closed = true
-			s.entry.CloseIdle()
-		}
-		active := s.entry.Active() + s.pool.Active()
-		// CloseIdle still takes what arrives within LastCall; the second LastCall leaves time to read what came at its end.
-		if closed && active == 0 && elapsed >= acceptPeriod+2*entry.CloseDelay {
-			break
-		}
-		if elapsed >= grace-exitMargin {
-			event.Log(s.log, event.DrainIncomplete, slog.Int("active", active))
-			break
-		}
-		time.Sleep(drainPollInterval)
-	}
-}
--- /dev/null
+++ b/internal/process/sidecar/stop.go
@@ -0,0 +1,107 @@
+package sidecar
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/entry"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/report"
+)
+
+const (
+	// defaultGrace applies if the settings contain no grace period.
+	defaultGrace = 6 * time.Second
+	// handoverPeriod is the time after the start of a graceful stop at which the requests for the attached target's service
+	// are left to other targets: other nodes are told to send this one no more. Until then the target's slots are still
+	// used.
+	handoverPeriod = 1500 * time.Millisecond
+	// acceptPeriod is the time after the start of a graceful stop in which callers still connect: the platform checks
+	// readiness once a second and stops sending callers after two failed checks.
+	acceptPeriod = 2500 * time.Millisecond
+	// arrivalPeriod is the time after the start of a graceful stop within which a request has to arrive completely. A later one
+	// might not be answered before the process exits.
+	arrivalPeriod = 3 * time.Second
+	// exitMargin is the time before the end of the grace period at which the process exits even with requests in flight.
+	// It leaves time for closeTimeout and for delays on a busy processor.
+	exitMargin        = 800 * time.Millisecond
+	drainPollInterval = 20 * time.Millisecond
+)
+
+// stopSchedule contains the times of the steps of a graceful stop, from its start.
+type stopSchedule struct {
+	handover time.Duration // see handoverPeriod
+	closing  time.Duration // see acceptPeriod
+	arrival  time.Duration // see arrivalPeriod
+	end      time.Duration // see exitMargin
+}
+
+// newStopSchedule returns the schedule for a grace period. All steps come sooner in one that is shorter than defaultGrace.
+func newStopSchedule(grace time.Duration) stopSchedule {
+	if grace <= 0 {
+		grace = defaultGrace
+	}
+	scale := min(1, float64(grace)/float64(defaultGrace))
+	scaled := func(d time.Duration) time.Duration { return time.Duration(scale * float64(d)) }
+	return stopSchedule{
+		handover: scaled(handoverPeriod), closing: scaled(acceptPeriod), arrival: scaled(arrivalPeriod), end: grace - scaled(exitMargin),
+	}
+}
+
+// drain stops this node gracefully: callers are turned away, other nodes stop using the target, and requests in flight
+// complete. The drain of a target, by its report or notice, stops only the requests to that target.
+func (s *Sidecar) drain() {
+	start := time.Now()
+	schedule := newStopSchedule(s.settings.Grace)
+	event.Log(s.log, event.DrainStarted, s.inFlight()...)
+	s.leaving.Store(true)
+	s.entry.DisableKeepAlives()
+	if s.tracker.State(start).Phase != report.PhaseReady {
+		schedule.handover = 0
+		s.background.Go(s.deregister) // in the background: the store may be unavailable, and the stop must not wait for it
+	}
+	steps := []struct {
+		at time.Duration
+		do func()
+	}{{schedule.handover, s.handOver}, {schedule.closing, s.closeEntry}, {schedule.arrival, s.entry.RefuseArriving}}
+	for {
+		elapsed := time.Since(start)
+		for len(steps) > 0 && elapsed >= steps[0].at {
+			steps[0].do()
+			steps = steps[1:]
+		}
+		switch {
+		case elapsed >= schedule.end:
+			event.Log(s.log, event.DrainIncomplete, s.inFlight()...)
+			return
+		// CloseIdle still takes what arrives within CloseDelay; the second CloseDelay leaves time to read what came at its end.
+		case elapsed >= schedule.closing+2*entry.CloseDelay && s.idle():
+			return
+		}
+		time.Sleep(drainPollInterval)
+	}
+}
+
+// handOver leaves the requests for the attached target's service to other targets.
+func (s *Sidecar) handOver() {
+	s.applyTarget()
+	s.pool.GoAway()
+}
+
+func (s *Sidecar) closeEntry() {
+	event.Log(s.log, event.DrainClosing, s.inFlight()...)
+	s.entry.CloseIdle()
+}
+
+// idle reports whether nothing is left to do for callers and other nodes. Connections count until their callers have had time to
+// read the last response: the end of the process resets connections with unread bytes.
+func (s *Sidecar) idle() bool { return s.entry.Connections() == 0 && s.pool.Active() == 0 }
+
+// inFlight returns what a graceful stop waits for, for logs.
+func (s *Sidecar) inFlight() []slog.Attr {
+	return []slog.Attr{
+		slog.Int("callers", s.entry.Active()), slog.Int("arriving", s.entry.Arriving()),
+		slog.Int("connections", s.entry.Connections()), slog.Int("peers", s.pool.Active()),
+		slog.Int("at_target", s.path.Load().InFlight),
+	}
+}
