sidecar: serve the target until the handover of a graceful stop

What callers saw: nothing but a smaller service. A node that stops gave up its target's slots within 20 ms to 0.5 s after SIGTERM, not after 1.5 s as the schedule of the stop has it, and other nodes were told to leave it out then.

Cause: whether the target is attached was decided by the flag that is set at the start of the stop, at each report and each check.

Change: a flag of its own, set at the handover.

Evidence: TestStoppingNodeUsesItsTargetUntilTheHandover fails before (detached 20 ms after the start of the stop) and passes after.

--- a/internal/process/sidecar/stop.go
+++ b/internal/process/sidecar/stop.go
@@ -84,6 +84,7 @@
 
 // handOver leaves the requests for the attached target's service to other targets.
 func (s *Sidecar) handOver() {
+	s.handedOver.Store(true)
 	s.applyTarget()
 	s.pool.GoAway()
 }
--- a/internal/process/sidecar/stop_test.go
+++ b/internal/process/sidecar/stop_test.go
@@ -31,6 +31,27 @@
 	}
 }
 
+// Guards against a stopping node that gives up its target's slots long before other nodes are told to leave them out.
+func TestStoppingNodeUsesItsTargetUntilTheHandover(t *testing.T) {
+	runDrill(t, func(t *testing.T, c *drillCluster) {
+		c.startAll("a1", "a2")
+		a1, a2 := c.nodes["a1"], c.nodes["a2"]
+		require.NoError(t, a1.reportReady(5))
+		require.NoError(t, a2.reportReady(5))
+		time.Sleep(100 * time.Millisecond)
+		go a1.drain()
+		for at := time.Duration(0); at < handoverPeriod-2*drainPollInterval; at += drainPollInterval {
+			require.NotEmpty(t, a1.attached(), "%v after the start of the stop", at)
+			require.Len(t, a2.directory.Targets()["menu"], 2)
+			time.Sleep(drainPollInterval)
+		}
+		time.Sleep(4 * drainPollInterval)
+		require.Empty(t, a1.attached())
+		require.Len(t, a2.directory.Targets()["menu"], 1)
+		time.Sleep(defaultGrace)
+	})
+}
+
 // runHandler runs each request for a time and records which were begun.
 type runHandler struct {
 	work time.Duration
@@ -159,3 +180,10 @@
 		}
 	})
 }
+
+// attached returns the instance and start time of the target that gets requests from this node; empty: none.
+func (s *Sidecar) attached() string {
+	s.targetMu.Lock()
+	defer s.targetMu.Unlock()
+	return s.attachedInstance
+}
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -169,7 +169,7 @@
 	s.targetMu.Lock()
 	defer s.targetMu.Unlock()
 	st := s.tracker.State(time.Now())
-	open := st.Phase == report.PhaseReady && s.ownStateRecovered.Load() && !s.leaving.Load() && !s.targetUnreachable.Load()
+	open := st.Phase == report.PhaseReady && s.ownStateRecovered.Load() && !s.handedOver.Load() && !s.targetUnreachable.Load()
 	id := ""
 	if open {
 		id = fmt.Sprintf("%s/%d", st.Instance, st.Born)
@@ -227,12 +227,12 @@
 	}
 	own := s.directory.Self()
 	if own.Instance == st.Instance && own.Born == st.Born && own.Phase == phase && own.Slots == st.Slots &&
-		own.NodeLeaving == s.leaving.Load() {
+		own.NodeLeaving == s.handedOver.Load() {
 		return
 	}
 	m := s.directory.Update(func(m *directory.Member) {
 		m.Instance, m.Born, m.Sequence, m.Slots, m.Phase = st.Instance, st.Born, st.Sequence, st.Slots, phase
-		m.NodeLeaving = s.leaving.Load()
+		m.NodeLeaving = s.handedOver.Load()
 	})
 	s.refreshTargets()
 	s.broadcast(m)
