Answer the requests that are still in progress at the end of a graceful stop

What callers saw: 0.8 s before the end of the grace period their connections closed without a word. Callers at other nodes whose order ran beside the stopped one waited until their deadline: their node went on to ask a process that was gone.

Cause: the end of a stop closed all connections and links at once. Contexts were cancelled only by that, when nothing could be written any more.

Change: requests are cancelled first and answered within 150 ms: 503 where it is certain that they have not run, 502 otherwise, reason "leaving". A target goes on with an order that came through another node, as it does when a link is lost.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -21,8 +21,11 @@
 	nc     net.Conn
 	in     limitedReader
 	br     *bufio.Reader
-	ctx    context.Context
+	ctx    context.Context // ends when the caller has left or the connection is closed
 	cancel context.CancelCauseFunc
+	// requestsCtx is the context of the requests. It ends before ctx if the server gives them up; they are still answered then.
+	requestsCtx context.Context
+	giveUp      context.CancelCauseFunc
 
 	mu        sync.Mutex
 	pending   int           // requests that were read and not answered yet
@@ -38,6 +41,7 @@
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{srv: s, nc: nc, in: limitedReader{r: nc}}
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
+	c.requestsCtx, c.giveUp = context.WithCancelCause(c.ctx)
 	c.br = bufio.NewReaderSize(&c.in, readBuffer)
 	return c
 }
@@ -344,7 +348,7 @@
 	go func() {
 		defer close(done)
 		defer c.srv.active.Add(-1)
-		a := c.srv.handler.Serve(c.ctx, r)
+		a := c.srv.handler.Serve(c.requestsCtx, r)
 		r.memory.Release()
 		if previous != nil {
 			<-previous
--- a/internal/connection/entry/drain_test.go
+++ b/internal/connection/entry/drain_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -108,6 +109,27 @@
 	})
 }
 
+// Guards against callers of requests that are still in progress at the end of a stop and find their connection closed: they are told
+// what is known of the outcome.
+func TestRequestsThatAreGivenUpAreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, br, h, s := connect(t)
+		write(t, c, get("/20s/a")+get("/30s/b"))
+		synctest.Wait()
+		s.CloseIdle()
+		start := time.Now()
+		s.GiveUp(errors.New("stopping"))
+		for _, want := range []string{"/20s/a ", "/30s/b "} {
+			_, body, last := read(t, br)
+			require.Equal(t, want, body)
+			require.Equal(t, want == "/30s/b ", last)
+		}
+		require.Zero(t, time.Since(start))
+		require.ElementsMatch(t, []string{"/20s/a", "/30s/b"}, h.cancelled)
+		synctest.Wait()
+	})
+}
+
 // Guards against a body that stops arriving and that ends its connection without a response, with all requests before it.
 func TestBodyThatStopsArrivingIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/connection/entry/entry.go
+++ b/internal/connection/entry/entry.go
@@ -46,7 +46,7 @@
 
 // Handler handles requests.
 type Handler interface {
-	// Serve returns the response to a request. The context is cancelled when the caller disconnects.
+	// Serve returns the response to a request. The context is cancelled when the caller disconnects, or by Server.GiveUp.
 	Serve(ctx context.Context, r *Request) *Response
 	// Reject returns the response to a request that is rejected before Serve: a status from 400 to 499, or 503 for lack of
 	// memory.
@@ -196,6 +196,11 @@
 	s.forEach((*conn).refuseArriving)
 }
 
+// GiveUp cancels the context of all requests with the cause. Their responses are still written.
+func (s *Server) GiveUp(cause error) {
+	s.forEach(func(c *conn) { c.giveUp(cause) })
+}
+
 // CloseIdle disables keep-alives and, after CloseDelay, stops accepting and closes the connections without pending requests.
 // It returns at once. A listener without SetDeadline is closed without delay.
 func (s *Server) CloseIdle() {
--- a/internal/connection/link/inbound.go
+++ b/internal/connection/link/inbound.go
@@ -20,7 +20,7 @@
 	writer     *writer
 	handler    Handler
 	sessions   *sessions
-	poolCtx    context.Context // ends with the pool; parent context of requests that are not idempotent
+	poolCtx    context.Context // Pool.requestsCtx; parent context of requests that are not idempotent
 
 	running sync.WaitGroup
 	done    chan struct{} // closed once nothing more is read from the link
--- a/internal/connection/link/outbound.go
+++ b/internal/connection/link/outbound.go
@@ -43,6 +43,7 @@
 type call struct {
 	id       message.ID
 	attached bool // sent as an Attach frame; the request may have run even if that frame was never written
+	once     bool // the request is not idempotent
 	msg      *outgoing
 	response chan *message.Response // capacity 1; closed without a value if the link is lost
 	head     *message.Response      // response whose body is not complete yet
@@ -227,7 +228,10 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	c := &call{id: req.ID, attached: attached, msg: &outgoing{frames: frames}, response: make(chan *message.Response, 1), memory: req.Memory}
+	c := &call{
+		id: req.ID, attached: attached, once: !req.Idempotent, msg: &outgoing{frames: frames},
+		response: make(chan *message.Response, 1), memory: req.Memory,
+	}
 	if !o.writer.enqueue(c.msg) {
 		return 0, nil, nil
 	}
@@ -251,7 +255,8 @@
 	return c, ok
 }
 
-// abandon settles a call whose context has ended. It sends Cancel unless the request certainly was not written.
+// abandon settles a call whose context has ended. It sends Cancel unless the request certainly was not written, or must not be
+// repeated and only ends here because this node stops.
 func (o *outbound) abandon(ctx context.Context, stream uint64, c *call) *message.Response {
 	if _, ok := o.take(stream); !ok {
 		if r, settled := <-c.response; settled {
@@ -263,6 +268,9 @@
 	if c.msg.withdraw() && !c.attached {
 		return message.Refuse(unknown.Reason, message.Errorf(message.StepSend, o.peer.Address, "%v before the request was written", ctx.Err()))
 	}
+	if c.once && errors.Is(context.Cause(ctx), message.ErrStopping) {
+		return unknown // the target completes it, as it does when the link of this node is lost
+	}
 	o.post(&wire.Cancel{Stream: stream})
 	return unknown
 }
--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -23,6 +23,9 @@
 	log     *slog.Logger
 	ctx     context.Context
 	stop    context.CancelCauseFunc
+	// requestsCtx is the context of the requests that go on without their link. It ends before ctx if they are given up.
+	requestsCtx context.Context
+	giveUp      context.CancelCauseFunc
 
 	generation atomic.Uint64
 	peers      sync.Map   // peer address to *peerEntry
@@ -50,15 +53,18 @@
 // NewPool returns a pool. Close releases its resources.
 func NewPool(cfg Config, dial Dialer, handler Handler, log *slog.Logger) *Pool {
 	ctx, stop := context.WithCancelCause(context.Background())
+	requestsCtx, giveUp := context.WithCancelCause(ctx)
 	return &Pool{
-		cfg:      cfg.withDefaults(),
-		dial:     dial,
-		handler:  handler,
-		log:      log,
-		ctx:      ctx,
-		stop:     stop,
-		accepted: map[*inbound]struct{}{},
-		sessions: newSessions(),
+		cfg:         cfg.withDefaults(),
+		dial:        dial,
+		handler:     handler,
+		log:         log,
+		ctx:         ctx,
+		stop:        stop,
+		requestsCtx: requestsCtx,
+		giveUp:      giveUp,
+		accepted:    map[*inbound]struct{}{},
+		sessions:    newSessions(),
 	}
 }
 
@@ -334,7 +340,7 @@
 		writer:     newWriter(conn),
 		handler:    p.handler,
 		sessions:   p.sessions,
-		poolCtx:    p.ctx,
+		poolCtx:    p.requestsCtx,
 		done:       make(chan struct{}),
 		streams:    map[uint64]*stream{},
 	}
@@ -389,6 +395,10 @@
 	}
 }
 
+// GiveUp cancels the requests of peers that are not idempotent, with the cause. Their peers are told that the outcome is unknown;
+// they would ask a process that has ended until the deadline. Idempotent ones end with their link, and their peers try another node.
+func (p *Pool) GiveUp(cause error) { p.giveUp(cause) }
+
 // drainPoll is the interval at which Drain checks for active requests.
 const drainPoll = 10 * time.Millisecond
 
--- a/internal/process/sidecar/handlers.go
+++ b/internal/process/sidecar/handlers.go
@@ -33,6 +33,9 @@
 	}
 	req.Memory = h.s.responseMemory.NewReservation()
 	resp := h.s.path.Serve(ctx, req)
+	if resp.Reason == message.ReasonCancelled && errors.Is(context.Cause(ctx), message.ErrStopping) {
+		resp.Reason = message.ReasonLeaving
+	}
 	took := time.Since(r.Arrived)
 	h.s.metrics.Request(interfaceEntry, resp, took)
 	h.s.logRequest(req, resp, took)
--- a/internal/process/sidecar/stop.go
+++ b/internal/process/sidecar/stop.go
@@ -7,6 +7,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/entry"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/report"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
 const (
@@ -23,8 +24,10 @@
 	// might not be answered before the process exits.
 	arrivalPeriod = 3 * time.Second
 	// exitMargin is the time before the end of the grace period at which the process exits even with requests in flight.
-	// It leaves time for closeTimeout and for delays on a busy processor.
-	exitMargin        = 800 * time.Millisecond
+	// It leaves time for giveUpTimeout, closeTimeout and for delays on a busy processor.
+	exitMargin = 800 * time.Millisecond
+	// giveUpTimeout bounds the time to answer the requests that are given up at the end.
+	giveUpTimeout     = 150 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
 )
 
@@ -72,7 +75,7 @@
 		}
 		switch {
 		case elapsed >= schedule.end:
-			event.Log(s.log, event.DrainIncomplete, s.inFlight()...)
+			s.giveUp()
 			return
 		// CloseIdle still takes what arrives within CloseDelay; the second CloseDelay leaves time to read what came at its end.
 		case elapsed >= schedule.closing+2*entry.CloseDelay && s.idle():
@@ -98,6 +101,16 @@
 // read the last response: the end of the process resets connections with unread bytes.
 func (s *Sidecar) idle() bool { return s.entry.Connections() == 0 && s.pool.Active() == 0 }
 
+// giveUp answers the requests that are still in flight, so that their callers need not wait for nothing.
+func (s *Sidecar) giveUp() {
+	event.Log(s.log, event.DrainIncomplete, s.inFlight()...)
+	s.entry.GiveUp(message.ErrStopping)
+	s.pool.GiveUp(message.ErrStopping)
+	for end := time.Now().Add(giveUpTimeout); time.Now().Before(end) && !s.idle(); {
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // inFlight returns what a graceful stop waits for, for logs.
 func (s *Sidecar) inFlight() []slog.Attr {
 	return []slog.Attr{
--- a/internal/request/message/error.go
+++ b/internal/request/message/error.go
@@ -1,6 +1,12 @@
 package message
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrStopping is the cause with which the contexts of requests end that are still in progress when the node stops.
+var ErrStopping = errors.New("the node stops")
 
 // Step names the step of a request's path at which an error arose.
 type Step string
