report: keep the leave of an instance that has not reported to this process

Cause: after a restart of the node, the first thing that it heard of its target was the deregistration. The tracker ignored it, because it knew no such instance, and the node acknowledged it all the same. A report that the target had sent before came late, found an empty tracker and made the target ready again. Of the same class: a leave recorded for one incarnation by the start time of another (a late deregistration ended a later process with the same ID for good), a drain known from before a restart that a late report of yet another instance made the tracker forget, and a drain whose end and beginning again arrive in the wrong order.

Change: the tracker keeps what it was told of each instance that leaves, whichever instance is current, with the start time that the deregistration states. If it states none, every process under that ID that has started until now has left.

Tests: calls of Leave state the start time of their instance, 100; no check is changed.

--- a/internal/process/sidecar/notice_test.go
+++ b/internal/process/sidecar/notice_test.go
@@ -176,7 +176,7 @@
 		restarted := time.Now()
 		require.NoError(t, n.nodes["a"].Report(report.Report{Instance: "i-a", Born: 200, Sequence: 1, Service: "menu",
 			Address: "target-a", Phase: report.PhaseReady, Slots: 10}))
-		require.NoError(t, n.nodes["b"].Leave("i-b")) // leaves all requests to the other target
+		require.NoError(t, n.nodes["b"].Leave("i-b", 100)) // leaves all requests to the other target
 		time.Sleep(50 * time.Millisecond)
 		n.send(time.Second)
 		require.NotZero(t, n.targets["a"].arrivedSince(restarted))
--- a/internal/process/sidecar/restore_test.go
+++ b/internal/process/sidecar/restore_test.go
@@ -118,7 +118,7 @@
 // leave lets the target of a node leave, and then stops the node.
 func (d *drillCluster) leave(t *testing.T, address string) {
 	s := d.nodes[address]
-	require.NoError(t, s.Leave("i-"+address))
+	require.NoError(t, s.Leave("i-"+address, 100))
 	s.drain()
 	d.kill(address)
 }
--- a/internal/process/sidecar/scale_test.go
+++ b/internal/process/sidecar/scale_test.go
@@ -258,7 +258,7 @@
 			}
 			i++
 		}
-		require.NoError(t, f.nodes["n07"].Leave("i-n07"))
+		require.NoError(t, f.nodes["n07"].Leave("i-n07", 100))
 		for _, address := range []string{"n00", "n10", "n20", "n30", "n40"} {
 			f.kill(address)
 		}
@@ -277,7 +277,7 @@
 		f.report(5)
 		time.Sleep(2 * time.Second)
 		for _, address := range []string{"n03", "n04", "n05"} {
-			require.NoError(t, f.nodes[address].Leave("i-"+address))
+			require.NoError(t, f.nodes[address].Leave("i-"+address, 100))
 		}
 		time.Sleep(time.Second)
 		for i := range fleetSize * 9 / 10 {
@@ -299,7 +299,7 @@
 		time.Sleep(recoveryTimeout + time.Second)
 		require.NoError(t, a.reportReady(5))
 		time.Sleep(10 * time.Millisecond)
-		require.NoError(t, a.Leave("i-a"))
+		require.NoError(t, a.Leave("i-a", 100))
 		time.Sleep(10 * time.Millisecond)
 		c.kill("a")
 		c.mu.Lock()
@@ -327,7 +327,7 @@
 	runFleet(t, func(t *testing.T, f *fleet) {
 		f.report(1)
 		time.Sleep(2 * time.Second)
-		require.NoError(t, f.nodes["n09"].Leave("i-n09"))
+		require.NoError(t, f.nodes["n09"].Leave("i-n09", 100))
 		f.powerOff("n09")
 		require.NoError(t, f.start(9).reportReady(4), "sent before the drain")
 		f.requireNotServing("n09")
@@ -343,7 +343,7 @@
 		require.NoError(t, a.reportReady(1))
 		c.kill("b")
 		start := time.Now()
-		require.NoError(t, a.Leave("i-a"))
+		require.NoError(t, a.Leave("i-a", 100))
 		require.LessOrEqual(t, time.Since(start), confirmTimeout)
 	})
 }
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -142,10 +142,11 @@
 	return nil
 }
 
-// Leave handles the target's notice that it leaves.
-func (s *Sidecar) Leave(instance string) error {
-	if s.tracker.Leave(instance, time.Now()) {
-		event.Log(s.log, event.TargetChanged, slog.String("instance", instance), slog.String("phase", report.PhaseGone.String()))
+// Leave handles the notice of a target that it leaves. The start time of the instance is zero if it is not stated.
+func (s *Sidecar) Leave(instance string, born int64) error {
+	if s.tracker.Leave(instance, born, time.Now()) {
+		event.Log(s.log, event.TargetChanged, slog.String("instance", instance), slog.Int64("born", born),
+			slog.String("phase", report.PhaseGone.String()))
 	}
 	s.applyTarget()
 	s.awaitDrainConfirmation()
