sidecar: record in the store which targets leave before that is acknowledged

Cause: what a node had acknowledged was kept in the memory of nodes only, and a late report found an empty tracker. Of the same class: a node that nobody remembers while the store is away took the first report for true after 0.6 s, and the word of a node that knew nothing of the earlier process ended the wait at once.

Change: the node writes a row beside its own in the table of nodes, and acknowledges once that is done. Where the store turns it away, other nodes write the row for it. Without the row, the target is told 503 and reports again. A node that starts finds the row in the list of nodes that it reads anyway, so that no call is added at a start, and attaches its target then; before, all targets stayed detached for 0.6 s after the loss of all nodes.

Tests: the stand-ins of the store tell rows by their keys now; the list of registered nodes leaves out the new rows.

--- a/internal/process/directory/digest.go
+++ b/internal/process/directory/digest.go
@@ -32,6 +32,13 @@
 	binary.BigEndian.PutUint64(b[1:9], m.Incarnation)
 	binary.BigEndian.PutUint64(b[9:], m.Revision)
 	_, _ = h.Write(b[:])
+	for _, l := range m.Leavings {
+		_, _ = h.WriteString(l.Instance)
+		binary.BigEndian.PutUint64(b[:8], uint64(l.Born))
+		binary.BigEndian.PutUint64(b[8:16], uint64(l.Sequence))
+		b[16] = byte(l.Phase)
+		_, _ = h.Write(b[:])
+	}
 	return h.Sum64()
 }
 
@@ -147,3 +154,33 @@
 func CompareRanks(a, b string) int {
 	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 }
+
+// StoreUsers returns the addresses of the other nodes that can be reached, do not stop and have not said that they cannot use the store.
+// Those that are likely to use it at present come first: the first ranks of each availability zone.
+func (d *Directory) StoreUsers() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	byZone := map[string][]string{}
+	for address, m := range d.members {
+		if address != d.self && !m.NodeLeaving && !m.StoreUnreachable && !d.isDownLocked(address) {
+			byZone[m.Zone] = append(byZone[m.Zone], address)
+		}
+	}
+	type user struct {
+		address string
+		rank    int
+	}
+	var users []user
+	for _, list := range byZone {
+		slices.SortFunc(list, CompareRanks)
+		for rank, address := range list {
+			users = append(users, user{address, rank})
+		}
+	}
+	slices.SortFunc(users, func(a, b user) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.address, b.address)) })
+	out := make([]string, len(users))
+	for i, u := range users {
+		out[i] = u.address
+	}
+	return out
+}
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -29,6 +29,8 @@
 	Phase            report.Phase `cbor:"10,keyasint,omitempty"`
 	NodeLeaving      bool         `cbor:"11,keyasint,omitempty"` // the node itself is stopping
 	StoreUnreachable bool         `cbor:"12,keyasint,omitempty"` // the node cannot use the platform's store
+	// Leavings is what the node has been told of targets that leave or have left, the latest first.
+	Leavings []report.Leaving `cbor:"13,keyasint,omitempty"`
 }
 
 // Serving reports whether the member's target accepts requests.
@@ -49,6 +51,7 @@
 // a newer report: a drain that was acknowledged must survive a restart of the node that acknowledged it. An instance that
 // is gone stays gone whatever it reports later.
 func (m *Member) inheritDrain(earlier Member) {
+	m.Leavings, _ = report.MergeAllLeavings(earlier.Leavings, m.Leavings)
 	if !earlier.TargetLeaving() || m.TargetLeaving() {
 		return
 	}
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -51,6 +51,6 @@
 		RoutesApplied, RoutesRejected, StoreLost, StoreRegained, NodeRegistered, SettingsReloaded, SettingsUnusable,
 		MemberChanged, PeerMessageFailed, TargetRefusesConnections, FollowerChanged, TargetFailing, TargetRecovered,
 		TargetRateLimited, TargetRateLimitEnded, TargetRateUnreadable, TargetLeftOut, RegistryRepaired,
-		TargetEnded, SuspectHeld, SuspectTried, SuspectCleared, RowIgnored,
+		TargetEnded, SuspectHeld, SuspectTried, SuspectCleared, RowIgnored, LeavingUnrecorded,
 	}
 }
--- a/internal/process/event/mesh.go
+++ b/internal/process/event/mesh.go
@@ -43,5 +43,6 @@
 	SuspectHeld              = Event{875, slog.LevelWarn, "request is held, targets ended while they ran it", "Find what its callers send: lines with the same fingerprint name them."}
 	SuspectTried             = Event{876, slog.LevelInfo, "request that was held runs as a trial", ""}
 	RowIgnored               = Event{878, slog.LevelWarn, "row in the table of nodes cannot be that of a node, it is ignored", "Find out who writes to the table, and remove the row."}
+	LeavingUnrecorded        = Event{879, slog.LevelWarn, "target leaves, but the store has not recorded it, so it is not acknowledged", "Check the store. The target gets no requests from this process; it reports again."}
 	SuspectCleared           = Event{877, slog.LevelInfo, "request is no longer held, a target has answered it", ""}
 )
--- a/internal/process/sidecar/confirm.go
+++ b/internal/process/sidecar/confirm.go
@@ -57,10 +57,10 @@
 	}
 }
 
-// awaitDrainConfirmation waits until another node knows that the target is leaving, but at most confirmTimeout. Then the
-// drain is acknowledged to the target. If this node crashes right after and loses its state, the other node tells it of the
-// drain after its restart, and it sends the target no requests.
-func (s *Sidecar) awaitDrainConfirmation() {
+// awaitDrainConfirmation waits until another node knows that the target is leaving, but at most for the given time. If this node
+// crashes right after the acknowledgement, the other one tells it of the drain after its restart also while the store is away, and
+// sends the target no requests.
+func (s *Sidecar) awaitDrainConfirmation(limit time.Duration) {
 	own := s.directory.Self()
 	if !own.TargetLeaving() {
 		return
@@ -68,5 +68,5 @@
 	if zone, others := s.directory.Neighbours(); len(zone) == 0 && len(others) == 0 {
 		return // there is no other node to confirm it
 	}
-	s.confirmed.wait(own.Revision, confirmTimeout)
+	s.confirmed.wait(own.Revision, limit)
 }
--- a/internal/process/sidecar/registry.go
+++ b/internal/process/sidecar/registry.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"slices"
+	"strings"
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/directory"
@@ -18,7 +18,7 @@
 // of the store restore from their directories.
 
 const (
-	// maxNodes bounds the rows read from the registry.
+	// maxNodes bounds the rows read from the registry, up to two for each node.
 	maxNodes = 10000
 	// registryCheckInterval is the time between checks of whether the store has been restored.
 	registryCheckInterval = 250 * time.Millisecond
@@ -55,7 +55,7 @@
 	if err != nil {
 		return 0, err
 	}
-	rows, err := s.listNodes(ctx)
+	rows, leavings, err := s.listNodes(ctx)
 	if err == nil && s.opts.Nodes.Epoch() != written.Epoch {
 		err = fmt.Errorf("%w: the store was restored after the node had written its row", platform.ErrUnavailable)
 	}
@@ -63,6 +63,7 @@
 		return 0, err
 	}
 	s.registryEpoch.Observe(written.Epoch)
+	s.leavings.load(leavings[s.settings.PeerAddress])
 	for _, row := range rows {
 		s.directory.Introduce(row.Key, string(row.Value))
 	}
@@ -73,19 +74,26 @@
 // maxZoneName bounds the name of an availability zone, in bytes. The keys of rows have the same limit.
 const maxZoneName = 200
 
-// listNodes returns the rows of the registry, without those that cannot be of a node: other programs can write to the table too.
-func (s *Sidecar) listNodes(ctx context.Context) ([]platform.Row, error) {
+// listNodes returns the rows of the registry, without those that cannot be of a node: other programs can write to the table too. The
+// rows of leavings are returned by the address of their node.
+func (s *Sidecar) listNodes(ctx context.Context) (nodes []platform.Row, leavings map[string]platform.Row, err error) {
 	rows, err := s.opts.Nodes.List(ctx, "", maxNodes)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return slices.DeleteFunc(rows, func(row platform.Row) bool {
-		err := s.checkRow(row)
-		if err != nil {
+	leavings = map[string]platform.Row{}
+	for _, row := range rows {
+		if address, ok := strings.CutPrefix(row.Key, leavingsPrefix); ok {
+			leavings[address] = row
+			continue
+		}
+		if err := s.checkRow(row); err != nil {
 			s.failures.Log(s.log, event.RowIgnored, slog.String("key", row.Key), slog.String("error", err.Error()))
+			continue
 		}
-		return err != nil
-	}), nil
+		nodes = append(nodes, row)
+	}
+	return nodes, leavings, nil
 }
 
 func (s *Sidecar) checkRow(row platform.Row) error {
@@ -110,6 +118,19 @@
 	if err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) { // gone, or written by the next process
 		event.Log(s.log, event.StoreLost, slog.String("step", "deregister"), slog.String("error", err.Error()))
 	}
+	s.removeLeavings(ctx)
+}
+
+// removeLeavings removes the row of this node's leavings if the target has ended. While it runs, a process that is started here later
+// has to know that it leaves.
+func (s *Sidecar) removeLeavings(ctx context.Context) {
+	if !s.targetHasEnded() {
+		return
+	}
+	err := s.leavings.remove(ctx)
+	if err != nil && !errors.Is(err, platform.ErrConflict) { // conflict: written by the next process
+		event.Log(s.log, event.StoreLost, slog.String("step", "remove leavings"), slog.String("error", err.Error()))
+	}
 }
 
 // maintainRegistry repairs the registry after each restore of the store while this node is a follower. If the role passes to
@@ -151,10 +172,13 @@
 func (s *Sidecar) repairRegistryOnce() (written int, err error) {
 	ctx, cancel := context.WithTimeout(s.ctx, StoreTimeout)
 	defer cancel()
-	rows, err := s.listNodes(ctx)
+	rows, leavings, err := s.listNodes(ctx)
 	if err != nil {
 		return 0, err
 	}
+	if err := s.repairLeavings(ctx, leavings); err != nil {
+		return 0, err
+	}
 	repair := compareRegistry(rows, s.directory.All(), s.settings.Zone)
 	for _, row := range repair.unknown {
 		s.directory.Introduce(row.Key, string(row.Value))
--- a/internal/process/sidecar/restore_test.go
+++ b/internal/process/sidecar/restore_test.go
@@ -129,7 +129,9 @@
 	require.NoError(t, err)
 	var out []string
 	for _, row := range rows {
-		out = append(out, row.Key)
+		if !strings.HasPrefix(row.Key, leavingsPrefix) {
+			out = append(out, row.Key)
+		}
 	}
 	return out
 }
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -46,7 +46,7 @@
 	event.Log(s.log, event.ProcessStarted, slog.String("node", s.settings.Node), slog.String("zone", s.settings.Zone),
 		slog.String("service", s.settings.Service), slog.String("peer_address", s.settings.PeerAddress))
 	s.background.Go(func() { pause.Watch(s.ctx) }) // detects when the process or its VM did not run for a time
-	for _, loop := range []func(){s.register, s.maintainRegistry, s.followConfig, s.gossip, s.reconnect, s.watchTarget, s.notifyCallers} {
+	for _, loop := range []func(){s.recordLeavings, s.register, s.maintainRegistry, s.followConfig, s.gossip, s.reconnect, s.watchTarget, s.notifyCallers} {
 		s.background.Go(loop)
 	}
 	for running := true; running; {
--- a/internal/process/sidecar/scale_test.go
+++ b/internal/process/sidecar/scale_test.go
@@ -50,6 +50,9 @@
 	if err := s.call(); err != nil {
 		return platform.Row{}, err
 	}
+	if key != "config" {
+		return s.cluster.Get(ctx, key)
+	}
 	s.shared.mu.Lock()
 	defer s.shared.mu.Unlock()
 	return platform.Row{Key: key, Value: []byte{byte(s.shared.version)}, Version: platform.Version{Text: strconv.Itoa(s.shared.version)}}, nil
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -107,13 +107,18 @@
 	heardOfContact    atomic.Int64         // time from the start to the last StoreContact of a higher-ranked node, in nanoseconds
 	following         atomic.Bool          // this node follows the store for its availability zone
 	registered        atomic.Bool          // registered in the store; the nodes that started before are known
-	ownStateRecovered atomic.Bool          // this node's state before a restart is known, or the wait for it is over
+	ownStateRecovered atomic.Bool          // this node's state before a restart is known, see updateOwnState
+	leavingsRead      atomic.Bool          // the store has told it
+	toldOwnState      atomic.Bool          // a node that has run for long enough to know it has told it
+	toldOwnEntry      atomic.Bool          // any node has told what it remembers of the earlier process
 	inbox             chan inboundMessage
 	puller            puller       // only accessed by the gossip loop
 	pendingRelay      pendingRelay // only accessed by the gossip loop
 	recentCallers     recentCallers
 	suspectNews       *suspectNews // records that the other nodes are to be told of
 	confirmed         confirmedRevision
+	leavings          *leavingsRecord
+	recordFailedAt    atomic.Int64  // time from the start to the last failure of recordFor, in nanoseconds; zero: none
 	reconnectNow      chan struct{} // wakes the reconnect loop
 
 	endCheckMu   sync.Mutex // held by checkTargetEnded
@@ -122,7 +127,8 @@
 	targetMu         sync.Mutex // held by applyTarget
 	attachedInstance string     // instance and start time of the attached target; empty: none
 
-	connectTarget func(address string) exchanger // opens a pool of connections to a target; replaced by tests
+	connectTarget  func(address string) exchanger // opens a pool of connections to a target; replaced by tests
+	targetHasEnded func() bool                    // reports whether no process listens at the target's address; replaced by tests
 
 	background sync.WaitGroup
 	ctx        context.Context
@@ -169,6 +175,7 @@
 		samples:      event.NewLimiter(samplesPerSecond),
 	}
 	s.connectTarget = func(address string) exchanger { return targetconn.NewPool(address) }
+	s.targetHasEnded = func() bool { return refusesConnections(opts.Settings.TargetAddress) }
 	s.responseMemory = memory.NewBudget(int64(responseMemoryShare * float64(max(s.settings.MemoryBytes, minMemory))))
 	s.retryBurst.Store(&opts.Settings.RetryBurst)
 	s.ctx, s.stop = context.WithCancel(context.Background())
@@ -180,6 +187,7 @@
 	client := &http.Client{Transport: &http.Transport{Proxy: nil, DisableCompression: true}}
 	s.pool = link.NewPool(s.linkConfig(), link.WebSocketDialer(client), linkHandler{s}, s.log)
 	s.suspectNews = &suspectNews{send: s.broadcastSuspects}
+	s.leavings = newLeavingsRecord(opts.Nodes, s.settings.PeerAddress, s.log, s.restoreLeavings)
 	s.path = s.newPath()
 	s.entry = entry.NewServer(entryHandler{s},
 		int(descriptorShare*float64(max(s.settings.Descriptors, minDescriptors))),
--- a/internal/process/sidecar/stop_test.go
+++ b/internal/process/sidecar/stop_test.go
@@ -34,10 +34,8 @@
 // Guards against a stopping node that gives up its target's slots long before other nodes are told to leave them out.
 func TestStoppingNodeUsesItsTargetUntilTheHandover(t *testing.T) {
 	runDrill(t, func(t *testing.T, c *drillCluster) {
-		c.startAll("a1", "a2")
+		c.startReady(t, "a1", "a2")
 		a1, a2 := c.nodes["a1"], c.nodes["a2"]
-		require.NoError(t, a1.reportReady(5))
-		require.NoError(t, a2.reportReady(5))
 		time.Sleep(100 * time.Millisecond)
 		go a1.drain()
 		for at := time.Duration(0); at < handoverPeriod-2*drainPollInterval; at += drainPollInterval {
@@ -135,7 +133,7 @@
 // Guards against orders that arrive late in a stop, are passed on and then cut off without an answer when the grace period is over.
 func TestOrdersThatArriveLateInAStopAreAnswered(t *testing.T) {
 	runDrill(t, func(t *testing.T, c *drillCluster) {
-		c.startAll("a1")
+		c.startReady(t, "a1")
 		h := &runHandler{work: 2 * time.Second, begun: map[string]bool{}}
 		s := c.nodes["a1"]
 		s.entry = entry.NewServer(h, 1000, 1<<20)
@@ -180,10 +178,3 @@
 		}
 	})
 }
-
-// attached returns the instance and start time of the target that gets requests from this node; empty: none.
-func (s *Sidecar) attached() string {
-	s.targetMu.Lock()
-	defer s.targetMu.Unlock()
-	return s.attachedInstance
-}
--- a/internal/process/sidecar/sync.go
+++ b/internal/process/sidecar/sync.go
@@ -45,6 +45,10 @@
 	// SuspectsSum is that of the sender's table of suspects, see package quarantine. Suspects are records that the receiver may lack.
 	SuspectsSum uint64              `cbor:"17,keyasint,omitempty"`
 	Suspects    []quarantine.Record `cbor:"18,keyasint,omitempty"`
+	// WantRecorded asks the receiver to record in the store that the sender's target leaves, see leavingsRecord. Recorded is the
+	// answer with the same number.
+	WantRecorded uint64 `cbor:"20,keyasint,omitempty"`
+	Recorded     uint64 `cbor:"21,keyasint,omitempty"`
 }
 
 func (m *viewMessage) setStamp(stamp routing.Stamp) {
@@ -197,7 +201,9 @@
 			s.flushRelay()
 		case <-timer.C:
 			if address, ok := s.pickPeer(); ok {
-				s.send(address, s.message())
+				msg := s.message()
+				msg.WantOwnEntry = !s.ownStateRecovered.Load()
+				s.send(address, msg)
 			}
 			s.checkFollowers()
 			s.quarantine.Expire(time.Now())
@@ -362,16 +368,19 @@
 	case msg.Confirmed != 0:
 		s.confirmed.record(msg.Confirmed)
 		return
+	case msg.Recorded != 0:
+		s.leavings.recordedElsewhere(msg.Recorded)
+		return
 	}
 	if msg.StoreContact {
 		s.recordContact(in.from)
 	}
 	s.directory.Introduce(in.from, "")
 	s.markReachable(in.from)
-	changed := s.merge(msg.Members)
-	if msg.OwnEntryComplete && !s.ownStateRecovered.Swap(true) {
-		s.applyTarget()
-	}
+	sender, _ := s.directory.Member(in.from) // before the message, which may be the first of a new process
+	merged := s.merge(msg.Members)
+	s.recoverOwnState(merged.RememberedSelf, msg.OwnEntryComplete)
+	changed := merged.Changed
 	suspects, cleared := s.quarantine.Merge(msg.Suspects, time.Now())
 	if len(cleared) > 0 {
 		s.suspectNews.add(cleared)
@@ -383,15 +392,35 @@
 	if msg.WantConfirmed != 0 {
 		s.send(in.from, viewMessage{Confirmed: msg.WantConfirmed})
 	}
+	if msg.WantRecorded != 0 {
+		s.background.Go(func() { s.recordFor(in.from, msg.Members, msg.WantRecorded) })
+	}
 	if len(msg.Config) > 0 {
 		s.applyPeerConfig(msg.Config, msg.Epoch, in.from)
 	}
-	s.replyTo(in.from, msg, len(suspects) > 0)
+	s.replyTo(sender, msg, len(suspects) > 0)
+}
+
+// recoverOwnState applies what another node remembers of an earlier process of this one.
+func (s *Sidecar) recoverOwnState(remembered *directory.Member, complete bool) {
+	if remembered == nil {
+		return
+	}
+	s.tracker.Restore(remembered.Instance, remembered.Born, remembered.Sequence, remembered.Phase)
+	for _, l := range remembered.Leavings {
+		s.tracker.Restore(l.Instance, l.Born, l.Sequence, l.Phase)
+	}
+	s.toldOwnEntry.Store(true)
+	if complete {
+		s.toldOwnState.Store(true)
+	}
+	s.updateOwnState()
 }
 
-// replyTo sends what the other node lacks, and requests what this one lacks. The argument newSuspects says whether the message
-// contained suspects that were news.
-func (s *Sidecar) replyTo(to string, msg viewMessage, newSuspects bool) {
+// replyTo sends what the other node lacks, and requests what this one lacks. The other node is given as it was known before the
+// message. The argument newSuspects says whether the message contained suspects that were news.
+func (s *Sidecar) replyTo(sender directory.Member, msg viewMessage, newSuspects bool) {
+	to := sender.Address
 	reply := s.message()
 	// Without news in it, the answer to a list of suspects would be the same list once more.
 	suspectsDiffer := msg.SuspectsSum != reply.SuspectsSum && (len(msg.Suspects) == 0 || newSuspects)
@@ -401,7 +430,8 @@
 	if msg.WantConfig {
 		s.addConfig(&reply)
 	}
-	s.compareViews(to, msg, &reply)
+	s.compareViews(msg, &reply)
+	s.addOwnEntry(sender, msg, &reply)
 	s.puller.observe(time.Now(), reply.stamp(), msg.stamp(), to)
 	reply.WantConfig = s.puller.due(time.Now(), reply.stamp())
 	older := reply.stamp().NewerThan(msg.stamp()) && !msg.WantConfig // the other node may not know of the newer version
@@ -413,7 +443,7 @@
 // compareViews does the next step of the comparison of two views. The nodes exchange digests; if these differ, the sums of
 // all buckets; then this node's entries of the buckets that differ; and at last the entries of those buckets that the other
 // node has and this one lacks.
-func (s *Sidecar) compareViews(to string, msg viewMessage, reply *viewMessage) {
+func (s *Sidecar) compareViews(msg viewMessage, reply *viewMessage) {
 	switch {
 	case msg.WantEntries:
 		reply.Members = s.directory.All()
@@ -426,28 +456,25 @@
 		sums := s.directory.Sums()
 		reply.Sums = sums[:]
 	}
-	s.addOwnEntry(to, msg, reply)
 }
 
 // hasFullView reports whether this node has been up for long enough to know what others know.
 func (s *Sidecar) hasFullView() bool { return time.Since(s.started) >= fullViewAge }
 
-// addOwnEntry adds to the reply what this node knows of the receiver, if the receiver requested it after its start. A
-// node that has itself just started knows nothing yet and must not claim that there is nothing to know.
-func (s *Sidecar) addOwnEntry(to string, msg viewMessage, reply *viewMessage) {
-	if !msg.WantOwnEntry {
+// addOwnEntry adds to the reply what this node remembers of the receiver's earlier process, if the receiver requested it after its
+// start. A node that has itself just started may not know all of it.
+func (s *Sidecar) addOwnEntry(sender directory.Member, msg viewMessage, reply *viewMessage) {
+	if !msg.WantOwnEntry || sender.Incarnation == 0 {
 		return
 	}
-	if own, ok := s.directory.Member(to); ok && s.hasFullView() {
-		reply.Members = append([]directory.Member{own}, reply.Members...) // first, so that it is in the first page
-		reply.OwnEntryComplete = true
-	}
+	reply.Members = append([]directory.Member{sender}, reply.Members...) // first, so that it is in the first page
+	reply.OwnEntryComplete = s.hasFullView()
 }
 
-// merge merges entries of other nodes into the directory and returns those that are new.
-func (s *Sidecar) merge(list []directory.Member) []directory.Member {
+// merge merges entries of other nodes into the directory.
+func (s *Sidecar) merge(list []directory.Member) directory.Merged {
 	if len(list) == 0 {
-		return nil
+		return directory.Merged{}
 	}
 	known := list[:0:0]
 	for _, m := range list {
@@ -464,11 +491,5 @@
 	if len(merged.Changed) > 0 {
 		s.refreshTargets()
 	}
-	if e := merged.RememberedSelf; e != nil {
-		s.tracker.Restore(e.Instance, e.Born, e.Sequence, e.Phase)
-	}
-	if merged.RememberedSelf != nil {
-		s.applyTarget()
-	}
-	return merged.Changed
+	return merged
 }
--- a/internal/process/sidecar/sync_test.go
+++ b/internal/process/sidecar/sync_test.go
@@ -90,13 +90,20 @@
 var errStoreDown = errors.Join(platform.ErrUnavailable, errors.New("test"))
 
 // The cluster implements both tables of the store.
-func (c *cluster) Get(context.Context, string) (platform.Row, error) {
+func (c *cluster) Get(_ context.Context, key string) (platform.Row, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.storeDown {
 		return platform.Row{}, errStoreDown
 	}
-	return platform.Row{Value: c.config, Version: platform.Version{Text: "1"}}, nil
+	row := platform.Row{Key: key, Value: c.config, Version: platform.Version{Text: "1"}}
+	if key != "config" {
+		var ok bool
+		if row.Value, ok = c.rows[key]; !ok {
+			return platform.Row{}, platform.ErrNotFound
+		}
+	}
+	return row, nil
 }
 
 func (c *cluster) Put(_ context.Context, key string, value []byte, _ platform.Condition) (platform.Version, error) {
@@ -117,7 +124,7 @@
 	}
 	var rows []platform.Row
 	for key := range c.rows {
-		rows = append(rows, platform.Row{Key: key, Value: c.rows[key]})
+		rows = append(rows, platform.Row{Key: key, Value: c.rows[key], Version: platform.Version{Text: "1"}})
 	}
 	return rows, nil
 }
@@ -186,7 +193,7 @@
 	c.mu.Lock()
 	c.nodes[address] = s
 	c.mu.Unlock()
-	for _, loop := range []func(){s.register, s.maintainRegistry, s.followConfig, s.gossip, s.reconnect, s.watchTarget} {
+	for _, loop := range []func(){s.recordLeavings, s.register, s.maintainRegistry, s.followConfig, s.gossip, s.reconnect, s.watchTarget} {
 		s.background.Go(loop)
 	}
 	return s
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -138,8 +139,10 @@
 	case report.Ignored, report.Renewed:
 	}
 	s.applyTarget()
-	s.awaitDrainConfirmation()
-	return nil
+	if r.Phase != report.PhaseDraining {
+		return nil
+	}
+	return s.confirmLeavings()
 }
 
 // Leave handles the notice of a target that it leaves. The start time of the instance is zero if it is not stated.
@@ -149,8 +152,7 @@
 			slog.String("phase", report.PhaseGone.String()))
 	}
 	s.applyTarget()
-	s.awaitDrainConfirmation()
-	return nil
+	return s.confirmLeavings()
 }
 
 // drainAttachedTarget refuses further requests to the attached target, which has said in a response that it leaves, and tells the
@@ -205,6 +207,15 @@
 // probeTimeout bounds the dial of the target, which runs on the same VM.
 const probeTimeout = 200 * time.Millisecond
 
+// refusesConnections reports whether connections to the address are refused, so that no process listens there any more.
+func refusesConnections(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, probeTimeout)
+	if err == nil {
+		_ = conn.Close() // nothing was written
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // probeTarget opens a connection to a target that is unreachable or whose report is overdue. That detects a target that
 // crashed without notice early, while reports may be late by seconds.
 func (s *Sidecar) probeTarget() {
@@ -228,11 +239,12 @@
 	}
 	own := s.directory.Self()
 	if own.Instance == st.Instance && own.Born == st.Born && own.Phase == phase && own.Slots == st.Slots &&
-		own.NodeLeaving == s.handedOver.Load() {
+		own.NodeLeaving == s.handedOver.Load() && slices.Equal(own.Leavings, s.tracker.Leavings()) {
 		return
 	}
 	m := s.directory.Update(func(m *directory.Member) {
 		m.Instance, m.Born, m.Sequence, m.Slots, m.Phase = st.Instance, st.Born, st.Sequence, st.Slots, phase
+		m.Leavings = s.tracker.Leavings()
 		m.NodeLeaving = s.handedOver.Load()
 	})
 	s.refreshTargets()
@@ -242,20 +254,33 @@
 // targetCheckInterval is the time between checks of the target's state.
 const targetCheckInterval = 500 * time.Millisecond
 
-// recoveryTimeout is the time after the start for which the target stays detached unless another node sends what it
-// knows of it. Without this wait, an old report could make a target ready again whose drain this node had acknowledged
-// before a restart. It is long enough for a dial and its retry. After a loss of all nodes at once no node can send
-// anything, and all targets stay detached for the whole time, so it must not be longer.
-const recoveryTimeout = 600 * time.Millisecond
+const (
+	// recoveryTimeout is the time after the start from which the target is attached on the word of any other node that remembers the
+	// node's earlier process, if the store has not answered: a dial and its retry fit into it.
+	recoveryTimeout = 600 * time.Millisecond
+	// ownStateTimeout is the time after the start from which the target is attached although neither the store nor any other node has
+	// told what the earlier process had acknowledged: reports are late by seconds, and count for seconds. Such a node has seldom
+	// anything to do before, as it has neither a configuration nor peers.
+	ownStateTimeout = 30 * time.Second
+)
+
+// updateOwnState decides whether it is known what an earlier process of this node has acknowledged, and attaches or detaches the
+// target. Until then an old report could make a target ready again whose drain was acknowledged before a restart. The store knows all
+// that was acknowledged; the other nodes may all have been restarted too, and count only while the store does not answer.
+func (s *Sidecar) updateOwnState() {
+	uptime := time.Since(s.started)
+	if s.leavingsRead.Load() || s.toldOwnState.Load() || uptime >= recoveryTimeout && s.toldOwnEntry.Load() || uptime >= ownStateTimeout {
+		s.ownStateRecovered.Store(true)
+	}
+	s.applyTarget()
+}
 
 // watchTarget detaches a target that crashed or stopped reporting.
 func (s *Sidecar) watchTarget() {
 	s.sleep(recoveryTimeout - time.Since(s.started))
-	if !s.ownStateRecovered.Swap(true) {
-		s.applyTarget()
-	}
+	s.updateOwnState()
 	s.every(targetCheckInterval, func() {
 		s.probeTarget()
-		s.applyTarget()
+		s.updateOwnState()
 	})
 }
