Soak: connections in use until their node has gone, late reports, leaves without a drain, kills of all nodes

With planned work only, a request that was sent behind the last response of its connection must not run, and one that runs must be answered. Targets leave by a deregistration too, with or without their start time, after reports that arrive up to 5 s late, and serve on for up to 5 s. All nodes are killed at the same time, but not while the store has lost what they know. A node is stopped or killed by one fault at a time.

--- a/test/sidecar/site_test.go
+++ b/test/sidecar/site_test.go
@@ -78,6 +78,7 @@
 	targetProxy    *standin.Proxy // to the target
 	peerProxy      *standin.Proxy // to the node, for other nodes
 	replacing      sync.Mutex     // held while the target is stopped and another one started
+	restarting     sync.Mutex     // held while the node is stopped and started again
 	nodeFaults     []nodeFault    // that have begun
 }
 
@@ -88,6 +89,7 @@
 	storeProxy *standin.Proxy
 	vms        []*vm
 	configMu   sync.Mutex // held while a configuration is written
+	restoring  sync.Mutex // held while the store comes back from an older copy, and until its nodes have written what it lost
 	version    atomic.Uint64
 	config     []byte // as written last
 	told       toldNodes
@@ -340,6 +342,7 @@
 	attempt string
 	order   bool
 	took    time.Duration
+	unread  bool // sent behind a response that announces the end of the connection
 }
 
 var httpClient = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
@@ -354,7 +357,7 @@
 func send(ip, attempt, path, body string) result {
 	start := time.Now()
 	r := standin.Send(httpClient, at(ip, portCallers), "site.example", attempt, path, body, callerTimeout)
-	return result{r, attempt, body != "", time.Since(start)}
+	return result{Result: r, attempt: attempt, order: body != "", took: time.Since(start)}
 }
 
 // residentMemory returns the resident memory of the node's process, in bytes.
--- a/test/sidecar/soak_test.go
+++ b/test/sidecar/soak_test.go
@@ -33,6 +33,7 @@
 
 const (
 	soakCallers = 8
+	openCallers = 4
 	defaultVMs  = 6
 	// graceLimit is the grace period in the nodes' settings.
 	graceLimit = 6 * time.Second
@@ -45,6 +46,8 @@
 	// configBound is the operators' limit on the time until a configuration is in force, plus their limit for a store that
 	// was disturbed.
 	configBound = 7 * time.Second
+	// returnBound is the operators' limit on the time until what the store has lost of the nodes is back.
+	returnBound = 2 * time.Second
 	// memoryLimit is the memory limit in the nodes' settings, in bytes.
 	memoryLimit = 284 << 20
 	// maxHeldShare bounds the share of requests that are held because they were in progress when targets ended.
@@ -89,6 +92,14 @@
 			}
 		})
 	}
+	for i := range openCallers {
+		load.Go(func() {
+			list := s.callOnOpenConnections(rand.New(rand.NewPCG(seed, uint64(i)+200)), fmt.Sprintf("s%d-o%d", seed, i), stop)
+			mu.Lock()
+			defer mu.Unlock()
+			results = append(results, list...)
+		})
+	}
 	for _, v := range s.vms {
 		load.Go(func() { s.watchVersion(v, stop) })
 	}
@@ -205,6 +216,12 @@
 
 // faultOfNode kills, stops, pauses or reloads the node of a VM, also in series and before the last of them has ended.
 func (s *site) faultOfNode(rng *rand.Rand, v *vm) {
+	if rng.IntN(6) == 0 {
+		s.killAllNodes(rng)
+		return
+	}
+	v.restarting.Lock()
+	defer v.restarting.Unlock()
 	switch rng.IntN(5) {
 	case 0:
 		for range 1 + rng.IntN(3) {
@@ -234,12 +251,42 @@
 			v.signal(syscall.SIGCONT, false)
 		})
 	default:
-		s.stopOrReloadNode(rng, v)
+		s.stopOrReload(rng, v)
 	}
 }
 
+// killAllNodes kills all nodes at the same time and starts them again, but not while the store has lost what they know.
+func (s *site) killAllNodes(rng *rand.Rand) {
+	s.restoring.Lock()
+	defer s.restoring.Unlock()
+	var killed, started sync.WaitGroup
+	killed.Add(len(s.vms))
+	pause := randomDuration(rng, 500*time.Millisecond)
+	for _, v := range s.vms {
+		started.Go(func() {
+			v.restarting.Lock()
+			defer v.restarting.Unlock()
+			v.duringFault(false, func() {
+				killed.Done()
+				killed.Wait() // for the locks of all
+				<-v.signal(syscall.SIGKILL, true)
+				time.Sleep(pause)
+				v.startNode()
+			})
+		})
+	}
+	started.Wait()
+}
+
 // stopOrReloadNode stops the node of a VM gracefully and starts it again, or tells it to reload its settings.
 func (s *site) stopOrReloadNode(rng *rand.Rand, v *vm) {
+	v.restarting.Lock()
+	defer v.restarting.Unlock()
+	s.stopOrReload(rng, v)
+}
+
+// stopOrReload is stopOrReloadNode for callers that hold v.restarting.
+func (s *site) stopOrReload(rng *rand.Rand, v *vm) {
 	if rng.IntN(4) == 0 {
 		for range 1 + rng.IntN(3) {
 			v.signal(syscall.SIGHUP, false)
@@ -290,12 +337,22 @@
 		v.currentTarget().NameLimit(-1)
 		return
 	}
+	target := v.currentTarget()
 	if rng.IntN(2) == 0 {
-		v.currentTarget().SayLeaving()
+		target.SayLeaving()
 		time.Sleep(randomDuration(rng, 2*drainBound))
 	}
-	if v.currentTarget().Drain(drainReportTime) {
-		time.Sleep(drainBound + randomDuration(rng, 500*time.Millisecond))
+	for range rng.IntN(3) {
+		target.DelayReport(randomDuration(rng, 5*time.Second))
+	}
+	acknowledged := false
+	if rng.IntN(2) == 0 {
+		acknowledged = target.Drain(drainReportTime)
+	} else {
+		acknowledged = target.Leave(drainReportTime, rng.IntN(2) == 0)
+	}
+	if acknowledged {
+		time.Sleep(drainBound + randomDuration(rng, 3*time.Second))
 	}
 	v.replaceTarget(0)
 }
@@ -316,9 +373,12 @@
 	case 4:
 		s.changeConfiguration(rng, v)
 	case 5: // it comes back from an older copy
+		s.restoring.Lock()
+		defer s.restoring.Unlock()
 		s.storeProxy.SetFault([]standin.Fault{standin.Pass, standin.Stalled, standin.ResetOnConnect}[rng.IntN(3)])
 		time.Sleep(randomDuration(rng, 1500*time.Millisecond))
 		s.restoreStore(randomDuration(rng, 12*time.Second), randomDuration(rng, 300*time.Millisecond))
+		time.Sleep(returnBound)
 	}
 }
 
@@ -371,6 +431,9 @@
 				assert.Zero(s.t, runs[r.attempt], "order %s was refused, but has run", r.attempt)
 			}
 		}
+		if planned && r.unread {
+			assert.Zero(s.t, runs[r.attempt], "request %s was sent behind the last response of its connection and has run", r.attempt)
+		}
 		if planned && runs[r.attempt] > 0 && r.took < routeTimeout {
 			assert.NotEmpty(s.t, r.Stamp, "request %s ran and was cut off with status %d", r.attempt, r.Status)
 		}
