sidecar: accept the calls of requests in progress during a graceful stop

What callers saw: a request that ran at the target of a stopping node for longer than a second failed with 500 if it called another service later than 2.5 s after SIGTERM.

Cause: the node accepts no connections from 2.5 s on, and each response during a stop ends its connection, so that the target could not make its calls any more.

Change: while requests run at the target, connections are accepted for 2 s more, for their calls; whatever else comes is refused as not run.

Evidence: TestCallsOfRequestsInProgressAreServedDuringAStop fails before (the new request gets no response, its call neither) and passes after.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -32,6 +32,7 @@
 	reading   bool          // a request has started to arrive
 	closed    bool          // no further request is accepted
 	closeSent bool          // a response has announced the end of the connection
+	late      bool          // the request that arrives is rejected because the server stops
 	lastDone  chan struct{} // closed when the newest request is answered; nil if there was none
 }
 
@@ -146,7 +147,7 @@
 	return nil
 }
 
-// setArrivalDeadline limits the time for the rest of a request to arrive. None is left once the server takes no further requests.
+// setArrivalDeadline limits the time for the rest of a request to arrive. None is left for one that is late.
 func (c *conn) setArrivalDeadline(d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -155,7 +156,7 @@
 
 // setArrivalDeadlineLocked is setArrivalDeadline for callers that hold the mutex.
 func (c *conn) setArrivalDeadlineLocked(d time.Duration) {
-	if c.srv.refusing.Load() {
+	if c.late {
 		d = 0
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(d))
@@ -240,13 +241,19 @@
 			return nil, err
 		}
 	}
-	if c.srv.refusing.Load() {
+	if c.isLate() {
 		r.memory.Release()
 		return nil, errStopping
 	}
 	return r, nil
 }
 
+func (c *conn) isLate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.late
+}
+
 // errStopping rejects a request that has not arrived before the server stops.
 var errStopping = &RejectError{http.StatusServiceUnavailable, "the node stops and takes no further requests"}
 
@@ -266,7 +273,7 @@
 
 // lateError returns the error for a request that did not arrive in time.
 func (c *conn) lateError(detail string) error {
-	if c.srv.refusing.Load() {
+	if c.isLate() {
 		return errStopping
 	}
 	return &RejectError{http.StatusRequestTimeout, detail}
@@ -433,6 +440,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.reading {
+		c.late = true
 		_ = c.nc.SetReadDeadline(time.Now())
 	}
 }
--- a/internal/connection/entry/entry.go
+++ b/internal/connection/entry/entry.go
@@ -78,7 +78,6 @@
 
 	active    atomic.Int64              // requests that were read and not answered yet
 	closing   atomic.Bool               // each connection ends with the requests that have begun to arrive
-	refusing  atomic.Bool               // requests that have not arrived completely are rejected
 	closeTime atomic.Pointer[time.Time] // when idle connections and listeners are closed; nil: not set
 
 	mu        sync.Mutex
@@ -191,10 +190,7 @@
 }
 
 // RefuseArriving rejects the requests that have begun to arrive and are not complete, with status 503.
-func (s *Server) RefuseArriving() {
-	s.refusing.Store(true)
-	s.forEach((*conn).refuseArriving)
-}
+func (s *Server) RefuseArriving() { s.forEach((*conn).refuseArriving) }
 
 // GiveUp cancels the context of all requests with the cause. Their responses are still written.
 func (s *Server) GiveUp(cause error) {
--- a/internal/process/mesh/runs.go
+++ b/internal/process/mesh/runs.go
@@ -65,6 +65,16 @@
 	return out
 }
 
+// Runs returns the number of requests in progress at the attached target and at those that were attached before.
+func (p *Proxy) Runs() int {
+	p.activeRuns.mu.Lock()
+	defer p.activeRuns.mu.Unlock()
+	return len(p.activeRuns.byAttempt)
+}
+
+// IsCall reports whether a request with the attempt ID is a call that the attached target makes for a request in progress.
+func (p *Proxy) IsCall(attempt string) bool { return p.activeRuns.parent(attempt) != nil }
+
 // parent returns the run that made the call with the given attempt ID, or nil if none is known; the call is then treated as a new
 // request. Both the suffix of the call and the attempt ID of the run may contain dots, so parent shortens the ID at one dot after
 // another, from the right, until a run has it.
--- a/internal/process/sidecar/handlers.go
+++ b/internal/process/sidecar/handlers.go
@@ -18,6 +18,10 @@
 // entryHandler handles requests of callers and of the target on this VM. It implements entry.Handler.
 type entryHandler struct{ s *Sidecar }
 
+// stopRetryAfter is when callers should come back that were refused because the node stops: it has exited by then, and they connect to
+// another one.
+const stopRetryAfter = 300 * time.Millisecond
+
 // interfaceEntry is the metrics label of this interface.
 const interfaceEntry = "entry"
 
@@ -32,7 +36,13 @@
 		return h.Reject(reject.Status, reject.Detail)
 	}
 	req.Memory = h.s.responseMemory.NewReservation()
-	resp := h.s.path.Serve(ctx, req)
+	var resp *message.Response
+	if h.s.refusesNew(req) {
+		resp = message.Refuse(message.ReasonLeaving, message.Errorf(message.StepAccept, "", "the node stops"))
+		resp.RetryAfter = stopRetryAfter
+	} else {
+		resp = h.s.path.Serve(ctx, req)
+	}
 	if resp.Reason == message.ReasonCancelled && errors.Is(context.Cause(ctx), message.ErrStopping) {
 		resp.Reason = message.ReasonLeaving
 	}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -98,10 +98,11 @@
 	failures       *event.Limiter // rate limit of the log lines listed at failuresPerSecond
 	samples        *event.Limiter // rate limit of the log lines for successful requests
 
-	retryBurst        atomic.Pointer[float64] // for all nodes together, see Settings
-	leaving           atomic.Bool             // a graceful stop has begun
-	handedOver        atomic.Bool             // the stop has reached the handover of the attached target's requests
-	targetUnreachable atomic.Bool             // connections to the target fail
+	retryBurst        atomic.Pointer[float64]   // for all nodes together, see Settings
+	leaving           atomic.Bool               // a graceful stop has begun
+	handedOver        atomic.Bool               // the stop has reached the handover of the attached target's requests
+	refusingSince     atomic.Pointer[time.Time] // from then on the stop refuses new requests; nil: it has not come so far
+	targetUnreachable atomic.Bool               // connections to the target fail
 	storeEpoch        platform.NewestEpoch
 	registryEpoch     platform.NewestEpoch // in which this node has last seen the registry complete
 	heardOfContact    atomic.Int64         // time from the start to the last StoreContact of a higher-ranked node, in nanoseconds
--- a/internal/process/sidecar/stop.go
+++ b/internal/process/sidecar/stop.go
@@ -20,6 +20,9 @@
 	// acceptPeriod is the time after the start of a graceful stop in which callers still connect: the platform checks
 	// readiness once a second and stops sending callers after two failed checks.
 	acceptPeriod = 2500 * time.Millisecond
+	// callPeriod is the time after the start of a graceful stop in which the calls are still accepted that the attached target makes for
+	// requests in progress: these fail without their calls. The rest of the grace period is for the calls to complete.
+	callPeriod = 4500 * time.Millisecond
 	// arrivalPeriod is the time after the start of a graceful stop within which a request has to arrive completely. A later one
 	// might not be answered before the process exits.
 	arrivalPeriod = 3 * time.Second
@@ -36,6 +39,7 @@
 	handover time.Duration // see handoverPeriod
 	closing  time.Duration // see acceptPeriod
 	arrival  time.Duration // see arrivalPeriod
+	calls    time.Duration // see callPeriod
 	end      time.Duration // see exitMargin
 }
 
@@ -47,7 +51,8 @@
 	scale := min(1, float64(grace)/float64(defaultGrace))
 	scaled := func(d time.Duration) time.Duration { return time.Duration(scale * float64(d)) }
 	return stopSchedule{
-		handover: scaled(handoverPeriod), closing: scaled(acceptPeriod), arrival: scaled(arrivalPeriod), end: grace - scaled(exitMargin),
+		handover: scaled(handoverPeriod), closing: scaled(acceptPeriod), arrival: scaled(arrivalPeriod), calls: scaled(callPeriod),
+		end: grace - scaled(exitMargin),
 	}
 }
 
@@ -66,25 +71,42 @@
 	steps := []struct {
 		at time.Duration
 		do func()
-	}{{schedule.handover, s.handOver}, {schedule.closing, s.closeEntry}, {schedule.arrival, s.entry.RefuseArriving}}
+	}{{schedule.handover, s.handOver}, {schedule.closing, s.refuseNewRequests}, {schedule.arrival, s.entry.RefuseArriving}}
+	var closedAt time.Duration // zero: connections are still accepted
 	for {
 		elapsed := time.Since(start)
 		for len(steps) > 0 && elapsed >= steps[0].at {
 			steps[0].do()
 			steps = steps[1:]
 		}
+		runs := s.path.Runs() > 0
 		switch {
 		case elapsed >= schedule.end:
 			s.giveUp()
 			return
+		case closedAt == 0 && elapsed >= schedule.closing && (!runs || elapsed >= schedule.calls):
+			closedAt = elapsed
+			s.closeEntry()
 		// CloseIdle still takes what arrives within CloseDelay; the second CloseDelay leaves time to read what came at its end.
-		case elapsed >= schedule.closing+2*entry.CloseDelay && s.idle():
+		case closedAt != 0 && elapsed >= closedAt+2*entry.CloseDelay && s.idle():
 			return
 		}
 		time.Sleep(drainPollInterval)
 	}
 }
 
+// refuseNewRequests refuses what arrives from now on, except for calls of requests that are in progress at the attached target.
+func (s *Sidecar) refuseNewRequests() {
+	now := time.Now()
+	s.refusingSince.Store(&now)
+}
+
+// refusesNew reports whether a request came too late in a graceful stop.
+func (s *Sidecar) refusesNew(req *message.Request) bool {
+	since := s.refusingSince.Load()
+	return since != nil && req.Arrived.After(since.Add(entry.CloseDelay)) && !s.path.IsCall(req.Attempt)
+}
+
 // handOver leaves the requests for the attached target's service to other targets.
 func (s *Sidecar) handOver() {
 	s.handedOver.Store(true)
@@ -92,6 +114,7 @@
 	s.pool.GoAway()
 }
 
+// closeEntry accepts no further connections.
 func (s *Sidecar) closeEntry() {
 	event.Log(s.log, event.DrainClosing, s.inFlight()...)
 	s.entry.CloseIdle()
@@ -116,6 +139,6 @@
 	return []slog.Attr{
 		slog.Int("callers", s.entry.Active()), slog.Int("arriving", s.entry.Arriving()),
 		slog.Int("connections", s.entry.Connections()), slog.Int("peers", s.pool.Active()),
-		slog.Int("at_target", s.path.Load().InFlight),
+		slog.Int("runs", s.path.Runs()),
 	}
 }
--- a/internal/process/sidecar/stop_test.go
+++ b/internal/process/sidecar/stop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +15,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/entry"
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/targetconn"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
 )
 
 // Guards against a stop in a short grace period whose steps come after its end, so that all requests in flight are cut off.
@@ -26,7 +30,8 @@
 		require.Less(t, s.handover, s.closing)
 		require.Less(t, s.closing, s.arrival)
 		require.LessOrEqual(t, s.arrival, grace/2, "a target may need the other half")
-		require.Less(t, s.arrival, s.end)
+		require.Less(t, s.arrival, s.calls)
+		require.Less(t, s.calls, s.end)
 		require.Less(t, s.end, grace)
 	}
 }
@@ -178,3 +183,82 @@
 		}
 	})
 }
+
+// callCodec decodes requests whose attempt ID is in their path.
+type callCodec struct{ noticeCodec }
+
+func (callCodec) DecodeRequest(r *entry.Request) (*message.Request, error) {
+	return &message.Request{Host: r.Host, Path: r.URL.Path, Attempt: path.Base(r.URL.Path), Arrived: r.Arrived}, nil
+}
+
+func (callCodec) EncodeResponse(_ *message.Request, r *message.Response) *entry.Response {
+	if r.Outcome == message.NotRun {
+		return &entry.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
+	}
+	return &entry.Response{Status: r.Status, Header: http.Header{}}
+}
+
+// callingTarget makes a call through its node some time after it has begun to run a request.
+type callingTarget struct {
+	l     *callers
+	after time.Duration
+	calls chan int // statuses of the calls
+}
+
+func (g *callingTarget) Do(_ context.Context, x *targetconn.Exchange) (*targetconn.Response, error) {
+	time.Sleep(g.after)
+	g.calls <- g.l.order("/store/"+x.ID+".1", 0)
+	return &targetconn.Response{Status: http.StatusOK}, nil
+}
+
+// Guards against requests that fail because the node beside their target stops and accepts no further connections, also not for their
+// calls, and against new requests that are served in their wake.
+func TestCallsOfRequestsInProgressAreServedDuringAStop(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		route := func(name string) *routing.Route {
+			return &routing.Route{
+				Name: name, Host: "x", Prefix: "/" + name + "/", Timeout: 10 * time.Second, MaxAttempts: 1,
+				Split: []routing.WeightedService{{Service: name, Weight: 1}},
+			}
+		}
+		table, err := routing.New(9, []*routing.Route{route("menu"), route("store")},
+			[]routing.Service{{Name: "menu"}, {Name: "store"}}, routing.DefaultLimits())
+		require.NoError(t, err)
+		table.Source([]byte{9}, 1)
+		l := &callers{waiting: make(chan net.Conn), done: make(chan struct{})}
+		calling := &callingTarget{l: l, after: 4 * time.Second, calls: make(chan int, 1)}
+		targets := map[string]exchanger{"a": calling, "m": &leavingTarget{}}
+		c.configure = func(s *Sidecar) {
+			s.routes.Store(table)
+			s.opts.Codec = callCodec{}
+			s.connectTarget = func(string) exchanger { return targets[s.settings.PeerAddress] }
+		}
+		a, m := c.start("a", "menu"), c.start("m", "store")
+		time.Sleep(time.Second)
+		require.NoError(t, a.reportReady(1))
+		require.NoError(t, m.reportReady(1))
+		time.Sleep(100 * time.Millisecond)
+		go func() { _ = a.entry.Serve(l) }()
+		answered := make(chan *message.Response, 1)
+		go func() {
+			answered <- m.path.Serve(t.Context(), &message.Request{Host: "x", Path: "/menu/r", Attempt: "r", Arrived: time.Now()})
+		}()
+		time.Sleep(time.Second)
+		stopped := make(chan struct{})
+		go func() {
+			a.drain()
+			a.entry.Close()
+			close(stopped)
+		}()
+		time.Sleep(acceptPeriod / 2)
+		require.NoError(t, m.reportReady(2))
+		time.Sleep(acceptPeriod/2 + 100*time.Millisecond)
+		require.Equal(t, http.StatusServiceUnavailable, l.order("/store/new", 0))
+		require.Equal(t, http.StatusOK, <-calling.calls)
+		r := <-answered
+		require.Equal(t, message.Answered, r.Outcome)
+		require.Equal(t, http.StatusOK, r.Status)
+		<-stopped
+		time.Sleep(time.Second)
+	})
+}
