--- a/internal/process/node/http_test.go
+++ b/internal/process/node/http_test.go
@@ -61,6 +61,7 @@
 	peer      string
 	target    string
 	listeners Listeners
+	stop      func() // begins a graceful stop
 }
 
 func newTestNode(t *testing.T, answers rawTarget) *testNode {
@@ -89,6 +90,7 @@
 	s.node.Apply(p)
 	ctx, cancel := context.WithCancel(t.Context())
 	abort, stop := context.WithCancel(t.Context())
+	s.stop = cancel
 	done := make(chan error, 1)
 	go func() { done <- s.node.Run(ctx, listeners, abort) }()
 	t.Cleanup(func() {
@@ -302,3 +304,12 @@
 	s.check(s.listeners.Caller, "GET /orders/good", append(calls,
 		failureCase{"GET /orders/never", "Wigeon-Timeout-Ms: 50\r\n", "", 504, "unknown", "deadline", "run", s.target}))
 }
+
+// Guards against the caller of a request that is still in progress at the end of a graceful stop and finds its connection closed.
+func TestRequestThatOutlastsAStopIsAnswered(t *testing.T) {
+	s := newTestNode(t, rawTarget{})
+	time.AfterFunc(100*time.Millisecond, s.stop)
+	status, headers, _ := s.dial(s.listeners.Caller)("GET /orders/slow", "", "")
+	require.Equal(t, http.StatusGatewayTimeout, status)
+	require.Equal(t, "unknown", headers.Get("Wigeon-Outcome"))
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -334,12 +334,27 @@
 		invariant.Check(invariant.DrainComplete, ctx.Err() != nil || active == 0, "%d requests after the graceful stop", active)
 	}
 	if aborted > 0 {
+		n.giveUp(servers)
 		event.Log(n.log, event.DrainIncomplete, slog.Int("cut", aborted))
 		return fmt.Errorf("graceful stop: %w: %d", ErrRequestsAborted, aborted)
 	}
 	return nil
 }
 
+// giveUpTimeout bounds the time to answer the requests that are given up at the end of a graceful stop.
+const giveUpTimeout = 150 * time.Millisecond
+
+// giveUp answers the requests that are still in flight, so that their callers need not wait for nothing.
+func (n *Node) giveUp(servers *servers) {
+	ctx, cancel := context.WithTimeout(context.Background(), giveUpTimeout)
+	defer cancel()
+	servers.giveUp(message.ErrStopping)
+	n.pool.GiveUp(message.ErrStopping)
+	n.pool.Drain(ctx)
+	n.awaitIdle(ctx)
+	servers.shutdown(ctx) // writes the responses
+}
+
 // drainPollInterval is the interval at which a graceful stop checks for requests in flight.
 const drainPollInterval = 10 * time.Millisecond
 
--- a/internal/process/node/servers.go
+++ b/internal/process/node/servers.go
@@ -27,27 +27,33 @@
 	all  []*khttp.Server
 	errs chan error
 	wg   sync.WaitGroup
+	// requests is the context of the requests of callers and of the own target. giveUp cancels it; the requests are still answered.
+	requests map[*khttp.Server]context.Context
+	giveUp   context.CancelCauseFunc
 }
 
 func (n *Node) newServers(listeners Listeners) *servers {
 	peers := http.NewServeMux()
 	peers.Handle(link.Path, n.pool)
-	s := &servers{log: n.log, errs: make(chan error, 4)}
+	requests, giveUp := context.WithCancelCause(context.Background())
+	s := &servers{log: n.log, errs: make(chan error, 4), giveUp: giveUp}
 	refuseMalformedOn := func(l net.Listener) net.Listener { return refusingListener{l, n.settings.Node.PeerAddress} }
-	s.all = []*khttp.Server{
-		refuseMalformed(httpserver.New(refuseMalformedOn(listeners.Caller), n.callerHandler())),
-		httpserver.New(listeners.Peer, peers),
-		refuseMalformed(httpserver.New(refuseMalformedOn(listeners.Target), n.targetHandler())),
-		httpserver.New(listeners.Admin, n.adminHandler()),
-	}
+	callers := refuseMalformed(httpserver.New(refuseMalformedOn(listeners.Caller), n.callerHandler()))
+	target := refuseMalformed(httpserver.New(refuseMalformedOn(listeners.Target), n.targetHandler()))
+	s.all = []*khttp.Server{callers, httpserver.New(listeners.Peer, peers), target, httpserver.New(listeners.Admin, n.adminHandler())}
+	s.requests = map[*khttp.Server]context.Context{callers: requests, target: requests}
 	return s
 }
 
 // start starts the servers. Each server that fails sends its error to the returned channel.
 func (s *servers) start() <-chan error {
 	for _, srv := range s.all {
+		ctx, ok := s.requests[srv]
+		if !ok {
+			ctx = context.Background()
+		}
 		s.wg.Go(func() {
-			err := srv.Start(context.Background())
+			err := srv.Start(ctx)
 			if err != nil && !errors.Is(err, http.ErrServerClosed) {
 				event.Log(s.log, event.ServerFailed, slog.String("error", err.Error()))
 				s.errs <- fmt.Errorf("serve: %w", err)
@@ -68,6 +74,7 @@
 
 // close closes the servers and their connections immediately and waits until they have stopped.
 func (s *servers) close() {
+	s.giveUp(nil)
 	for _, srv := range s.all {
 		_ = srv.Close()
 	}
