sidecar: number the changes of leavings across processes

Found on reading: a node that has recorded a leaving for another one answers with the number of the change. If that node has been restarted since, the answer could count for a change of the new process, which would then be acknowledged without a record. TestLateAnswerToAnEarlierProcessRecordsNothing fails with numbers that begin at zero and passes now.

Besides: connections that were accepted for calls only are also rid of requests that have not arrived completely; one condition of Tracker.Restore that another one implies is gone; comments.

--- a/internal/process/report/report.go
+++ b/internal/process/report/report.go
@@ -249,7 +249,7 @@
 	l := Leaving{instance, born, sequence, phase}
 	t.learnLocked(l)
 	have := &t.state
-	if have.Instance == "" || have.Instance == l.Instance && (l.outdates(have.Report) || have.Born == l.Born && have.Phase < l.Phase && l.Phase == PhaseGone) {
+	if have.Instance == "" || have.Instance == l.Instance && l.outdates(have.Report) {
 		have.Instance, have.Born, have.Phase = l.Instance, l.Born, l.Phase
 		have.Sequence = max(have.Sequence, l.Sequence)
 		return true
--- a/internal/process/sidecar/leavings.go
+++ b/internal/process/sidecar/leavings.go
@@ -41,7 +41,7 @@
 
 	mu       sync.Mutex
 	list     []report.Leaving // what the row has to contain
-	changes  uint64           // number of changes of list
+	changes  uint64           // counts the changes of list, from a number that no earlier process has reached
 	recorded uint64           // value of changes at which the row had that content
 	known    bool             // the row, at version, was read
 	version  platform.Version // zero: there is no row
@@ -49,13 +49,14 @@
 }
 
 func newLeavingsRecord(store Store, address string, log *slog.Logger, restore func([]report.Leaving)) *leavingsRecord {
+	first := uint64(time.Now().UnixNano())
 	return &leavingsRecord{
 		store: store, key: leavingsPrefix + address, restore: restore, state: storeState{log: log, step: "leavings"},
-		changed: make(chan struct{}),
+		changes: first, recorded: first, changed: make(chan struct{}),
 	}
 }
 
-// run writes what keep adds, until ctx ends.
+// run writes what add has added, until ctx ends.
 func (l *leavingsRecord) run(ctx context.Context) {
 	retry := backoff{limit: maxStoreBackoff}
 	for l.await(ctx, func() bool { return l.changes != l.recorded }) {
@@ -145,7 +146,7 @@
 	}
 }
 
-// add adds to the list and returns the change that await and recordedElsewhere take.
+// add adds to the list and returns the last change, as awaitRecorded and recordedElsewhere take it.
 func (l *leavingsRecord) add(list []report.Leaving) (change uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -159,11 +160,11 @@
 	return l.await(ctx, func() bool { return l.recorded >= change })
 }
 
-// recordedElsewhere records that another node has written the list up to a change.
+// recordedElsewhere records that another node has written the list up to a change. A late answer to an earlier process has no effect.
 func (l *leavingsRecord) recordedElsewhere(change uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.recorded < change {
+	if l.recorded < change && change <= l.changes {
 		l.recorded, l.known = change, false
 		l.notifyLocked()
 	}
@@ -291,7 +292,8 @@
 // recordFailurePause is the time for which a node that has failed to record a leaving for another one does not try again.
 const recordFailurePause = time.Second
 
-// writeLeavings adds what a node has been told of targets that leave to the row of the node's leavings, as it was read; the zero value stands for none.
+// writeLeavings adds what a node has been told of targets that leave to the row of its leavings, as it was read; the zero value stands
+// for none.
 func (s *Sidecar) writeLeavings(ctx context.Context, m directory.Member, row platform.Row) error {
 	key := leavingsPrefix + m.Address
 	list, err := decodeLeavings(row.Value)
--- a/internal/process/sidecar/leavings_test.go
+++ b/internal/process/sidecar/leavings_test.go
@@ -188,6 +188,22 @@
 	})
 }
 
+// Guards against a leave that counts as recorded because a node has answered the request of an earlier process.
+func TestLateAnswerToAnEarlierProcessRecordsNothing(t *testing.T) {
+	runDrill(t, func(t *testing.T, c *drillCluster) {
+		c.startReady(t, "a1", "a2")
+		require.NoError(t, c.nodes["a1"].Leave("i-a1", 100))
+		earlier := c.nodes["a1"].leavings.changes
+		c.restart("a1")
+		c.store.SetFaults(memory.Faults{Hang: true})
+		a1 := c.nodes["a1"]
+		time.AfterFunc(100*time.Millisecond, func() {
+			a1.inbox <- inboundMessage{"a2", mustMarshal(t, viewMessage{Recorded: earlier})}
+		})
+		require.ErrorIs(t, a1.Leave("i-next", 200), report.ErrUnavailable)
+	})
+}
+
 // Guards against a number of store calls that grows with the reports of a target that drains.
 func TestDrainCostsOneStoreCall(t *testing.T) {
 	runDrill(t, func(t *testing.T, c *drillCluster) {
--- a/internal/process/sidecar/stop.go
+++ b/internal/process/sidecar/stop.go
@@ -87,6 +87,9 @@
 		case closedAt == 0 && elapsed >= schedule.closing && (!runs || elapsed >= schedule.calls):
 			closedAt = elapsed
 			s.closeEntry()
+			if elapsed >= schedule.arrival { // for connections that were accepted since
+				s.entry.RefuseArriving()
+			}
 		// CloseIdle still takes what arrives within CloseDelay; the second CloseDelay leaves time to read what came at its end.
 		case closedAt != 0 && elapsed >= closedAt+2*entry.CloseDelay && s.idle():
 			return
