admission: lower the threshold by time, not by the number of requests

What callers saw: requests shed by entry nodes although all load had ended and every slot was idle.

Cause: an interval ends with the first call after 100 ms and lowers the threshold by one step, however long it took. A target with two or three requests a second needs 1.8 to 2.7 s for one rank, one with four or more less than 1.5 s, and one with none a second. After an overload entry nodes shed what is below the threshold, so that few requests arrive and the threshold keeps itself in force.

Change: one step for each 100 ms that the interval took.

Evidence: TestThresholdFallsInTimeWithFewRequests asks for the 2 s that docs/operators.md states.

--- a/internal/process/admission/shedder.go
+++ b/internal/process/admission/shedder.go
@@ -112,7 +112,7 @@
 		}
 		sh.threshold = max(sh.threshold, min(next, sh.maxThreshold()))
 	case sh.threshold > 0 && use < lowerUtilisation && backlog <= setpoint:
-		sh.lower(now, m, use)
+		sh.lower(now, elapsed, m, use)
 	default:
 		sh.step = 0
 	}
@@ -189,13 +189,17 @@
 }
 
 // lower lowers the threshold so far that the additional requests would have filled part of the slots that were idle in
-// this interval, but at most by one step. If enough requests arrived below the threshold, it counts them; otherwise the
-// entry nodes shed these requests, and it uses the estimate of stepToFill.
-func (sh *shedder) lower(now time.Duration, m *meter, use float64) {
+// this interval, but at most by one step for each tickInterval that it took. If enough requests arrived below the threshold,
+// it counts them; otherwise the entry nodes shed these requests, and it uses the estimate of stepToFill.
+func (sh *shedder) lower(now, elapsed time.Duration, m *meter, use float64) {
 	largest := sh.returnStep * prioritiesPerRank
-	sh.step = min(max(int(firstStepShare*largest), 2*sh.step), int(largest))
-	sh.step = max(minStep, min(sh.step, int((1-use)*largest)))
-	next := sh.stepDown(now, sh.step)
+	decrease := 0
+	for range max(1, elapsed.Round(tickInterval)/tickInterval) { // more than one if few requests arrive
+		sh.step = min(max(int(firstStepShare*largest), 2*sh.step), int(largest))
+		sh.step = max(minStep, min(sh.step, int((1-use)*largest)))
+		decrease += sh.step
+	}
+	next := sh.stepDown(now, decrease)
 	s, weight := sh.samples(m)
 	from, _ := slices.BinarySearch(s, sh.threshold)
 	if use > 0 {
--- a/internal/process/admission/shedder_test.go
+++ b/internal/process/admission/shedder_test.go
@@ -52,9 +52,29 @@
 	}
 	before := sh.threshold
 	for range 4 {
-		sh.lower(0, &m, use)
+		sh.lower(0, tickInterval, &m, use)
 	}
 	require.Less(t, sh.threshold, before)
 	spare := perInterval * (1 - use) / use
 	require.LessOrEqual(t, float64(before-sh.threshold)*perPriority, spare)
 }
+
+// Guards against a threshold that outlives an overload because few requests arrive at the target: as long as other nodes shed the
+// requests below it, no more of them will.
+func TestThresholdFallsInTimeWithFewRequests(t *testing.T) {
+	for gap := 100 * time.Millisecond; gap <= thresholdExpiry; gap += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			c := newController(testLimits(40))
+			l := &load{c: c, target: newTarget(40, 50*time.Millisecond, false), timeout: time.Second,
+				rates: map[uint8]float64{rankOrder: 200, 20: 200, rankRead: 1600}}
+			l.run(5 * time.Second)
+			require.Greater(t, c.Threshold(), message.Priority(rankRead<<8))
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(gap) {
+				p, err := c.Acquire(t.Context(), Work{Priority: rankOrder << 8, Deadline: end})
+				require.NoError(t, err)
+				p.Release(Result{Latency: 50 * time.Millisecond})
+			}
+			require.Zero(t, c.Threshold(), "a request every %v", gap)
+		})
+	}
+}
