entry: serve the request behind a response that was being sent at a stop

What callers saw: a connection that is kept open closes without notice behind a response that was being written when the stop began, and a request that was sent meanwhile gets no response.

Change: count the requests whose response has not been begun. If there is none, the connection stays open; its next request is the last one. When idle connections are closed at once (CloseIdle), one whose response took longer than CloseDelay to send still gets CloseDelay after it.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -29,6 +29,7 @@
 
 	mu        sync.Mutex
 	pending   int           // requests that were read and not answered yet
+	waiting   int           // pending requests whose response is not being written yet
 	reading   bool          // a request has started to arrive
 	closed    bool          // no further request is accepted
 	closeSent bool          // a response has announced the end of the connection
@@ -162,7 +163,8 @@
 	_ = c.nc.SetReadDeadline(time.Now().Add(d))
 }
 
-// setIdleDeadline sets the deadline for the next request to arrive while none is pending. The caller holds the mutex.
+// setIdleDeadline sets the deadline for the next request to arrive while none is pending. When connections are closed, it leaves at
+// least CloseDelay for a request that was sent before the caller could know. The caller holds the mutex.
 func (c *conn) setIdleDeadline(idle time.Duration) {
 	deadline := time.Time{}
 	if c.pending == 0 && idle > 0 {
@@ -170,6 +172,9 @@
 	}
 	if closeTime := c.srv.closeTime.Load(); c.pending == 0 && closeTime != nil {
 		deadline = *closeTime
+		if earliest := time.Now().Add(CloseDelay); deadline.Before(earliest) {
+			deadline = earliest
+		}
 	}
 	_ = c.nc.SetReadDeadline(deadline)
 }
@@ -348,6 +353,7 @@
 	previous := c.lastDone
 	c.lastDone = done
 	c.pending++
+	c.waiting++
 	c.reading = false
 	c.closed = c.srv.closing.Load() // the last one: its response announces the end of the connection
 	c.mu.Unlock()
@@ -369,11 +375,13 @@
 // respond writes a response. The response ends the connection if the caller asked for that, or if keep-alives are disabled
 // and no other request has been read or is arriving: those must still be answered.
 func (c *conn) respond(r *http.Request, a *Response) {
+	c.mu.Lock()
+	c.waiting--
 	if c.ctx.Err() != nil {
+		c.mu.Unlock()
 		c.finish(nil)
 		return
 	}
-	c.mu.Lock()
 	last := r.Close || c.srv.closing.Load() && c.pending == 1 && !c.reading
 	if last {
 		c.closed, c.closeSent = true, true
@@ -428,11 +436,11 @@
 }
 
 // endAfterPending reads no request after those that are pending or arriving. Responses cannot announce the end of the connection
-// while a caller always has further requests on it.
+// while a caller always has further requests on it. If the last response is being written already, the next one announces the end.
 func (c *conn) endAfterPending() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed = c.closed || c.pending > 0 && !c.reading // a request that is arriving ends the connection in dispatch
+	c.closed = c.closed || c.waiting > 0 && !c.reading // a request that is arriving ends the connection in dispatch
 }
 
 // refuseArriving ends the wait for the rest of a request.
--- a/internal/connection/entry/drain_test.go
+++ b/internal/connection/entry/drain_test.go
@@ -40,6 +40,30 @@
 	})
 }
 
+// Guards against a connection that ends without notice because its only response was being sent when the stop began: the response
+// cannot announce the end any more, so that the next request has to be served.
+func TestRequestBehindAResponseThatWasBeingSentAtAStopIsAnswered(t *testing.T) {
+	for name, stop := range map[string]func(*Server){"announced": (*Server).DisableKeepAlives, "closed": (*Server).CloseIdle} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, br, _, s := connect(t)
+				write(t, c, get("/a"))
+				synctest.Wait() // the response is being sent: the pipe has no buffer
+				stop(s)
+				time.Sleep(2 * CloseDelay)
+				_, body, last := read(t, br)
+				require.Equal(t, "/a ", body)
+				require.False(t, last)
+				time.Sleep(CloseDelay / 2)
+				write(t, c, get("/b"))
+				_, body, last = read(t, br)
+				require.Equal(t, "/b ", body)
+				require.True(t, last)
+			})
+		})
+	}
+}
+
 // Guards against a request that is read and then dropped because it arrived while the server stops: its response has to announce the
 // end of the connection, and earlier responses must not.
 func TestRequestThatArrivesDuringAStopEndsItsConnection(t *testing.T) {
