--- a/internal/connection/entry/drain_test.go
+++ b/internal/connection/entry/drain_test.go
@@ -154,6 +154,25 @@
 	})
 }
 
+// Guards against a caller whose request is still arriving when the rest is given up and who finds its connection closed.
+func TestRequestThatStillArrivesAtTheEndOfAStopIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, br, h, s := connect(t)
+		write(t, c, get("/20s/a")+"POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo")
+		synctest.Wait()
+		s.GiveUp(errors.New("stopping"))
+		_, body, last := read(t, br)
+		require.Equal(t, "/20s/a ", body)
+		require.False(t, last)
+		start := time.Now()
+		status, _, last := read(t, br)
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		require.True(t, last)
+		require.Zero(t, time.Since(start))
+		require.Equal(t, []string{"/20s/a"}, h.seen)
+	})
+}
+
 // Guards against a body that stops arriving and that ends its connection without a response, with all requests before it.
 func TestBodyThatStopsArrivingIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
