link: dial a peer again as soon as it opens a link itself

What others saw: a node restarts and asks the others for what they know; one that had failed to reach it shortly before does not answer, because for 0.2 s after a failed dial all messages to the node fail at once. The question is lost, or has to wait for the next comparison of views.

Change: a link that the peer opens ends that backoff, also if a dial that began before fails later. At most one dial more for each accepted link.

--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -47,7 +47,16 @@
 	mu       sync.Mutex
 	dialing  chan struct{} // closed when the current dial ends; nil if there is none
 	failedAt time.Time
-	failure  error // of the last dial
+	failure  error // of the last dial, unless the peer has opened a link since that dial began
+	// accepted is set when the peer opens a link during the current dial. The peer can be reached then, even if that dial fails.
+	accepted bool
+}
+
+// noteAccepted ends the backoff after a failed dial: the peer has opened a link to this node, so it runs.
+func (s *peerEntry) noteAccepted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepted, s.failure = true, nil
 }
 
 // NewPool returns a pool. Close releases its resources.
@@ -172,7 +181,8 @@
 }
 
 // startDial starts a dial unless one is in progress, and returns the channel that is closed at its end, or nil if the last one has
-// just ended with a usable link. Within Config.DialBackoff after a failed dial it returns the error of that dial.
+// just ended with a usable link. Within Config.DialBackoff after a failed dial it returns the error of that dial, unless the peer has
+// opened a link since.
 func (p *Pool) startDial(s *peerEntry, address string) (<-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -189,7 +199,7 @@
 		return nil, errClosed
 	}
 	done := make(chan struct{})
-	s.dialing = done
+	s.dialing, s.accepted = done, false
 	go func() {
 		defer p.running.Done()
 		defer p.closeSurplus()
@@ -198,6 +208,9 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.dialing, s.failure, s.failedAt = nil, err, time.Now()
+		if s.accepted {
+			s.failure = nil
+		}
 		if err == nil {
 			s.link.Store(l)
 		}
@@ -311,6 +324,9 @@
 		return errClosed
 	}
 	defer p.unregister(in)
+	if v, ok := p.peers.Load(peer.Address); ok {
+		v.(*peerEntry).noteAccepted()
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(p.ctx, func() { cancel(context.Cause(p.ctx)) })()
--- a/internal/connection/link/pool_test.go
+++ b/internal/connection/link/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"log/slog"
 	"math/rand/v2"
@@ -212,3 +213,42 @@
 		require.Zero(t, late, "dials after Close has returned")
 	})
 }
+
+// Guards against answers to a restarted node that are dropped because a dial to it, begun while it was down, has failed.
+func TestNodeThatOpensALinkIsDialedAtOnce(t *testing.T) {
+	for name, dialTime := range map[string]time.Duration{"dial has failed": 0, "dial is about to fail": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var running, restarted *Pool
+				down := true
+				log := slog.New(slog.DiscardHandler)
+				connect := func(to **Pool) Dialer {
+					return func(context.Context, string) (Conn, error) {
+						if down && to == &restarted {
+							time.Sleep(dialTime)
+							return nil, errors.New("connection refused")
+						}
+						ours, theirs := newPipe()
+						go func() { _ = (*to).Accept(context.Background(), theirs) }()
+						return ours, nil
+					}
+				}
+				h := &testHandler{fn: echo}
+				running = NewPool(Config{Self: Peer{Address: "a", Incarnation: 1}}, connect(&restarted), h, log)
+				defer running.Close()
+				restarted = NewPool(Config{Self: Peer{Address: "b", Incarnation: 1}}, connect(&running), h, log)
+				defer restarted.Close()
+				early := make(chan error, 1)
+				go func() { early <- running.SendControl(t.Context(), "b", 1, nil) }()
+				synctest.Wait()
+				down = false
+				require.NoError(t, restarted.SendControl(t.Context(), "a", 1, nil))
+				synctest.Wait()
+				start := time.Now()
+				require.NoError(t, running.SendControl(t.Context(), "b", 1, nil))
+				require.Equal(t, dialTime, time.Since(start))
+				<-early
+			})
+		})
+	}
+}
