sidecar: let the other nodes answer before a restarted one reads the store

What callers saw: a node that restarts after the store came back from an older copy can run the older configuration for 0.6 s, although the other nodes have the newer one.

Cause: it asks others first, but whether their answer comes before it reads the store was left to chance: it decides on its role as a follower every 100 ms, so that there was anything from 100 ms to nothing.

Change: a node that finds others waits for 100 ms after its registration before it counts as registered, which a follower has to be. As before, this ends 1 s after the start in any case.

--- a/internal/process/sidecar/platform.go
+++ b/internal/process/sidecar/platform.go
@@ -42,6 +42,9 @@
 	// registrationTimeout is the time after the start for which a node waits to be registered, and so to know the other
 	// nodes, before it determines whether it is a follower.
 	registrationTimeout = time.Second
+	// peerAnswerTime is the time that the other nodes have to answer the introduction of one that has just started, before it may read
+	// the configuration from the store: a store that came back from an older copy has an older one.
+	peerAnswerTime = 100 * time.Millisecond
 	// minStoreBackoff and maxStoreBackoff bound the delay before a failed call is retried. maxFollowerBackoff applies to the
 	// followers that rank first: operators require that a configuration is in force, and lost rows are back, within two seconds
 	// of the store's return.
--- a/internal/process/sidecar/registry.go
+++ b/internal/process/sidecar/registry.go
@@ -36,8 +36,11 @@
 		state.record(err)
 		s.observeEpoch(state.step, s.opts.Nodes.Epoch())
 		if err == nil {
-			s.registered.Store(true)
 			event.Log(s.log, event.NodeRegistered, slog.Int("nodes", n), slog.Uint64("epoch", uint64(s.storeEpoch.Load())))
+			if n > 1 {
+				s.sleep(peerAnswerTime)
+			}
+			s.registered.Store(true)
 			return
 		}
 		if !retry.delay(s.ctx) {
--- a/internal/process/sidecar/restore_test.go
+++ b/internal/process/sidecar/restore_test.go
@@ -285,6 +285,41 @@
 	})
 }
 
+// Guards against a restarted node that reads the older version before the answers of the others arrive, because it decides on its role
+// as a follower at the moment of its registration.
+func TestRestartedNodeHearsTheOthersBeforeItReadsTheStore(t *testing.T) {
+	runDrill(t, func(t *testing.T, c *drillCluster) {
+		c.latency = 10 * time.Millisecond
+		c.startAll("a1", "b1")
+		restore := c.copyNow()
+		c.configure(t, 10, "lost")
+		time.Sleep(configBound)
+		restore(100 * time.Millisecond)
+		time.Sleep(returnBound)
+		c.kill("a1")
+		time.Sleep(100 * time.Millisecond)
+		nodes := slowPut{memoryTable{c.store, "nodes/"}, followerCheckInterval - time.Millisecond}
+		restarted := c.startIn("a", "a1", "menu", nodes, memoryTable{c.store, "op/"}, slog.New(slog.DiscardHandler))
+		for start := time.Now(); time.Since(start) < 3*followerCheckInterval; time.Sleep(time.Millisecond) {
+			if table := restarted.routes.Load(); table != nil {
+				require.EqualValues(t, 10, table.Version, "%s after the start", time.Since(start))
+			}
+		}
+		c.requireInForce(t, 10, "lost")
+	})
+}
+
+// slowPut is a table whose single writes take a time.
+type slowPut struct {
+	memoryTable
+	delay time.Duration
+}
+
+func (p slowPut) Put(ctx context.Context, key string, value []byte, c platform.Condition) (platform.Version, error) {
+	time.Sleep(p.delay)
+	return p.memoryTable.Put(ctx, key, value, c)
+}
+
 // Guards against a node that no longer finds the others because its row was lost between writing it and reading the others.
 func TestNodeRegistersAgainIfItsRowIsLostMeanwhile(t *testing.T) {
 	runDrill(t, func(t *testing.T, c *drillCluster) {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -107,7 +107,7 @@
 	registryEpoch     platform.NewestEpoch // in which this node has last seen the registry complete
 	heardOfContact    atomic.Int64         // time from the start to the last StoreContact of a higher-ranked node, in nanoseconds
 	following         atomic.Bool          // this node follows the store for its availability zone
-	registered        atomic.Bool          // registered in the store; the nodes that started before are known
+	registered        atomic.Bool          // registered in the store; the nodes that started before are known and had time to answer
 	ownStateRecovered atomic.Bool          // this node's state before a restart is known, see updateOwnState
 	leavingsRead      atomic.Bool          // the store has told it
 	toldOwnState      atomic.Bool          // a node that has run for long enough to know it has told it
