quarantine: hold a request by its trials, not by the number of ends

Cause: a suspect with six ends had no trial at all, and was held for 24 h.

Change: ends make a request a suspect and do not count beyond three. The time until the next trial follows from the trials begun. A trial is recorded with whether its target ended: with two such ends the request is held for 24 h, otherwise it is forgotten 10 min after its third trial. Each trial has a number, and one node may run the trial of a number: the one that all nodes choose among the known targets, also those that cannot be reached. Another takes over after 15 s, longer than the cuts that are expected. Check and BeginTrial apply one rule, with the last target. Refusals state the time to the next trial, unless a trial has ended a target.

--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -205,7 +205,7 @@
 	var best *candidate
 	var highest uint64
 	for _, m := range p.snapshot.Load().all {
-		weight := xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(m.Address), key))
+		weight := StableWeight(m.Address, key)
 		if !slices.Contains(exclude, m.Address) && (best == nil || weight > highest) {
 			best, highest = m, weight
 		}
@@ -213,6 +213,11 @@
 	return p.begin(best, p.now())
 }
 
+// StableWeight returns the weight by which PickStable orders targets; the highest is chosen.
+func StableWeight(address string, key uint64) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(address), key))
+}
+
 // begin counts a request at the chosen target.
 func (p *Picker) begin(m *candidate, now int64) (Target, func(Result), bool) {
 	if m == nil {
--- a/internal/process/mesh/suspects.go
+++ b/internal/process/mesh/suspects.go
@@ -15,8 +15,6 @@
 	// cutOffMargin is the time before the last answer of a target in which a request that got none still counts as cut off by the
 	// end of the target process: its connections do not all break at the same moment.
 	cutOffMargin = 100 * time.Millisecond
-	// manyTargets stands for the targets of a service where the node that forwards the request has counted them.
-	manyTargets = 2
 	// maxHeldLines bounds the log lines about suspects for one end of a target.
 	maxHeldLines = 10
 	// maxCutOff bounds the requests without an answer that are remembered. Most targets have fewer slots.
@@ -30,20 +28,24 @@
 		return nil
 	}
 	fp := quarantine.FingerprintOf(f.req)
-	targets := 0
-	if picker := p.cfg.Pickers.Picker(f.service); picker != nil {
-		targets = picker.Size()
-	}
-	switch p.cfg.Quarantine.Check(fp, targets, time.Now()) {
+	switch d := p.cfg.Quarantine.Decide(fp, p.targetsOf(f.service), time.Now()); d.Verdict {
 	case quarantine.Held:
-		return p.quarantined(message.StepPick, fp)
+		return p.quarantined(message.StepPick, fp, d)
 	case quarantine.Trial:
-		f.trialKey = fp.Key() | 1
+		f.trialKey = d.TrialKey
 	case quarantine.Free:
 	}
 	return nil
 }
 
+// targetsOf returns the number of targets of a service.
+func (p *Proxy) targetsOf(service string) int {
+	if picker := p.cfg.Pickers.Picker(service); picker != nil {
+		return picker.Size()
+	}
+	return 0
+}
+
 // refuseHeldAtTarget is like refuseHeld for a request that is about to be sent to the attached target. The node that forwarded it
 // may not have known of the suspicion.
 func (p *Proxy) refuseHeldAtTarget(req *message.Request) *message.Response {
@@ -52,13 +54,13 @@
 	}
 	fp := quarantine.FingerprintOf(req)
 	now := time.Now()
-	switch p.cfg.Quarantine.Check(fp, manyTargets, now) {
+	switch d := p.cfg.Quarantine.Decide(fp, p.targetsOf(req.Service), now); d.Verdict {
 	case quarantine.Held:
-		return p.quarantined(message.StepAdmit, fp)
+		return p.quarantined(message.StepAdmit, fp, d)
 	case quarantine.Trial:
 		begun, ok := p.cfg.Quarantine.BeginTrial(fp, now)
 		if !ok {
-			return p.quarantined(message.StepAdmit, fp)
+			return p.quarantined(message.StepAdmit, fp, d)
 		}
 		p.cfg.Suspected([]quarantine.Record{begun})
 		event.Log(p.cfg.Log, event.SuspectTried, slog.String("id", req.Attempt), slog.String("fingerprint", fp.String()))
@@ -67,9 +69,10 @@
 	return nil
 }
 
-// quarantined returns the refusal of a request that is held. It states no time to retry after: the request should not be sent again.
-func (p *Proxy) quarantined(step message.Step, fp quarantine.Fingerprint) *message.Response {
-	return p.refuse(message.ReasonQuarantined, step, 0, "targets ended while they ran request %s", fp)
+// quarantined returns the refusal of a request that is held. If it has crashed a target in a trial, it states no time to retry after:
+// the request should not be sent again.
+func (p *Proxy) quarantined(step message.Step, fp quarantine.Fingerprint, d quarantine.Decision) *message.Response {
+	return p.refuse(message.ReasonQuarantined, step, d.RetryAfter, "targets ended while they ran request %s", fp)
 }
 
 // mayRetrySuspect reports whether a request that may have run without an answer may be sent to another target.
@@ -86,6 +89,9 @@
 	case r.Outcome == message.Answered:
 		g.cutOff.answered(time.Now())
 		if r.Status >= http.StatusInternalServerError {
+			if !p.cfg.Quarantine.Empty() {
+				p.cfg.Quarantine.TrialFailed(quarantine.FingerprintOf(req))
+			}
 			return // it may have failed before the point at which it would crash the target, for example because of a call
 		}
 		fp := quarantine.FingerprintOf(req)
--- a/internal/process/quarantine/fingerprint.go
+++ b/internal/process/quarantine/fingerprint.go
@@ -32,9 +32,6 @@
 // String returns the fingerprint as hexadecimal digits.
 func (fp Fingerprint) String() string { return hex.EncodeToString(fp[:]) }
 
-// Key returns a hash of the fingerprint.
-func (fp Fingerprint) Key() uint64 { return binary.LittleEndian.Uint64(fp[:]) }
-
 // EndOf identifies the end of the target process with the given instance ID and start time in Unix milliseconds.
 func EndOf(instance string, born int64) End {
 	return End(xxhash.Sum64String(instance + "/" + strconv.FormatInt(born, 10)))
@@ -47,6 +44,9 @@
 	}
 	b := append([]byte(nil), fp[:]...)
 	b = append(binary.LittleEndian.AppendUint64(b, r.answers), r.trials)
+	if r.crashed != 0 { // nodes of the previous version do not know this field
+		b = append(b, r.crashed)
+	}
 	for _, end := range r.ends {
 		b = binary.LittleEndian.AppendUint64(b, uint64(end))
 	}
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -6,6 +6,10 @@
 // targets is never answered. For the same reason a request that was answered shortly before an end does not become a suspect. So a
 // request that was in progress by chance is released soon, and one that crashes targets runs rarely.
 //
+// The number of ends does not count beyond MaxEnds: one crash of all targets of a service is many ends. How long a suspect is held
+// follows from its trials alone. Each trial has a number, and all nodes choose the same node for a number, so that a node that is cut
+// off or has missed records does not run a trial that another node runs too.
+//
 // Each attempt of a caller has another ID, so a request is recognised by its content. Nodes exchange their records, and the result
 // of Merge does not depend on the order in which they arrive.
 //
@@ -41,11 +45,19 @@
 	// lastTargetHold is the time for which a suspect is held in any case while its service has one target left: a trial could end that
 	// one before the others are back.
 	lastTargetHold = 10 * time.Second
+	// takeoverTime is the time after which a trial may run at another node than the one that all nodes choose, if that one cannot be
+	// reached or its target is not ready. It is longer than the cuts of the network that are expected, up to 12 s.
+	takeoverTime = 15 * time.Second
+	// provenCrashes is the number of trials that must have ended their targets until the suspect is held for heldRetention. One such
+	// end can have another cause.
+	provenCrashes = 2
+	// manyTargets stands for the targets of a service if their number is not known.
+	manyTargets = 2
 )
 
-// holdTimes are the times for which a suspect is held, each longer after an end from MaxEnds on, or after the start of a trial: the node
-// of the trial may be lost before it can tell the result. After the last one there is no other trial until the record is forgotten:
-// operators accept three further targets that one request crashes.
+// holdTimes are the times for which a suspect is held before each of its trials, counted from its last end or the start of the trial
+// before: the node of the trial may be lost before it can tell the result. After the last one there is no other trial until the record
+// is forgotten: operators accept three further targets that one request crashes.
 var holdTimes = [...]time.Duration{2 * time.Second, 10 * time.Second, 2 * time.Minute}
 
 // Verdict says whether a request may run.
@@ -58,63 +70,18 @@
 	Held                 // it must not run
 )
 
-// End identifies the end of a target process.
-type End uint64
-
-// Record is what is known of one suspect, as exchanged between nodes.
-type Record struct {
-	Fingerprint Fingerprint `cbor:"1,keyasint"`
-	// Answers counts the answers that ended a suspicion. Of two records with different counts, the higher one holds.
-	Answers uint64 `cbor:"2,keyasint,omitempty"`
-	Ends    []End  `cbor:"3,keyasint,omitempty"` // since the last answer, in ascending order
-	// Age is the time since the newest end, TrialAge that since the start of the latest trial, in milliseconds when the record was sent.
-	Age      int64 `cbor:"4,keyasint,omitempty"`
-	Trials   uint8 `cbor:"5,keyasint,omitempty"` // since the last answer
-	TrialAge int64 `cbor:"6,keyasint,omitempty"`
-}
-
-// Held reports whether the suspect was in progress at enough ends to be held.
-func (r *Record) Held() bool { return len(r.Ends) >= MaxEnds }
-
-// record is the state of one suspect.
-type record struct {
-	answers uint64
-	ends    []End // in ascending order; never changed, so that records that were sent stay valid
-	lastEnd time.Time
-	trials  uint8
-	trial   time.Time // start of the latest trial
+// Decision is a verdict with what follows from it.
+type Decision struct {
+	Verdict    Verdict
+	TrialKey   uint64        // of a trial: determines the node at which it runs, see balance.Picker.PickStable; not zero
+	RetryAfter time.Duration // for a caller that is refused; zero: it should not come back
 }
 
-func (r *record) export(fp Fingerprint, now time.Time) Record {
-	out := Record{Fingerprint: fp, Answers: r.answers, Ends: r.ends, Age: now.Sub(r.lastEnd).Milliseconds(), Trials: r.trials}
-	if r.trials > 0 {
-		out.TrialAge = now.Sub(r.trial).Milliseconds()
-	}
-	return out
-}
-
-func (r *record) expired(now time.Time) bool {
-	limit := retention
-	if len(r.ends) >= MaxEnds {
-		limit = heldRetention
-	}
-	return now.Sub(r.lastEnd) > limit
-}
+// trialDelay is the time after which a caller may come back that was refused while a trial was due or had just begun.
+const trialDelay = time.Second
 
-func (r *record) verdict(now time.Time) Verdict {
-	if len(r.ends) < MaxEnds {
-		return Free
-	}
-	since := r.lastEnd
-	if r.trial.After(since) {
-		since = r.trial
-	}
-	n := max(len(r.ends)-MaxEnds, int(r.trials))
-	if n >= len(holdTimes) || now.Sub(since) < holdTimes[n] {
-		return Held
-	}
-	return Trial
-}
+// End identifies the end of a target process.
+type End uint64
 
 // Table holds the suspects that a node knows of.
 type Table struct {
@@ -124,27 +91,64 @@
 	records  map[Fingerprint]*record
 	sum      uint64 // see Sum
 	answered recentAnswers
+	running  map[Fingerprint]runningTrial // of trials that this node has begun and whose result it does not know
+	place    Place
+}
+
+// Place is what a node knows of the targets of the service whose trials it runs.
+type Place struct {
+	Self    string // address of the node
+	Targets func() []Target
+}
+
+// Target is a target of a service that has not announced that it leaves.
+type Target struct {
+	Address string // of its node
+	// AbsentSince is the time since when the node cannot be reached or, if it can, its target is not ready; zero: it serves.
+	AbsentSince time.Time
+}
+
+// runningTrial is a trial with the number of answers of its record, which is another one if the suspicion has ended meanwhile.
+type runningTrial struct {
+	number  uint8
+	answers uint64
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{records: map[Fingerprint]*record{}} }
+func New() *Table {
+	return &Table{records: map[Fingerprint]*record{}, running: map[Fingerprint]runningTrial{}}
+}
+
+// SetPlace restricts the trials that this node begins to those for which all nodes choose it. Without a place, it may begin any.
+// SetPlace must not be called while the table is in use.
+func (t *Table) SetPlace(p Place) { t.place = p }
 
 // Empty reports whether there is no suspect.
 func (t *Table) Empty() bool { return t.size.Load() == 0 }
 
 // Check returns the verdict on a request to a service with the given number of targets.
 func (t *Table) Check(fp Fingerprint, targets int, now time.Time) Verdict {
+	return t.Decide(fp, targets, now).Verdict
+}
+
+// Decide is like Check and returns also what follows from the verdict.
+func (t *Table) Decide(fp Fingerprint, targets int, now time.Time) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[fp]
-	if r == nil || r.expired(now) {
-		return Free
+	if r := t.lookupLocked(fp, now); r != nil {
+		return r.decide(fp, targets, now)
 	}
-	verdict := r.verdict(now)
-	if verdict == Trial && targets < 2 && now.Sub(r.lastEnd) < lastTargetHold {
-		return Held
+	return Decision{Verdict: Free}
+}
+
+// lookupLocked returns the record of a suspect, or nil. It removes a record that has expired. The caller holds the mutex.
+func (t *Table) lookupLocked(fp Fingerprint, now time.Time) *record {
+	r := t.records[fp]
+	if r != nil && r.expired(now) {
+		t.removeLocked(fp)
+		return nil
 	}
-	return verdict
+	return r
 }
 
 // MayRetry reports whether an attempt that a target did not answer may be sent to another one.
@@ -157,18 +161,43 @@
 
 // BeginTrial reports whether the request may run at this node's target now as its trial, and if so returns the new record.
 func (t *Table) BeginTrial(fp Fingerprint, now time.Time) (begun Record, ok bool) {
+	var all []Target
+	targets := manyTargets
+	if t.place.Targets != nil {
+		all, targets = t.place.Targets(), 0
+		for _, target := range all {
+			if target.AbsentSince.IsZero() {
+				targets++
+			}
+		}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[fp]
-	if r == nil || r.verdict(now) != Trial {
+	r := t.lookupLocked(fp, now)
+	if r == nil {
+		return Record{}, false
+	}
+	decision := r.decide(fp, targets, now)
+	if decision.Verdict != Trial {
+		return Record{}, false
+	}
+	if t.place.Targets != nil && chosen(all, decision.TrialKey, now) != t.place.Self {
 		return Record{}, false
 	}
 	next := *r
 	next.trials, next.trial = r.trials+1, now
 	t.putLocked(fp, &next)
+	t.running[fp] = runningTrial{r.trials, r.answers}
 	return next.export(fp, now), true
 }
 
+// TrialFailed records that this node's target has answered a request with a failure. That neither ends the suspicion nor proves it.
+func (t *Table) TrialFailed(fp Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.running, fp)
+}
+
 // Ended records the end of a target process with the requests that were in progress there. It returns the records of those that are
 // suspects.
 func (t *Table) Ended(end End, inProgress []Fingerprint, now time.Time) []Record {
@@ -179,11 +208,15 @@
 		if t.answered.has(fp, now) {
 			continue
 		}
-		var answers uint64
+		in := Record{Fingerprint: fp, Ends: []End{end}}
 		if r := t.records[fp]; r != nil {
-			answers = r.answers
+			in.Answers = r.answers
+			if trial, ok := t.running[fp]; ok && trial.answers == r.answers {
+				in.Crashed = 1 << trial.number
+			}
+			delete(t.running, fp)
 		}
-		if t.mergeLocked(Record{Fingerprint: fp, Answers: answers, Ends: []End{end}}, now) {
+		if t.mergeLocked(in, now) {
 			out = append(out, t.records[fp].export(fp, now))
 		}
 	}
@@ -201,6 +234,7 @@
 
 // clearLocked ends the suspicion of a request. The caller holds the mutex.
 func (t *Table) clearLocked(fp Fingerprint, now time.Time) (cleared Record, ends int) {
+	delete(t.running, fp)
 	r := t.records[fp]
 	if r == nil || len(r.ends) == 0 {
 		return Record{}, 0
@@ -232,12 +266,8 @@
 
 // mergeLocked merges one record and reports whether that changed anything. The caller holds the mutex.
 func (t *Table) mergeLocked(in Record, now time.Time) bool {
-	have := t.records[in.Fingerprint]
-	if have != nil && have.expired(now) {
-		t.removeLocked(in.Fingerprint)
-		have = nil
-	}
-	next := record{answers: in.Answers, lastEnd: now.Add(-duration(in.Age)), trials: in.Trials}
+	have := t.lookupLocked(in.Fingerprint, now)
+	next := record{answers: in.Answers, lastEnd: now.Add(-duration(in.Age)), trials: in.Trials, crashed: in.Crashed}
 	if in.Trials > 0 {
 		next.trial = now.Add(-duration(in.TrialAge))
 	}
@@ -247,8 +277,8 @@
 	case in.Answers < have.answers:
 		return false
 	default:
-		next.ends = union(have.ends, in.Ends)
-		if slices.Equal(next.ends, have.ends) && next.trials <= have.trials {
+		next.ends, next.crashed = union(have.ends, in.Ends), have.crashed|in.Crashed
+		if slices.Equal(next.ends, have.ends) && next.trials <= have.trials && next.crashed == have.crashed {
 			return false
 		}
 		if have.trials >= next.trials {
@@ -268,19 +298,6 @@
 	return true
 }
 
-// duration returns an age of a record.
-func duration(milliseconds int64) time.Duration {
-	return time.Duration(min(max(0, milliseconds), maxAge)) * time.Millisecond
-}
-
-// union returns the ends of both lists in ascending order, at most maxStoredEnds.
-func union(a, b []End) []End {
-	out := slices.Concat(a, b)
-	slices.Sort(out)
-	out = slices.Compact(out)
-	return out[:min(len(out), maxStoredEnds)]
-}
-
 // putLocked stores a record. The caller holds the mutex.
 func (t *Table) putLocked(fp Fingerprint, r *record) {
 	t.removeLocked(fp)
@@ -320,6 +337,7 @@
 	for fp, r := range t.records {
 		if r.expired(now) {
 			t.removeLocked(fp)
+			delete(t.running, fp)
 		}
 	}
 }
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -116,6 +116,7 @@
 	puller            puller       // only accessed by the gossip loop
 	pendingRelay      pendingRelay // only accessed by the gossip loop
 	recentCallers     recentCallers
+	absences          absences     // of targets of this node's service
 	suspectNews       *suspectNews // records that the other nodes are to be told of
 	confirmed         confirmedRevision
 	leavings          *leavingsRecord
@@ -187,6 +188,7 @@
 	s.pickers = balance.NewSet(s.settings.Zone, policy.New().Balance)
 	client := &http.Client{Transport: &http.Transport{Proxy: nil, DisableCompression: true}}
 	s.pool = link.NewPool(s.linkConfig(), link.WebSocketDialer(client), linkHandler{s}, s.log)
+	s.quarantine.SetPlace(quarantine.Place{Self: s.settings.PeerAddress, Targets: s.absences.targets})
 	s.suspectNews = &suspectNews{send: s.broadcastSuspects}
 	s.leavings = newLeavingsRecord(opts.Nodes, s.settings.PeerAddress, s.log, s.restoreLeavings)
 	s.path = s.newPath()
@@ -274,10 +276,11 @@
 // takes too large a part; the rest of the burst is a margin for that.
 const retryBurstShare = 0.8
 
-// refreshTargets passes the serving targets of the directory to load balancing and updates this node's part of the retry
+// refreshTargets passes the targets of the directory to load balancing and to the choice of trials, and updates this node's part of the retry
 // burst.
 func (s *Sidecar) refreshTargets() {
 	s.pickers.Refresh(s.servingTargets)
+	s.refreshTrialTargets(time.Now())
 	s.path.SetRetryBurst(retryBurstShare * *s.retryBurst.Load() / float64(max(1, s.directory.Size())))
 }
 
--- a/internal/process/sidecar/suspects.go
+++ b/internal/process/sidecar/suspects.go
@@ -37,6 +37,74 @@
 	n.send(list)
 }
 
+// absences are the times since when targets of this node's service are absent. It is safe for concurrent use.
+type absences struct {
+	mu   sync.Mutex
+	list []absence
+}
+
+type absence struct {
+	quarantine.Target
+	down bool // its node cannot be reached
+}
+
+// update replaces the targets. An absence starts anew when its node becomes unreachable: from then on its target may be ready unnoticed.
+func (a *absences) update(next []absence, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := make(map[string]absence, len(a.list))
+	for _, old := range a.list {
+		before[old.Address] = old
+	}
+	for i := range next {
+		n := &next[i]
+		old, ok := before[n.Address]
+		switch {
+		case n.AbsentSince.IsZero():
+		case ok && !old.AbsentSince.IsZero() && old.down == n.down:
+			n.AbsentSince = old.AbsentSince
+		default:
+			n.AbsentSince = now
+		}
+	}
+	a.list = next
+}
+
+func (a *absences) targets() []quarantine.Target {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make([]quarantine.Target, len(a.list))
+	for i := range a.list {
+		out[i] = a.list[i].Target
+	}
+	return out
+}
+
+// refreshTrialTargets passes the targets of this node's service to the table of suspects, which chooses the nodes of trials.
+func (s *Sidecar) refreshTrialTargets(now time.Time) {
+	serving := map[string]bool{}
+	for _, m := range s.directory.Targets()[s.settings.Service] {
+		serving[m.Address] = true
+	}
+	unreachable := map[string]bool{}
+	_, down := s.directory.Peers()
+	for _, address := range down {
+		unreachable[address] = true
+	}
+	var next []absence
+	for _, m := range s.directory.All() {
+		if m.Service != s.settings.Service || m.TargetLeaving() {
+			continue
+		}
+		n := absence{quarantine.Target{Address: m.Address}, unreachable[m.Address]}
+		if !serving[m.Address] {
+			n.AbsentSince = now
+		}
+		next = append(next, n)
+	}
+	s.absences.update(next, now)
+}
+
 // endCheckInterval limits the connections that are opened while a target breaks off single responses.
 const endCheckInterval = 100 * time.Millisecond
 
--- a/internal/process/sidecar/suspects_test.go
+++ b/internal/process/sidecar/suspects_test.go
@@ -122,3 +122,25 @@
 	require.Equal(t, quarantine.FingerprintOf(req), records[0].Fingerprint)
 	require.Len(t, records[0].Ends, 1)
 }
+
+// Guards against a second node that takes a trial over while the node that all choose may just have been cut off, because its target had
+// been absent before the cut.
+func TestAbsenceStartsAnewWhenANodeBecomesUnreachable(t *testing.T) {
+	var a absences
+	at := time.Unix(1000, 0)
+	see := func(seconds int, absent, down bool) time.Time {
+		now := at.Add(time.Duration(seconds) * time.Second)
+		n := absence{quarantine.Target{Address: "n1"}, down}
+		if absent {
+			n.AbsentSince = now
+		}
+		a.update([]absence{n}, now)
+		return a.targets()[0].AbsentSince
+	}
+	require.Zero(t, see(0, false, false))
+	require.Equal(t, at.Add(time.Second), see(1, true, false))
+	require.Equal(t, at.Add(time.Second), see(9, true, false))
+	require.Equal(t, at.Add(10*time.Second), see(10, true, true))
+	require.Equal(t, at.Add(10*time.Second), see(20, true, true))
+	require.Zero(t, see(21, false, false))
+}
