wigeonctl: list and release the requests that are held

Cause: operators of the transparent deployment saw held requests only as a count and as log events, and had no way to let one run again.

Change: GET /quarantine and POST /quarantine/FINGERPRINT/release beside the metrics of a sidecar, and `wigeonctl quarantine list` and `release`. A release is taken from programs on the node's own VM only, spreads as an answer does, and is logged as event 889.

--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -52,5 +52,6 @@
 		MemberChanged, PeerMessageFailed, TargetRefusesConnections, FollowerChanged, TargetFailing, TargetRecovered,
 		TargetRateLimited, TargetRateLimitEnded, TargetRateUnreadable, TargetLeftOut, RegistryRepaired,
 		TargetEnded, SuspectHeld, SuspectTried, SuspectCleared, RowIgnored, LeavingUnrecorded,
+		SuspectReleased,
 	}
 }
--- a/internal/process/event/mesh.go
+++ b/internal/process/event/mesh.go
@@ -44,5 +44,6 @@
 	SuspectTried             = Event{876, slog.LevelInfo, "request that was held runs as a trial", ""}
 	RowIgnored               = Event{878, slog.LevelWarn, "row in the table of nodes cannot be that of a node, it is ignored", "Find out who writes to the table, and remove the row."}
 	LeavingUnrecorded        = Event{879, slog.LevelWarn, "target leaves, but the store has not recorded it, so it is not acknowledged", "Check the store. The target gets no requests from this process; it reports again."}
+	SuspectReleased          = Event{889, slog.LevelWarn, "operator released a request that was held", ""}
 	SuspectCleared           = Event{877, slog.LevelInfo, "request is no longer held, a target has answered it", ""}
 )
--- a/internal/process/mesh/suspects_test.go
+++ b/internal/process/mesh/suspects_test.go
@@ -354,3 +354,34 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against a request that every node refuses for long after one crash of all targets that ran it, and against callers of it that
+// are told not to come back.
+func TestCrashOfAllTargetsDoesNotProveARequestGuilty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(t, 6)
+		for i, n := range f.nodes {
+			req := request("/menu/slow", fmt.Sprintf("a%d", i))
+			req.Service, req.Instance, req.Deadline = "menu", n.instance(), time.Now().Add(5*time.Second)
+			go n.proxy.Deliver(t.Context(), req)
+		}
+		time.Sleep(10 * time.Millisecond)
+		for _, n := range f.nodes {
+			n.endTarget()
+		}
+		time.Sleep(time.Second)
+		slow := func(int) string { return "/menu/slow" }
+		refused := f.send(100*time.Millisecond, 100*time.Millisecond, slow)[0]
+		require.Equal(t, message.ReasonQuarantined, refused.Reason)
+		require.Equal(t, message.NotRun, refused.Outcome)
+		require.NotZero(t, refused.RetryAfter)
+		time.Sleep(restartTime)
+		trial := f.send(100*time.Millisecond, 100*time.Millisecond, slow)[0]
+		require.Equal(t, message.Answered, trial.Outcome, "%v", trial.Err)
+		time.Sleep(2 * spreadTime)
+		for _, r := range f.send(3*time.Second, 100*time.Millisecond, slow) {
+			require.Equal(t, message.Answered, r.Outcome, "%v", r.Err)
+		}
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/process/quarantine/trials_test.go
+++ b/internal/process/quarantine/trials_test.go
@@ -248,3 +248,28 @@
 	}
 	return out
 }
+
+// Guards against a list for operators that lacks a held request, or misstates why it is held and when it is tried.
+func TestHeldListsWhyAndUntilWhen(t *testing.T) {
+	table, fp := New(), fingerprint("/a")
+	endAll(table, start, fp, 1, 2, 3)
+	endAll(table, start, fingerprint("/free"), 1, 2)
+	now := start.Add(holdTimes[0])
+	requireTrial(t, true, table, fp, now)
+	endAll(table, now, fp, 4)
+	held := table.Held(now.Add(time.Second))
+	require.Len(t, held, 1)
+	next, since := int64(9), int64(1)
+	require.Equal(t, HeldRequest{
+		Fingerprint: fp.String(), Ends: 4, LastEnd: 1, Trials: 1, CrashedTrials: 1, NextTrial: &next, LastTrial: &since, ForgottenIn: 24*3600 - 1,
+	}, held[0])
+	parsed, err := ParseFingerprint(held[0].Fingerprint)
+	require.NoError(t, err)
+	_, ok := table.Release(parsed, now)
+	require.True(t, ok)
+	require.Empty(t, table.Held(now))
+	for _, bad := range []string{"", "zz", fp.String() + "00", fp.String()[1:]} {
+		_, err := ParseFingerprint(bad)
+		require.Error(t, err, bad)
+	}
+}
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -107,6 +107,7 @@
 	peers.Handle(link.Path, s.pool)
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET /metrics", s.metrics.Handler())
+	s.addOperators(metricsMux)
 	var servers []*khttp.Server
 	for _, i := range []struct {
 		name, address string
--- a/internal/process/sidecar/suspects_test.go
+++ b/internal/process/sidecar/suspects_test.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -144,3 +146,36 @@
 	require.Equal(t, at.Add(10*time.Second), see(20, true, true))
 	require.Zero(t, see(21, false, false))
 }
+
+// Guards against an operator who cannot see why a request is refused, a release that other nodes do not learn of, and one by a program
+// that only reaches the metrics interface from another VM.
+func TestOperatorReleasesAHeldRequest(t *testing.T) {
+	runCluster(t, func(t *testing.T, c *cluster) {
+		a, b := c.start("a", "menu"), c.start("b", "menu")
+		time.Sleep(recoveryTimeout + time.Second)
+		fp := quarantine.FingerprintOf(&message.Request{Path: "/menu/1"})
+		for n := range int64(quarantine.MaxEnds) {
+			suspect(a, fp, n)
+		}
+		time.Sleep(200 * time.Millisecond)
+		mux := http.NewServeMux()
+		b.addOperators(mux)
+		call := func(method, path, from string) *httptest.ResponseRecorder {
+			r := httptest.NewRequest(method, path, nil)
+			r.RemoteAddr = from
+			w := httptest.NewRecorder()
+			mux.ServeHTTP(w, r)
+			return w
+		}
+		const here, elsewhere = "127.0.0.1:1", "192.0.2.1:1"
+		require.Contains(t, call("GET", HeldPath, elsewhere).Body.String(), fp.String())
+		release := strings.Replace(ReleasePath, "{fingerprint}", fp.String(), 1)
+		require.Equal(t, http.StatusForbidden, call("POST", release, elsewhere).Code)
+		require.Equal(t, http.StatusBadRequest, call("POST", strings.Replace(ReleasePath, "{fingerprint}", "x", 1), here).Code)
+		require.Equal(t, quarantine.Held, a.quarantine.Check(fp, 2, time.Now()))
+		require.Equal(t, http.StatusOK, call("POST", release, here).Code)
+		require.Equal(t, http.StatusNotFound, call("POST", release, here).Code)
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, quarantine.Free, a.quarantine.Check(fp, 2, time.Now()))
+	})
+}
