--- a/internal/process/quarantine/trials_test.go
+++ b/internal/process/quarantine/trials_test.go
@@ -185,6 +185,16 @@
 // Guards against more than three trials of a request that crashes its targets, at whatever nodes, while targets end in series or all at
 // one moment and nodes are restarted or cut off; and against a request that targets answer and that is refused for long after that.
 func TestTrialsOverAllNodes(t *testing.T) {
+	checkTrials(t, func(f *trialFleet, i int) bool { return f.reachesOthers(i) })
+}
+
+// Guards against a further trial after all nodes on one side of a cut were restarted, which forget a trial that only they knew of.
+func TestTrialsWhileOneSideOfACutRestarts(t *testing.T) {
+	checkTrials(t, func(f *trialFleet, i int) bool { return !f.cut[i] && len(f.tables) > 1 })
+}
+
+// checkTrials plays random events and checks the bound on trials. Nodes are restarted only where mayRestart allows it.
+func checkTrials(t *testing.T, mayRestart func(f *trialFleet, node int) bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(1, 7).Draw(t, "size")
 		f := &trialFleet{
@@ -222,7 +232,7 @@
 				f.heal()
 				cutFor = 0
 			case "restart":
-				if f.reachesOthers(i) { // a trial that no other node knows of is forgotten with the node
+				if mayRestart(f, i) {
 					f.start(i)
 				}
 			case "end":
