platform: organisations of the configuration and the settings of their revocation

Deployments may name organisations with keys, priorities and rates, and require that withdrawn keys stop within a time.

Requests carry the organisation and a hash of the removed credentials in optional fields of their frames.

Nothing uses the new fields yet.

--- a/internal/connection/wire/convert.go
+++ b/internal/connection/wire/convert.go
@@ -35,6 +35,8 @@
 		Instance:   r.Instance,
 		Caller:     r.Caller,
 		RateLimit:  r.RateLimit,
+
+		Organisation: r.Organisation, CredentialsHash: r.CredentialsHash,
 	}
 	return encodeWithBody(f, stream, r.Body)
 }
@@ -108,6 +110,8 @@
 		Instance:   f.Instance,
 		Caller:     f.Caller,
 		RateLimit:  f.RateLimit,
+
+		Organisation: f.Organisation, CredentialsHash: f.CredentialsHash,
 	}
 }
 
--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -91,6 +91,10 @@
 	Caller   string `cbor:"20,keyasint,omitempty"` // service of the VM on which the request originated
 	// RateLimit is the limit on requests per second that the sender has learned of the target; zero: none.
 	RateLimit float64 `cbor:"21,keyasint,omitempty"`
+	// Organisation is the name of the organisation for which the request is made. Nodes never send keys of organisations.
+	Organisation string `cbor:"22,keyasint,omitempty"`
+	// CredentialsHash tells the credentials of requests apart that no longer contain them.
+	CredentialsHash uint64 `cbor:"23,keyasint,omitempty"`
 }
 
 // Body carries a further part of the body of a request or response.
--- a/internal/process/sidecar/settings.go
+++ b/internal/process/sidecar/settings.go
@@ -33,4 +33,15 @@
 	// RetryBurst is the number of retries to one service that all nodes together may make within Retries.Window in addition
 	// to Retries.Ratio of the first attempts.
 	RetryBurst float64
+	Revocation Revocation
+}
+
+// Revocation is what operators require of the withdrawal of keys of organisations.
+type Revocation struct {
+	// Strict says that a request that is sent with a withdrawn key must not run if it is sent later than Limit after the store
+	// acknowledged a configuration without the key, also at nodes that are cut off.
+	Strict bool
+	Limit  time.Duration
+	// ConfigLimit is the time within which a configuration is in force everywhere.
+	ConfigLimit time.Duration
 }
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -43,6 +43,12 @@
 	Caller   string    // service of the VM on which the request originated
 	// RateLimit is the limit on requests per second that the sending node has learned of the target; zero: none.
 	RateLimit float64
+	// Organisation is the name of the organisation for which the request is made; empty: none is known.
+	Organisation string
+	// CredentialsHash tells the credentials of requests apart that no longer contain them; zero: there were none.
+	CredentialsHash uint64
+	// Key of the organisation as the caller has sent it. It is checked and cleared at the entry node and never sent.
+	OrganisationKey string
 
 	Memory *memory.Reservation // counts the response bodies that this node holds for the request; nil: not counted
 }
@@ -156,6 +162,10 @@
 	ReasonDeclined            // the target declares that it did nothing, because one of its calls was not run
 	ReasonTargetUnable        // the target declares that it did nothing, and made no call
 	ReasonQuarantined         // the request was in progress at several target processes when they ended, see package quarantine
+	ReasonKeyUnknown          // the key of the request belongs to no organisation
+	ReasonKeyMissing          // the request has no key of an organisation, and its route is not public
+	ReasonKeyUnchecked        // the node does not know whether its list of keys is still the newest one
+	ReasonRunUnknown          // the request is a call of a run that is not in progress at this node
 )
 
 var reasonNames = [...]string{
@@ -178,6 +188,10 @@
 	ReasonDeclined:     "declined",
 	ReasonTargetUnable: "target-unable",
 	ReasonQuarantined:  "quarantined",
+	ReasonKeyUnknown:   "key-unknown",
+	ReasonKeyMissing:   "key-missing",
+	ReasonKeyUnchecked: "key-unchecked",
+	ReasonRunUnknown:   "run-unknown",
 }
 
 // String returns the name used in logs, metrics and error bodies.
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/version/organisation"
 )
 
 // Version orders configurations: a newer one has a higher version, but not always by one.
@@ -25,6 +27,10 @@
 	Limits  Limits
 	Raw     []byte // encoded form, as nodes send it to each other
 	Stamp   Stamp  // set by Source, like Raw
+	// Organisations are those whose requests are served; nil: the configuration does not name any. Set before the table is used.
+	Organisations *organisation.Set
+	// Ignored describes the parts of the configuration that could not be used, without keys.
+	Ignored []string
 
 	hosts    map[string][]*Route // longest prefix first
 	services map[string]Service
@@ -86,6 +92,7 @@
 	Objective   time.Duration // response time within which a response is worth most
 	Priority    int           // 0 is the most important
 	MaxAttempts int           // targets to which one request may be sent
+	Public      bool          // requests need no key of an organisation
 	Split       []WeightedService
 
 	credits     []atomic.Int64 // round-robin credit of each service in Split, in units of weight
