mesh: check the keys of organisations at the entry node

Keys of organisations were forwarded to targets, and requests with unknown keys were served.

If the configuration has organisations, the entry node removes the key and the name that a caller states, refuses unknown and missing keys with 401 and passes the organisation on with the request. Calls belong to the organisation of their run. The rank of a chain counts the organisation's priority before that of the route. With strict revocation, nodes ask each other and the store whether their configuration is the newest one and refuse keys as not run (503) when they do not know.

Malformed headers are rejected without the library's text, which quotes them. Without organisations, requests are served as before.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -272,10 +272,17 @@
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
 		return err
 	default:
-		return &RejectError{http.StatusBadRequest, err.Error()}
+		return errHeaderMalformed
 	}
 }
 
+// errHeaderMalformed rejects a header that cannot be read, and errBodyMalformed a body. The errors of the library are not passed on:
+// they quote lines of the header or trailer, which may contain credentials, and the text is logged.
+var (
+	errHeaderMalformed = &RejectError{http.StatusBadRequest, "malformed request header"}
+	errBodyMalformed   = &RejectError{http.StatusBadRequest, "malformed request body"}
+)
+
 // lateError returns the error for a request that did not arrive in time.
 func (c *conn) lateError(detail string) error {
 	if c.isLate() {
@@ -322,7 +329,7 @@
 	case isNetError(err), errors.Is(err, io.ErrUnexpectedEOF):
 		return err
 	default:
-		return &RejectError{http.StatusBadRequest, err.Error()}
+		return errBodyMalformed
 	}
 }
 
--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -52,6 +52,9 @@
 	ChannelGossip Channel = 1
 	ChannelConfig Channel = 2
 	ChannelView   Channel = 3 // by which sidecars synchronise their directories and the configuration
+	// ChannelFreshness carries questions and answers on whether a configuration is the newest one. Channel 4 is not used by it, so
+	// that it stays free for messages about quotas.
+	ChannelFreshness Channel = 5
 )
 
 // Hello is the first frame in both directions.
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -26,6 +26,7 @@
 	if g == nil || g.service != req.Service || g.instance != req.Instance {
 		return p.refuse(message.ReasonLeaving, message.StepAdmit, shortRetryAfter(), "instance %q of service %q does not take work here", req.Instance, req.Service)
 	}
+	p.removeIdentity(req)
 	p.restoreRate(g, req.RateLimit)
 	r := p.deliverWithinWindow(ctx, g, req)
 	r.Load = g.control.Load()
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -75,6 +75,10 @@
 	Log       *slog.Logger
 	Limiter   *event.Limiter // limits the rate of log lines about single requests
 	Retries   RetryBounds    // zero: defaultRetries
+	// RemoveIdentity removes from the header of a request the credentials and what the caller says of its organisation, and sets
+	// CredentialsHash. It is called if the configuration has organisations.
+	RemoveIdentity func(*message.Request)
+	Revocation     Revocation
 }
 
 // RetryBounds are the operators' limits on the retries to one service, summed over all nodes.
@@ -222,17 +226,18 @@
 }
 
 // The rank of a chain is topRank less rankStep for each step by which the priority of its first route is below the highest, 0.
-// Requests of a lower rank are shed first.
+// Requests of a lower rank are shed first. If the configuration has organisations, rankStep counts the priority of the organisation,
+// and the priority of the route one for each step, see rankOf.
 const (
 	topRank  = 100
 	rankStep = 10
 )
 
-// priorityOf returns the priority of a new request on a route, which its whole chain inherits. Within a rank, the retry of a
+// priorityOf returns the priority of a new request of a rank, which its whole chain inherits. Within a rank, the retry of a
 // caller that was refused (returned) has precedence over first attempts: the caller has waited already, and most callers retry
 // only once, so that a second refusal loses the request.
-func priorityOf(r *routing.Route, attempt string, returned bool) message.Priority {
-	p := message.NewPriority(uint8(max(1, topRank-rankStep*r.Priority)), requestID(attempt))
+func priorityOf(rank uint8, attempt string, returned bool) message.Priority {
+	p := message.NewPriority(rank, requestID(attempt))
 	const half = 1 << 7
 	low := p & (1<<8 - 1) / 2
 	if returned {
--- a/internal/process/mesh/mesh_test.go
+++ b/internal/process/mesh/mesh_test.go
@@ -378,8 +378,8 @@
 			done.Go(func() { n.proxy.Deliver(t.Context(), delivered(attempt, hop, p)) })
 			synctest.Wait()
 		}
-		order := priorityOf(testRoutes[1], "x", false)
-		menu := priorityOf(testRoutes[0], "x", false)
+		order := priorityOf(routeRank(testRoutes[1]), "x", false)
+		menu := priorityOf(routeRank(testRoutes[0]), "x", false)
 		deliver("running", 0, menu)
 		deliver("new order", 0, order)
 		n.proxy.attachedTarget.Load().control.SetLimits(admission.Limits{Slots: 1, Connections: 1, QueueLength: 3, QueueMaxWait: time.Second, SubrequestsFirst: true})
@@ -395,7 +395,7 @@
 func TestCallBelongsToItsChain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNode(t, 1)
-		parent := delivered("9c41", 1, priorityOf(testRoutes[1], "root", false))
+		parent := delivered("9c41", 1, priorityOf(routeRank(testRoutes[1]), "root", false))
 		target := &slowTarget{onRequest: func(*message.Request) {
 			n.proxy.Serve(t.Context(), request("/profile/1", "9c41.1"))
 			n.proxy.Serve(t.Context(), request("/profile/1", "foreign.1"))
@@ -418,7 +418,7 @@
 func TestOverloadOfADownstreamServiceIsShedAtTheEntryNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNode(t, 2)
-		threshold := priorityOf(testRoutes[0], "x", false).TopOfRank() // the downstream service sheds menu reads
+		threshold := priorityOf(routeRank(testRoutes[0]), "x", false).TopOfRank() // the downstream service sheds menu reads
 		n.answers = []*message.Response{{
 			Outcome: message.Answered, Status: http.StatusOK,
 			Thresholds: []message.Threshold{{Service: "profiles", Priority: threshold}},
@@ -431,7 +431,7 @@
 		require.Len(t, n.sent, 1)
 		require.Equal(t, message.Answered, n.proxy.Serve(t.Context(), request("/order/1", "order")).Outcome)
 
-		run := n.proxy.activeRuns.begin(&attachedTarget{}, delivered("root", 0, priorityOf(testRoutes[0], "root", false)), nil)
+		run := n.proxy.activeRuns.begin(&attachedTarget{}, delivered("root", 0, priorityOf(routeRank(testRoutes[0]), "root", false)), nil)
 		require.Equal(t, message.Answered, n.proxy.Serve(t.Context(), request("/menu/1", "root.1")).Outcome,
 			"a call is not shed by a threshold within its rank")
 		require.Empty(t, run.thresholds.Thresholds())
@@ -472,7 +472,7 @@
 		for i := range chains {
 			done.Go(func() {
 				for j := range callsEach {
-					call := delivered(strconv.Itoa(i)+"."+strconv.Itoa(j), 2, priorityOf(testRoutes[0], strconv.Itoa(i), false))
+					call := delivered(strconv.Itoa(i)+"."+strconv.Itoa(j), 2, priorityOf(routeRank(testRoutes[0]), strconv.Itoa(i), false))
 					call.Deadline = time.Now().Add(700 * time.Millisecond)
 					if n.proxy.Deliver(t.Context(), call).Outcome != message.Answered {
 						lost.Add(1)
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -11,6 +11,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/organisation"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
 )
 
@@ -58,7 +59,8 @@
 type forwardedRequest struct {
 	req              *message.Request
 	route            *routing.Route
-	parent           *run // run that made the call; nil for a new request
+	parent           *run                       // run that made the call; nil for a new request
+	organisation     *organisation.Organisation // of a new request with a key; nil: none
 	service          string
 	arrivals         int      // attempts that reached a target, or may have
 	overloadRefusals int      // attempts that were refused because of overload, see maxOverloadRefusals
@@ -187,6 +189,8 @@
 // prepare finds the route of a request and sets its service, deadline, priority and the other fields that depend on the route
 // or on the run that made it.
 func (p *Proxy) prepare(req *message.Request) (*forwardedRequest, *message.Response) {
+	key := req.OrganisationKey
+	req.OrganisationKey = ""
 	table := p.cfg.Routes.Load()
 	if table == nil {
 		return nil, p.refuse(message.ReasonUnconfirmed, message.StepConfigure, randomRetryAfter(), "no configuration yet")
@@ -195,9 +199,13 @@
 	if !ok {
 		return nil, p.refuse(message.ReasonNoService, message.StepConfigure, 0, "version %d has no route for %s %s", table.Version, req.Host, req.Path)
 	}
+	f := &forwardedRequest{req: req, route: route}
+	if refusal := p.identify(table, f, key); refusal != nil {
+		return nil, refusal
+	}
 	now := time.Now()
 	returned := !req.Deadline.IsZero() && route.WaitedBefore(req.Deadline.Sub(req.Arrived))
-	f := &forwardedRequest{req: req, route: route, service: route.NextService()}
+	f.service = route.NextService()
 	req.ID = requestID(req.Attempt)
 	req.Service = f.service
 	req.Idempotent = route.Idempotent
@@ -208,9 +216,8 @@
 	if req.Deadline.IsZero() {
 		req.Deadline = now.Add(defaultTimeout)
 	}
-	f.parent = p.activeRuns.parent(req.Attempt)
 	if f.parent == nil {
-		req.Priority, req.Hop = priorityOf(route, req.Attempt, returned), 0
+		req.Priority, req.Hop = priorityOf(p.rankOf(table, f), req.Attempt, returned), 0
 		return f, nil
 	}
 	req.Priority, req.Hop = f.parent.priority, f.parent.hop+1
--- a/internal/process/quarantine/fingerprint.go
+++ b/internal/process/quarantine/fingerprint.go
@@ -16,10 +16,14 @@
 type Fingerprint [16]byte
 
 // FingerprintOf returns the fingerprint of a request: a hash of its method, host, path, credentials and body. The other headers
-// may differ between two attempts.
+// may differ between two attempts. Credentials that the entry node has removed are represented by their hash.
 func FingerprintOf(req *message.Request) Fingerprint {
 	h := sha256.New()
-	for _, part := range []string{req.Method, req.Host, req.Path, req.Header.Get("Authorization"), strconv.Itoa(len(req.Body))} {
+	credentials := req.Header.Get("Authorization")
+	if req.CredentialsHash != 0 {
+		credentials += "#" + strconv.FormatUint(req.CredentialsHash, 16)
+	}
+	for _, part := range []string{req.Method, req.Host, req.Path, credentials, strconv.Itoa(len(req.Body))} {
 		var length [8]byte
 		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
 		_, _ = h.Write(length[:]) // writes to a hash do not fail
--- a/internal/process/sidecar/handlers.go
+++ b/internal/process/sidecar/handlers.go
@@ -114,7 +114,12 @@
 
 // HandleControl implements link.Handler.
 func (h linkHandler) HandleControl(from link.Peer, channel wire.Channel, payload []byte) {
-	if channel != wire.ChannelView {
+	switch channel {
+	case wire.ChannelView:
+	case wire.ChannelFreshness:
+		h.s.receiveFreshness(from.Address, payload)
+		return
+	default:
 		return
 	}
 	select {
--- a/internal/process/sidecar/platform.go
+++ b/internal/process/sidecar/platform.go
@@ -10,6 +10,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/directory"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/platform"
+	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
 )
 
 const (
@@ -213,6 +214,7 @@
 func (s *Sidecar) readConfig() (platform.Version, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, StoreTimeout)
 	defer cancel()
+	sent := s.storeMoment()
 	row, err := s.opts.Operator.Get(ctx, s.opts.ConfigKey)
 	if errors.Is(err, platform.ErrNotFound) {
 		return platform.Version{Epoch: s.opts.Operator.Epoch(), Text: "0"}, nil // no configuration has been written yet
@@ -221,6 +223,7 @@
 		return platform.Version{}, err
 	}
 	s.applyStoredConfig(row)
+	s.confirmConfig(sent)
 	return row.Version, nil
 }
 
@@ -229,7 +232,11 @@
 	wait := meanFeedWait/2 + rand.N(meanFeedWait)
 	if announces {
 		wait = contactPollWait
+		if s.needsConfirmation() {
+			wait = s.confirmations.tracker.PollWait(contactPollWait)
+		}
 	}
+	sent := s.storeMoment()
 	rows, next, err := s.opts.Operator.Follow(s.ctx, after, wait)
 	if err != nil {
 		return after, err
@@ -239,38 +246,52 @@
 			s.applyStoredConfig(r)
 		}
 	}
+	s.confirmConfig(sent)
 	return next, nil
 }
 
 // applyConfig activates a configuration that the operator's store had in the given epoch, if it is newer than the active one, and
-// reports whether it did.
-func (s *Sidecar) applyConfig(body []byte, epoch uint64, source string) bool {
+// reports whether it did. An error says that it could not be read; it is logged.
+func (s *Sidecar) applyConfig(body []byte, epoch uint64, source string) (applied bool, err error) {
 	table, err := s.opts.DecodeConfig(body)
 	if err != nil {
 		event.Log(s.log, event.RoutesRejected, slog.String("source", source), slog.String("error", err.Error()))
-		return false
+		return false, err
 	}
 	table.Source(body, epoch)
 	for {
 		old := s.routes.Load()
 		if old != nil && !table.Stamp.NewerThan(old.Stamp) {
-			return false
+			return false, nil
 		}
 		if s.routes.CompareAndSwap(old, table) {
 			break
 		}
 	}
+	s.confirmations.tracker.InForce(table.Stamp)
 	event.Log(s.log, event.RoutesApplied, slog.Uint64("version", uint64(table.Version)), slog.Uint64("epoch", epoch),
-		slog.String("source", source), slog.Int("routes", table.RouteCount()))
+		slog.String("source", source), slog.Int("routes", table.RouteCount()), slog.Int("organisations", table.Organisations.Len()))
+	s.logIgnored(table)
 	s.path.SetLimits(s.limitsOf(s.tracker.State(time.Now())))
-	return true
+	return true, nil
+}
+
+// maxIgnoredLines bounds the log lines about parts of one configuration that cannot be used.
+const maxIgnoredLines = 20
+
+func (s *Sidecar) logIgnored(table *routing.Table) {
+	for _, what := range table.Ignored[:min(maxIgnoredLines, len(table.Ignored))] {
+		event.Log(s.log, event.OrganisationIgnored, slog.Uint64("version", uint64(table.Version)), slog.String("what", what))
+	}
 }
 
 // applyStoredConfig activates a configuration read from the store and sends it to the nodes of this availability zone,
 // most of which do not follow the store. Some nodes of other zones are told the new version number: their own followers
 // may be unable to reach the store.
 func (s *Sidecar) applyStoredConfig(row platform.Row) {
-	if !s.applyConfig(row.Value, uint64(row.Version.Epoch), "store") {
+	applied, err := s.applyConfig(row.Value, uint64(row.Version.Epoch), "store")
+	s.storedConfigRejected.Store(err != nil)
+	if !applied {
 		return
 	}
 	zone, others := s.directory.Neighbours()
--- a/internal/process/sidecar/pull.go
+++ b/internal/process/sidecar/pull.go
@@ -97,7 +97,7 @@
 		event.Log(s.log, event.RoutesRejected, slog.String("source", "peer "+from), slog.String("error", err.Error()))
 		return
 	}
-	if !s.applyConfig(body, epoch, "peer "+from) {
+	if applied, _ := s.applyConfig(body, epoch, "peer "+from); !applied { // the error is logged
 		return
 	}
 	if m, _ := s.directory.Member(from); m.Zone != s.settings.Zone {
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -49,6 +49,9 @@
 	for _, loop := range []func(){s.recordLeavings, s.register, s.maintainRegistry, s.followConfig, s.gossip, s.reconnect, s.watchTarget, s.notifyCallers} {
 		s.background.Go(loop)
 	}
+	if s.settings.Revocation.Strict {
+		s.background.Go(s.keepConfirmed)
+	}
 	for running := true; running; {
 		select {
 		case <-sig.Stop:
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -40,6 +40,9 @@
 type Codec interface {
 	// DecodeRequest decodes a request of a caller, or returns an *entry.RejectError.
 	DecodeRequest(r *entry.Request) (*message.Request, error)
+	// RemoveIdentity removes from the header of a request the credentials and what the caller says of its organisation, and sets
+	// CredentialsHash if there were credentials.
+	RemoveIdentity(req *message.Request)
 	// EncodeResponse encodes the final response of a request.
 	EncodeResponse(req *message.Request, r *message.Response) *entry.Response
 	// EncodeRequest returns the request as it is written to the target at the given time.
@@ -119,9 +122,12 @@
 	absences          absences     // of targets of this node's service
 	suspectNews       *suspectNews // records that the other nodes are to be told of
 	confirmed         confirmedRevision
-	leavings          *leavingsRecord
-	recordFailedAt    atomic.Int64  // time from the start to the last failure of recordFor, in nanoseconds; zero: none
-	reconnectNow      chan struct{} // wakes the reconnect loop
+	confirmations     *confirmations
+	// storedConfigRejected says that the configuration that the store had last could not be read.
+	storedConfigRejected atomic.Bool
+	leavings             *leavingsRecord
+	recordFailedAt       atomic.Int64  // time from the start to the last failure of recordFor, in nanoseconds; zero: none
+	reconnectNow         chan struct{} // wakes the reconnect loop
 
 	endCheckMu   sync.Mutex // held by checkTargetEnded
 	endCheckedAt time.Time
@@ -176,6 +182,7 @@
 		failures:     event.NewLimiter(failuresPerSecond),
 		samples:      event.NewLimiter(samplesPerSecond),
 	}
+	s.confirmations = newConfirmations(opts.Settings.Revocation.Limit)
 	s.connectTarget = func(address string) exchanger { return targetconn.NewPool(address) }
 	s.targetHasEnded = func() bool { return refusesConnections(opts.Settings.TargetAddress) }
 	s.responseMemory = memory.NewBudget(int64(responseMemoryShare * float64(max(s.settings.MemoryBytes, minMemory))))
@@ -234,9 +241,19 @@
 		Log:                   s.log,
 		Limiter:               s.failures,
 		Retries:               s.settings.Retries,
+		RemoveIdentity:        func(req *message.Request) { s.opts.Codec.RemoveIdentity(req) },
+		Revocation:            s.revocation(),
 	})
 }
 
+// revocation returns the check of withdrawn keys that the settings require.
+func (s *Sidecar) revocation() mesh.Revocation {
+	if !s.settings.Revocation.Strict {
+		return mesh.Revocation{}
+	}
+	return mesh.Revocation{Confirmed: s.keysConfirmed}
+}
+
 // instanceAt returns the instance ID of the target that is attached to the node at the address.
 func (s *Sidecar) instanceAt(address string) string {
 	m, _ := s.directory.Member(address)
--- a/internal/version/organisation/organisation.go
+++ b/internal/version/organisation/organisation.go
@@ -17,8 +17,8 @@
 	Burst    float64 // requests beyond Rate
 }
 
-// MaxPriority is the highest number of a priority, which is the lowest one: the rank of a request has eight bits.
-const MaxPriority = 15
+// MaxPriority is the number of the lowest priority. The rank of a request has eight bits and also contains the priority of the route.
+const MaxPriority = 9
 
 // digest is the keyed hash of a key.
 type digest [sha256.Size]byte
@@ -45,6 +45,7 @@
 	list   []*Organisation
 	byName map[string]*Organisation
 	byKey  map[digest]*Organisation // nil value: claimed by several organisations
+	lowest int                      // see LowestPriority
 }
 
 // NewSet returns an empty set.
@@ -59,6 +60,7 @@
 	}
 	s.byName[o.Name] = &o
 	s.list = append(s.list, &o)
+	s.lowest = max(s.lowest, o.Priority)
 	return true
 }
 
@@ -102,5 +104,13 @@
 	return s.list
 }
 
+// LowestPriority returns the number of the lowest priority of an organisation.
+func (s *Set) LowestPriority() int {
+	if s == nil {
+		return 0
+	}
+	return s.lowest
+}
+
 // Len returns the number of organisations.
 func (s *Set) Len() int { return len(s.All()) }
