metrics: requests by organisation and the age of the confirmation

Operators could not see which organisation sends requests, nor how close a node is to accepting no keys.

The metrics count requests by organisation, with at most 100 series, and show the age of the last confirmation and those that were ignored.

--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -34,6 +34,11 @@
 	Held      int64 // requests that are held, see package quarantine
 	// RateLimit is the limit on requests per second that the local target names; zero: none.
 	RateLimit float64
+	// ConfirmationAge is the age of the last confirmation that the configuration was the newest one, in seconds. Confirmed is false
+	// if there was none, or none is needed.
+	Confirmed            bool
+	ConfirmationAge      float64
+	InvalidConfirmations int64 // that were ignored because of an impossible age or moment
 }
 
 // Metrics holds the instruments of a node.
@@ -43,6 +48,11 @@
 	requests metric.Int64Counter
 	latency  metric.Float64Histogram
 	cached   sync.Map // *options by series
+
+	organisationRequests metric.Int64Counter
+	organisationsMu      sync.Mutex // held while a series is added
+	organisations        sync.Map   // []metric.AddOption by name of the organisation
+	organisationCount    int
 }
 
 // latencyBounds are the upper bounds of the histogram's buckets, in seconds.
@@ -64,6 +74,10 @@
 		metric.WithDescription("Requests by the interface they came in on, outcome and reason.")); err != nil {
 		return nil, fmt.Errorf("request counter: %w", err)
 	}
+	if m.organisationRequests, err = meter.Int64Counter("wigeoncleat.organisation.requests",
+		metric.WithDescription("Requests of callers by organisation; those of most organisations beyond a bound count as \"other\".")); err != nil {
+		return nil, fmt.Errorf("counter of the organisations: %w", err)
+	}
 	if m.latency, err = meter.Float64Histogram("wigeoncleat.request.duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from a request's arrival to its final response."),
 		metric.WithExplicitBucketBoundaries(latencyBounds...)); err != nil {
@@ -98,6 +112,13 @@
 		return fmt.Errorf("gauge of the rate limit: %w", err)
 	}
 	gauges = append(gauges, rateLimit)
+	confirmationAge, err := meter.Float64ObservableGauge("wigeoncleat.configuration.confirmation_age", metric.WithUnit("s"),
+		metric.WithDescription("Age of the last confirmation that the configuration was the newest one."))
+	if err != nil {
+		return fmt.Errorf("gauge of the confirmation: %w", err)
+	}
+	gauges = append(gauges, confirmationAge)
+	invalidConfirmations := gauge("wigeoncleat.configuration.invalid_confirmations", "Confirmations that were ignored because of an impossible age.")
 	violations := gauge("wigeoncleat.invariant.violations", "Violations of an invariant since the start.")
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g := read()
@@ -111,6 +132,10 @@
 		o.ObserveInt64(epoch, g.Epoch)
 		o.ObserveInt64(held, g.Held)
 		o.ObserveFloat64(rateLimit, g.RateLimit)
+		o.ObserveInt64(invalidConfirmations, g.InvalidConfirmations)
+		if g.Confirmed {
+			o.ObserveFloat64(confirmationAge, g.ConfirmationAge)
+		}
 		for name, n := range invariant.Counts() {
 			o.ObserveInt64(violations, n, metric.WithAttributes(attribute.String("invariant", string(name))))
 		}
@@ -154,6 +179,38 @@
 	m.latency.Record(ctx, took.Seconds(), o.latency...)
 }
 
+const (
+	// maxOrganisations bounds the series of the counter of organisations, together with that of all others.
+	maxOrganisations   = 100
+	otherOrganisations = "other"
+)
+
+// Organisation counts a request of a caller for the organisation.
+func (m *Metrics) Organisation(name string) {
+	options, ok := m.organisations.Load(name)
+	if !ok {
+		options = m.addOrganisation(name)
+	}
+	m.organisationRequests.Add(context.Background(), 1, options.([]metric.AddOption)...)
+}
+
+// addOrganisation returns the options of the series of an organisation, or of the others if there are too many. Those are not
+// kept by name, because names change with the configuration.
+func (m *Metrics) addOrganisation(name string) any {
+	m.organisationsMu.Lock()
+	defer m.organisationsMu.Unlock()
+	if m.organisationCount >= maxOrganisations-1 {
+		name = otherOrganisations
+	}
+	options, loaded := m.organisations.LoadOrStore(name, []metric.AddOption{
+		metric.WithAttributeSet(attribute.NewSet(attribute.String("organisation", name))),
+	})
+	if !loaded && name != otherOrganisations {
+		m.organisationCount++
+	}
+	return options
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler { return m.handler }
 
--- a/internal/process/sidecar/freshness.go
+++ b/internal/process/sidecar/freshness.go
@@ -67,6 +67,16 @@
 	return s.settings.Revocation.Strict && t != nil && t.Organisations != nil
 }
 
+// confirmationAge returns the age of the last confirmation in seconds. It reports false if there is none or none is needed.
+func (s *Sidecar) confirmationAge() (float64, bool) {
+	now, ok := s.confirmations.clock()
+	if !ok || !s.needsConfirmation() {
+		return 0, false
+	}
+	age, ok := s.confirmations.tracker.Age(now)
+	return age.Seconds(), ok
+}
+
 // storeMoment returns the moment of a call of the store that is about to be sent, for confirmConfig.
 func (s *Sidecar) storeMoment() freshness.Moment {
 	if now, ok := s.confirmations.clock(); ok {
--- a/internal/process/sidecar/handlers.go
+++ b/internal/process/sidecar/handlers.go
@@ -48,6 +48,9 @@
 	}
 	took := time.Since(r.Arrived)
 	h.s.metrics.Request(interfaceEntry, resp, took)
+	if req.Organisation != "" && req.Hop == 0 {
+		h.s.metrics.Organisation(req.Organisation)
+	}
 	h.s.logRequest(req, resp, took)
 	a := h.s.opts.Codec.EncodeResponse(req, resp)
 	a.Memory = req.Memory
--- a/internal/process/sidecar/requestlog.go
+++ b/internal/process/sidecar/requestlog.go
@@ -29,6 +29,9 @@
 		slog.Int64("took_ms", took.Milliseconds()), slog.Int64("left_ms", time.Until(req.Deadline).Milliseconds()),
 		slog.Int("status", r.Status),
 	}
+	if req.Organisation != "" {
+		attrs = append(attrs, slog.String("organisation", req.Organisation))
+	}
 	if r.DownstreamFailed {
 		attrs = append(attrs, slog.Bool("below_failed", true))
 	}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -332,5 +332,7 @@
 	if t := s.routes.Load(); t != nil {
 		g.Version = int64(t.Version)
 	}
+	g.ConfirmationAge, g.Confirmed = s.confirmationAge()
+	g.InvalidConfirmations = s.confirmations.tracker.Invalid()
 	return g
 }
