sidecar, platform: tests of organisations and of the confirmation of configurations

The feed of the test's store now returns a change that happened between two calls, as the store does.

--- a/internal/connection/entry/entry_test.go
+++ b/internal/connection/entry/entry_test.go
@@ -254,3 +254,23 @@
 		require.Empty(t, rest)
 	})
 }
+
+// Guards against credentials in the text of a rejection, which is logged: the errors of the HTTP library quote what they cannot read.
+func TestRejectionsDoNotQuoteTheRequest(t *testing.T) {
+	for _, text := range []string{
+		"GET /a HTTP/1.1\r\nHost: x\r\nAuthorization Bearer secret-key\r\n\r\n",
+		"GET /a HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret-key\x01\r\n\r\n",
+		"Authorization: Bearer secret-key\r\n\r\n",
+		"GET /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: secret-key\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nAuthorization Bearer secret-key\r\n\r\n",
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c, br, h, _ := connect(t)
+			write(t, c, text)
+			status, body, _ := read(t, br)
+			require.Equal(t, http.StatusBadRequest, status, text)
+			require.NotContains(t, body, "secret-key")
+			require.Empty(t, h.seen)
+		})
+	}
+}
--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -16,6 +16,7 @@
 		ID: message.ID{1, 2}, Span: message.SpanID{3}, Service: "menu", Method: "GET", Path: "/boards/1?x=1",
 		Header: http.Header{"Accept": {"text/plain"}}, Body: body, Priority: 513, Idempotent: true, Hop: 2,
 		Deadline: now.Add(time.Second), Retries: 2, Key: "k", Mode: message.ModeHome, RateLimit: 43.8,
+		Organisation: "acme", CredentialsHash: 7,
 	}
 }
 
@@ -46,6 +47,15 @@
 	}
 }
 
+// Guards against keys of organisations in the frames of a request.
+func TestKeysAreNotSent(t *testing.T) {
+	req := request(nil, time.Now())
+	req.OrganisationKey = "secret-key"
+	frames, err := EncodeRequest(9, req, time.Now())
+	require.NoError(t, err)
+	require.NotContains(t, string(frames[0]), "secret-key")
+}
+
 // Guards against what a node knows of its target that is lost on the way to the node that sent the request, or back.
 func TestNoticeSurvivesEncoding(t *testing.T) {
 	for _, want := range []*message.Notice{nil, {Leaving: true, Born: 1796399561182}, {RateLimited: true, RateLimit: 43.8}} {
--- a/internal/process/sidecar/scale_test.go
+++ b/internal/process/sidecar/scale_test.go
@@ -78,6 +78,11 @@
 	}
 	s.shared.mu.Lock()
 	changed := s.shared.changed
+	if strconv.Itoa(s.shared.version) != after.Text { // changed between two calls
+		done := make(chan struct{})
+		close(done)
+		changed = done
+	}
 	s.shared.mu.Unlock()
 	select {
 	case <-changed:
@@ -117,10 +122,13 @@
 	fleetSize  = 60
 )
 
-func runFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
+func runFleet(t *testing.T, test func(t *testing.T, f *fleet)) { configureFleet(t, nil, test) }
+
+// configureFleet is runFleet with a function that is called before each node starts its loops.
+func configureFleet(t *testing.T, configure func(*Sidecar), test func(t *testing.T, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{
-			cluster: &cluster{t: t, nodes: map[string]*Sidecar{}, rows: map[string][]byte{}, latency: time.Millisecond, poweredOff: map[string]bool{}, frozen: map[string]bool{}},
+			cluster: &cluster{t: t, nodes: map[string]*Sidecar{}, rows: map[string][]byte{}, latency: time.Millisecond, poweredOff: map[string]bool{}, frozen: map[string]bool{}, configure: configure},
 			store:   &sharedStore{version: 4, changed: make(chan struct{})},
 			stores:  map[string]*countedStore{},
 		}
