--- a/test/sidecar/site_test.go
+++ b/test/sidecar/site_test.go
@@ -97,7 +97,8 @@
 	deadly     deadlyRequests
 	// killsAll says that all nodes are killed at the same time now and then. What they know of requests that end targets is lost with
 	// them, so that such requests are not sent then.
-	killsAll bool
+	killsAll      bool
+	organisations map[string]string // keys by name; changed before putConfiguration
 }
 
 // loopbackNetwork is the network of this process's loopback addresses. It depends on the process ID, so that concurrent
@@ -106,9 +107,12 @@
 
 var storeIP = loopbackNetwork + ".10"
 
-func newSite(t *testing.T, vms int) *site {
+func newSite(t *testing.T, vms int) *site { return newSiteOf(t, vms, nil) }
+
+// newSiteOf is newSite with organisations, each a key by the name of the organisation. Nil stands for a deployment without them.
+func newSiteOf(t *testing.T, vms int, organisations map[string]string) *site {
 	t.Helper()
-	s := &site{t: t, store: standin.NewStore()}
+	s := &site{t: t, store: standin.NewStore(), organisations: organisations}
 	l := listen(t, at(storeIP, portStore))
 	srv := &http.Server{Handler: s.store}
 	go func() { _ = srv.Serve(l) }() // ends with Close
@@ -152,10 +156,10 @@
 	route := func(name, host, prefix, kind, service string, priority int) map[string]any {
 		return map[string]any{
 			"name": name, "hostname": host, "prefix": prefix, "kind": kind, "timeout_s": routeTimeout.Seconds(), "target_latency_s": 1.0,
-			"priority": priority, "service": service, "max_attempts": 2,
+			"priority": priority, "service": service, "max_attempts": 2, "public": name == "latest",
 		}
 	}
-	body, err := json.Marshal(map[string]any{
+	config := map[string]any{
 		"version": fmt.Sprintf("%08x", version),
 		"routes": []any{
 			route("order", "site.example", "/order/", "non_idempotent", "menu", 0),
@@ -167,7 +171,11 @@
 			map[string]any{"name": "menu", "max_connections": 100}, map[string]any{"name": "profile", "max_connections": 100},
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_s": 3, "idle_timeout_s": 15},
-	})
+	}
+	if s.organisations != nil {
+		standin.AddOrganisations(config, s.organisations)
+	}
+	body, err := json.Marshal(config)
 	require.NoError(s.t, err)
 	s.config = body
 	s.store.Put("op", platform.ConfigKey, body)
@@ -210,6 +218,9 @@
 budget_window_s = 10
 `, v.ip, v.ip, zone, at(v.ip, portProxy), v.service, at(v.ip, portPeers), at(v.ip, portCallers),
 		at(v.ip, portReadiness), at(v.ip, portControl), at(storeIP, portProxy))
+	if v.site.organisations != nil {
+		text += standin.StrictRevocation
+	}
 	require.NoError(v.t, os.WriteFile(v.settingsFile, []byte(text), 0o600))
 	var err error
 	if *soakLogs != "" {
