--- a/internal/process/mesh/organisations.go
+++ b/internal/process/mesh/organisations.go
@@ -17,9 +17,9 @@
 }
 
 // checksKeys reports whether the requests under a configuration need keys. A list of organisations that is empty counts as none,
-// unless withdrawn keys must not be accepted in any case: the list may be empty because the last key was withdrawn.
+// other than one whose organisations cannot be used, unless withdrawn keys must not be accepted in any case: the list may be empty because the last key was withdrawn.
 func (p *Proxy) checksKeys(table *routing.Table) bool {
-	return table.Organisations.Len() > 0 || table.Organisations != nil && p.cfg.Revocation.Confirmed != nil
+	return table.Organisations.Named() || table.Organisations != nil && p.cfg.Revocation.Confirmed != nil
 }
 
 // identify finds the organisation of a request, removes the key and what the caller says of its organisation, and finds the run that
--- a/internal/process/mesh/organisations_test.go
+++ b/internal/process/mesh/organisations_test.go
@@ -121,6 +121,17 @@
 	require.Empty(t, n.sent[0].OrganisationKey)
 }
 
+// Guards against serving all requests because no organisation of the configuration can be used.
+func TestUnusableOrganisationsDoNotEndTheCheck(t *testing.T) {
+	n := newNode(t, 1)
+	table := n.withOrganisations(t)
+	table.Organisations = organisation.NewSet()
+	require.Equal(t, message.Answered, n.proxy.Serve(t.Context(), keyed("/menu/1", "a", "")).Outcome, "an empty list")
+	table.Organisations.SetNamed()
+	require.Equal(t, message.ReasonKeyMissing, n.proxy.Serve(t.Context(), keyed("/menu/1", "b", "")).Reason)
+	require.Equal(t, message.ReasonKeyUnknown, n.proxy.Serve(t.Context(), keyed("/menu/1", "c", "key-h")).Reason)
+}
+
 // Guards against shedding an organisation of high priority before one of low priority because of their routes.
 func TestOrganisationGoesBeforeTheRoute(t *testing.T) {
 	n := newNode(t, 1)
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,3 +32,20 @@
 		require.Regexp(t, series, w.Body.String())
 	}
 }
+
+// Guards against a number of series that grows with the organisations of all configurations.
+func TestSeriesOfOrganisationsAreBounded(t *testing.T) {
+	m, err := New(func() Gauges { return Gauges{} })
+	require.NoError(t, err)
+	for range 2 {
+		for i := range 300 {
+			m.Organisation("org-" + strconv.Itoa(i))
+		}
+	}
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	require.Equal(t, 100, strings.Count(w.Body.String(), "\nwigeoncleat_organisation_requests_total{"))
+	require.Regexp(t, `requests_total\{organisation="org-0"[^}]*\} 2`, w.Body.String())
+	require.Regexp(t, `requests_total\{organisation="other"[^}]*\} 402`, w.Body.String())
+	require.NotContains(t, w.Body.String(), "confirmation_age", "no confirmation is needed")
+}
--- a/internal/version/organisation/organisation.go
+++ b/internal/version/organisation/organisation.go
@@ -42,6 +42,7 @@
 
 // Set is the organisations of one configuration. A nil set belongs to a configuration that does not know organisations.
 type Set struct {
+	named  bool // see Named
 	list   []*Organisation
 	byName map[string]*Organisation
 	byKey  map[digest]*Organisation // nil value: claimed by several organisations
@@ -112,5 +113,12 @@
 	return s.lowest
 }
 
+// SetNamed records that the configuration names organisations, also if none of them can be used. It must be called before the set is
+// used.
+func (s *Set) SetNamed() { s.named = true }
+
+// Named reports whether the configuration names organisations.
+func (s *Set) Named() bool { return s != nil && (s.named || len(s.list) > 0) }
+
 // Len returns the number of organisations.
 func (s *Set) Len() int { return len(s.All()) }
