freshness: clocks of different origins in the randomised test

The nodes of the test shared one clock, so a moment sent to another node would not have been noticed.

Each node has a clock of its own origin.

--- a/internal/process/freshness/freshness_test.go
+++ b/internal/process/freshness/freshness_test.go
@@ -104,6 +104,7 @@
 	confirmed bool
 	sent      Moment // of a call of the store
 	store     bool
+	process   *simNode // that called the store
 }
 
 type simNode struct {
@@ -111,6 +112,7 @@
 	asker   *Asker
 	own     int
 	frozen  bool
+	origin  Moment // of its clock: the VMs were started at different times
 }
 
 // sim is a store, some nodes and the messages between them. The store acknowledges version i+1 at acknowledged[i].
@@ -124,14 +126,14 @@
 }
 
 func (s *sim) restart(i int) {
-	n := &simNode{tracker: New(limit)}
+	n := &simNode{tracker: New(limit), origin: time.Duration(rapid.IntRange(0, 59).Draw(s.T, "origin")) * time.Second}
 	if s.nodes[i] != nil { // a restarted node has its configuration from any other one, however old
 		n.own = s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(s.T, "source")].own
 	} else {
 		n.own = 1
 	}
 	s.numbers += 1000
-	n.asker = NewAsker(n.tracker, s.numbers, s.now)
+	n.asker = NewAsker(n.tracker, s.numbers, s.now-n.origin)
 	n.tracker.InForce(stamp(n.own))
 	s.nodes[i] = n
 }
@@ -142,12 +144,12 @@
 	if n.frozen {
 		return
 	}
-	if step := n.asker.Next(s.now, 0.5); step.Ask {
+	if step := n.asker.Next(s.now-n.origin, 0.5); step.Ask {
 		to := rapid.IntRange(0, len(s.nodes)-1).Draw(s.T, "asked")
 		s.onTheWay = append(s.onTheWay, message{from: i, to: to, number: step.Number})
 	}
 	if rapid.IntRange(0, 3).Draw(s.T, "reads") == 0 { // answered at once or later with what the store has now
-		s.onTheWay = append(s.onTheWay, message{to: i, store: true, stamp: stamp(len(s.acknowledged)), sent: s.now})
+		s.onTheWay = append(s.onTheWay, message{to: i, store: true, stamp: stamp(len(s.acknowledged)), sent: s.now - n.origin, process: n})
 	}
 }
 
@@ -159,17 +161,19 @@
 		return
 	}
 	switch {
+	case m.store && m.process != n:
+		// the process that called the store has ended
 	case m.store:
 		n.apply(int(m.stamp.Version))
-		n.tracker.Confirm(stamp(n.own), m.sent, s.now)
+		n.tracker.Confirm(stamp(n.own), m.sent, s.now-n.origin)
 	case m.answer:
 		if at, ok := n.asker.Asked(m.number); ok && m.confirmed {
-			n.tracker.ConfirmAnswered(m.stamp, m.age, at, s.now)
-			n.asker.Answered(s.now)
+			n.tracker.ConfirmAnswered(m.stamp, m.age, at, s.now-n.origin)
+			n.asker.Answered(s.now - n.origin)
 		}
 	default:
 		reply := message{from: m.to, to: m.from, number: m.number, answer: true}
-		reply.stamp, reply.age, reply.confirmed = n.tracker.Answer(s.now)
+		reply.stamp, reply.age, reply.confirmed = n.tracker.Answer(s.now - n.origin)
 		s.onTheWay = append(s.onTheWay, reply)
 	}
 }
@@ -182,8 +186,8 @@
 }
 
 // Guards against a withdrawn key that is accepted later than the limit after its withdrawal was acknowledged, at any node, through
-// lost followers, cuts, frozen and restarted nodes, and late or reordered messages. Steps of other clocks cannot matter: the
-// package is only given moments of one clock.
+// lost followers, cuts, frozen and restarted nodes, and late or reordered messages. The clocks of the
+// nodes differ; steps of the time of day cannot matter, because the package is not given it.
 func TestWithdrawnKeysAreRefusedInTime(t *testing.T) {
 	accepted := 0
 	rapid.Check(t, func(rt *rapid.T) {
@@ -218,7 +222,7 @@
 				}
 			}
 			for k, n := range s.nodes { // a frozen process may go on now
-				if !n.tracker.Accepts(stamp(n.own), s.now) {
+				if !n.tracker.Accepts(stamp(n.own), s.now-n.origin) {
 					continue
 				}
 				accepted++
