sidecar: race in the test of unreadable configurations

The test replaced the decoder of nodes that were running, which the race detector reported.

The version that cannot be read is set before the nodes start; the test passes with -race.

--- a/internal/process/sidecar/freshness_test.go
+++ b/internal/process/sidecar/freshness_test.go
@@ -13,8 +13,9 @@
 
 const revokeLimit = 5 * time.Second
 
-// runStrictFleet runs a fleet with organisations and strict revocation, in virtual time.
-func runStrictFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
+// runStrictFleet runs a fleet with organisations and strict revocation, in virtual time. It cannot read the configuration of the
+// version unreadable; zero: none.
+func runStrictFleet(t *testing.T, unreadable byte, test func(t *testing.T, f *fleet)) {
 	configureFleet(t, func(s *Sidecar) {
 		start := time.Now().Add(-time.Hour)
 		s.settings.Revocation = Revocation{Strict: true, Limit: revokeLimit}
@@ -22,6 +23,9 @@
 		s.confirmations.clock = func() (freshness.Moment, bool) { return time.Since(start), true }
 		decode := s.opts.DecodeConfig
 		s.opts.DecodeConfig = func(body []byte) (*routing.Table, error) {
+			if unreadable != 0 && body[0] == unreadable {
+				return nil, routing.ErrInvalid
+			}
 			table, err := decode(body)
 			if err == nil {
 				table.Organisations = organisation.NewSet()
@@ -39,7 +43,7 @@
 
 // Guards against nodes that come near the limit in a calm deployment, and against a price for that in calls of the store.
 func TestCalmDeploymentStaysConfirmed(t *testing.T) {
-	runStrictFleet(t, func(t *testing.T, f *fleet) {
+	runStrictFleet(t, 0, func(t *testing.T, f *fleet) {
 		time.Sleep(2 * time.Second)
 		calls := f.store.calls.Load()
 		oldest := time.Duration(0)
@@ -67,7 +71,7 @@
 		"one zone":              func(s *Sidecar) bool { return s.settings.Zone == "zone-1" },
 	} {
 		t.Run(name, func(t *testing.T) {
-			runStrictFleet(t, func(t *testing.T, f *fleet) {
+			runStrictFleet(t, 0, func(t *testing.T, f *fleet) {
 				lost := map[string]bool{}
 				for address, s := range f.nodes {
 					lost[address] = scope(s)
@@ -110,16 +114,7 @@
 
 // Guards against a configuration that cannot be read, and may withdraw keys, while polls go on to confirm the one before.
 func TestUnreadableConfigurationIsNotConfirmed(t *testing.T) {
-	runStrictFleet(t, func(t *testing.T, f *fleet) {
-		for _, s := range f.nodes {
-			decode := s.opts.DecodeConfig
-			s.opts.DecodeConfig = func(body []byte) (*routing.Table, error) {
-				if body[0] == 5 {
-					return nil, routing.ErrInvalid
-				}
-				return decode(body)
-			}
-		}
+	runStrictFleet(t, 5, func(t *testing.T, f *fleet) {
 		f.store.change()
 		time.Sleep(revokeLimit)
 		for address, s := range f.nodes {
