--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -52,6 +52,9 @@
 	ChannelGossip Channel = 1
 	ChannelConfig Channel = 2
 	ChannelView   Channel = 3 // by which sidecars synchronise their directories and the configuration
+	// ChannelFreshness carries questions and answers on whether a configuration is the newest one. Channel 4 is not used by it, so
+	// that it stays free for messages about quotas.
+	ChannelFreshness Channel = 5
 )
 
 // Hello is the first frame in both directions.
@@ -91,6 +94,10 @@
 	Caller   string `cbor:"20,keyasint,omitempty"` // service of the VM on which the request originated
 	// RateLimit is the limit on requests per second that the sender has learned of the target; zero: none.
 	RateLimit float64 `cbor:"21,keyasint,omitempty"`
+	// Organisation is the name of the organisation for which the request is made. Nodes never send keys of organisations.
+	Organisation string `cbor:"22,keyasint,omitempty"`
+	// CredentialsHash tells the credentials of requests apart that no longer contain them.
+	CredentialsHash uint64 `cbor:"23,keyasint,omitempty"`
 }
 
 // Body carries a further part of the body of a request or response.
--- a/internal/process/sidecar/handlers.go
+++ b/internal/process/sidecar/handlers.go
@@ -48,6 +48,9 @@
 	}
 	took := time.Since(r.Arrived)
 	h.s.metrics.Request(interfaceEntry, resp, took)
+	if req.Organisation != "" && req.Hop == 0 {
+		h.s.metrics.Organisation(req.Organisation)
+	}
 	h.s.logRequest(req, resp, took)
 	a := h.s.opts.Codec.EncodeResponse(req, resp)
 	a.Memory = req.Memory
@@ -114,7 +117,12 @@
 
 // HandleControl implements link.Handler.
 func (h linkHandler) HandleControl(from link.Peer, channel wire.Channel, payload []byte) {
-	if channel != wire.ChannelView {
+	switch channel {
+	case wire.ChannelView:
+	case wire.ChannelFreshness:
+		h.s.receiveFreshness(from.Address, payload)
+		return
+	default:
 		return
 	}
 	select {
