quota: decide which requests of organisations are admitted over all nodes

Cause: an organisation may send a rate and a burst over all nodes together, and nothing bounds it. Change: a package without a network. Nodes form a tree, report what they have admitted, and are granted parts of what is left of the limit. Away from the limit they admit at once and only count. A node without a parent that answers is the root of what is below it and uses the part of the limit that corresponds to its nodes.

--- /dev/null
+++ b/internal/process/quota/quota_test.go
@@ -0,0 +1,202 @@
+package quota
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// start returns a simulation with the usual demand, evenly at all nodes, after all nodes have run for a while.
+func start(t *testing.T, nodes int, seed uint64) (s *simulation, usual map[string]float64, surge map[string]float64) {
+	t.Helper()
+	limits, usual := organisations(84, 1480*float64(nodes)/66)
+	s = newSimulation(t, nodes, limits, seed)
+	surge = map[string]float64{}
+	s.demand = func(org string, _ *simNode) float64 {
+		return usual[org] * max(1, surge[org]) / float64(nodes)
+	}
+	s.run(6*time.Second, nil)
+	clear(s.arrived)
+	clear(s.refused)
+	return s, usual, surge
+}
+
+// Guards against fixed shares in disguise: most organisations send far less than one request per second and node.
+func TestCalmDeploymentRefusesNothing(t *testing.T) {
+	s, _, _ := start(t, 83, 1)
+	s.encode = true
+	s.run(20*time.Second, nil)
+	s.requireRefused(0)
+	s.requireBound()
+	s.logTraffic(20)
+}
+
+func (s *simulation) logTraffic(seconds float64) {
+	var bytes, messages, mostBytes, mostMessages float64
+	for _, v := range s.nodes {
+		b, m := float64(v.sentBytes+v.gotBytes)/seconds, float64(v.sentCount+v.received)/seconds
+		bytes, messages = bytes+b, messages+m
+		mostBytes, mostMessages = max(mostBytes, b), max(mostMessages, m)
+	}
+	n := float64(len(s.nodes))
+	s.t.Logf("a node sends and receives %.0f bytes/s in %.0f messages/s; the busiest %.0f in %.0f", bytes/n, messages/n, mostBytes, mostMessages)
+}
+
+// Guards against an organisation that exceeds its bound while it sends several times its limit, and against others that suffer.
+func TestSurgeStaysWithinBound(t *testing.T) {
+	for _, factor := range []float64{3, 8} {
+		s, _, surge := start(t, 66, 2)
+		for _, org := range []int{0, 9, 60} {
+			surge[orgName(org)] = factor
+		}
+		s.run(8*time.Second, nil)
+		for _, org := range []int{0, 9, 60} {
+			name := orgName(org)
+			served := float64(s.arrived[name] - s.refused[name])
+			entitled := 8*s.limits[name].Rate + s.limits[name].Burst
+			t.Logf("factor %v, %s with %.1f/s: served %v, quota %.0f", factor, name, s.limits[name].Rate, served, entitled)
+			if served < 0.75*min(entitled, float64(s.arrived[name])) {
+				t.Errorf("%s: served %v of a quota of %v", name, served, entitled)
+			}
+		}
+		s.requireRefused(0, orgName(0), orgName(9), orgName(60))
+		clear(surge)
+		s.run(8*time.Second, nil)
+		s.requireBound()
+	}
+}
+
+// Guards against shares that follow the demand of nodes too slowly when it moves between zones.
+func TestDemandMovesBetweenZones(t *testing.T) {
+	s, usual, _ := start(t, 83, 3)
+	s.demand = func(org string, v *simNode) float64 {
+		phase := 2 * math.Pi * (s.now.Seconds()/15 + float64(v.zone)/4)
+		return usual[org] * (1 + 0.55*math.Sin(phase)) / 83
+	}
+	s.run(20*time.Second, nil)
+	s.requireRefused(0.0005)
+	s.requireBound()
+}
+
+// fault is one kind of fault; it is called once a second.
+type fault struct {
+	name    string
+	refused float64 // share of the requests within the quota that may be refused
+	apply   func(s *simulation, second int)
+}
+
+// root returns the node that all others report to.
+func (s *simulation) root() *simNode {
+	for _, v := range s.nodes {
+		if s.up(v) && v.node.uplink.parent == "" {
+			return v
+		}
+	}
+	return s.nodes[0]
+}
+
+var faults = []fault{
+	{"root killed", 0.002, func(s *simulation, second int) {
+		if second%5 == 1 {
+			v := s.root()
+			v.deadUntil = s.now + 3*time.Second
+		}
+	}},
+	{"root frozen", 0.002, func(s *simulation, second int) {
+		if second%5 == 1 {
+			s.root().frozenUntil = s.now + 3*time.Second
+		}
+	}},
+	{"random nodes frozen", 0.01, func(s *simulation, second int) {
+		for range 6 {
+			s.nodes[s.rnd.IntN(len(s.nodes))].frozenUntil = s.now + time.Duration(1+s.rnd.IntN(3))*time.Second
+		}
+	}},
+	{"third cut off", 0.01, func(s *simulation, second int) {
+		for i, v := range s.nodes {
+			v.group = 0
+			if second%12 >= 2 && second%12 < 10 && i%3 == 0 {
+				v.group = 1
+			}
+		}
+	}},
+	{"every node on its own", 1, func(s *simulation, second int) {
+		for i, v := range s.nodes {
+			v.group = 0
+			if second%12 >= 2 && second%12 < 10 {
+				v.group = i
+			}
+		}
+	}},
+	{"all restarted", 0.25, func(s *simulation, second int) {
+		if second == 2 || second == 8 {
+			for _, v := range s.nodes {
+				v.deadUntil = s.now + 500*time.Millisecond
+			}
+		}
+	}},
+	{"rolling restarts", 0.01, func(s *simulation, second int) {
+		s.nodes[s.rnd.IntN(len(s.nodes))].deadUntil = s.now + time.Second
+	}},
+}
+
+// Guards against a bound that holds only while all nodes work: organisations send 8 times their usual load, or all that the nodes
+// would take, while nodes are killed, restarted, frozen or cut off. The surges begin at several moments relative to the faults.
+func TestBoundHoldsDuringFaults(t *testing.T) {
+	for _, f := range faults {
+		for seed := range uint64(2) {
+			t.Run(f.name, func(t *testing.T) {
+				t.Parallel()
+				s, _, surge := start(t, 66, 10+seed)
+				surging := []string{orgName(0), orgName(int(3 + seed)), orgName(12), orgName(40), orgName(70)}
+				begin := s.now + time.Duration(seed)*700*time.Millisecond
+				s.play(f, 14*time.Second, func() {
+					for _, org := range surging {
+						surge[org] = 1
+						if s.now >= begin && s.now < begin+8*time.Second {
+							surge[org] = 8
+						}
+					}
+				})
+				s.requireRefused(f.refused, surging...)
+				s.requireBound()
+			})
+		}
+	}
+}
+
+// play runs the simulation with faults. A node whose death is over starts as a new process.
+func (s *simulation) play(f fault, d time.Duration, hook func()) {
+	second, dead := 0, map[*simNode]bool{}
+	s.run(d, func() {
+		if s.now%time.Second == 0 {
+			f.apply(s, second)
+			second++
+		}
+		for _, v := range s.nodes {
+			if s.now < v.deadUntil {
+				dead[v] = true
+			} else if dead[v] {
+				delete(dead, v)
+				s.boot(v)
+			}
+		}
+		hook()
+	})
+}
+
+// Guards against a tree that works with few nodes only, and against control that takes more than 4 KB/s.
+func TestLargeDeployment(t *testing.T) {
+	s, _, surge := start(t, 2300, 5)
+	s.encode = true
+	s.run(5*time.Second, nil)
+	s.requireRefused(0.0005)
+	s.logTraffic(5)
+	hot := []string{orgName(0), orgName(8), orgName(50)}
+	for _, org := range hot {
+		surge[org] = 8
+	}
+	s.run(6*time.Second, nil)
+	s.requireRefused(0.0005, hot...)
+	s.requireBound()
+}
