sidecar, mesh: quotas of organisations on the request path

Cause: package quota decides, but nothing calls it. Change: a call after the check of keys and before shedding, status 429, control channel 4, settings of the bounds, metrics by organisation and events for reaching the limit. Result: requests beyond the quota are refused as not run; requests that reach no target return their admission.

--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -52,8 +52,9 @@
 	ChannelGossip Channel = 1
 	ChannelConfig Channel = 2
 	ChannelView   Channel = 3 // by which sidecars synchronise their directories and the configuration
-	// ChannelFreshness carries questions and answers on whether a configuration is the newest one. Channel 4 is not used by it, so
-	// that it stays free for messages about quotas.
+	// ChannelQuota carries the messages of package quota.
+	ChannelQuota Channel = 4
+	// ChannelFreshness carries questions and answers on whether a configuration is the newest one.
 	ChannelFreshness Channel = 5
 )
 
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -287,3 +287,20 @@
 	defer d.mu.Unlock()
 	return len(d.members)
 }
+
+// Participants returns the addresses of the other nodes that can be reached and do not stop, and the number of all nodes, with this one,
+// that may still forward requests: those that have deregistered may not.
+func (d *Directory) Participants() (reachable []string, known int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address, m := range d.members {
+		if m.Deregistered() && address != d.self {
+			continue
+		}
+		known++
+		if address != d.self && !m.NodeLeaving && !d.isDownLocked(address) {
+			reachable = append(reachable, address)
+		}
+	}
+	return reachable, known
+}
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -52,7 +52,7 @@
 		MemberChanged, PeerMessageFailed, TargetRefusesConnections, FollowerChanged, TargetFailing, TargetRecovered,
 		TargetRateLimited, TargetRateLimitEnded, TargetRateUnreadable, TargetLeftOut, RegistryRepaired,
 		TargetEnded, SuspectHeld, SuspectTried, SuspectCleared, RowIgnored, LeavingUnrecorded,
-		KeysUnconfirmed, KeysConfirmed, OrganisationIgnored,
+		KeysUnconfirmed, KeysConfirmed, OrganisationIgnored, QuotaReached, QuotaRegained,
 		SuspectReleased,
 	}
 }
--- a/internal/process/event/mesh.go
+++ b/internal/process/event/mesh.go
@@ -46,6 +46,8 @@
 	LeavingUnrecorded        = Event{879, slog.LevelWarn, "target leaves, but the store has not recorded it, so it is not acknowledged", "Check the store. The target gets no requests from this process; it reports again."}
 	KeysUnconfirmed          = Event{880, slog.LevelWarn, "node does not know whether its configuration is the newest one, it accepts no keys", "Check whether this VM reaches the store or other nodes; callers with keys get 503 and may come back."}
 	KeysConfirmed            = Event{881, slog.LevelInfo, "node knows that its configuration is the newest one, it accepts keys", ""}
+	QuotaReached             = Event{883, slog.LevelWarn, "organisation has used up its quota, requests are refused", "Compare what it sends with its quota; callers get 429 and may come back."}
+	QuotaRegained            = Event{884, slog.LevelInfo, "organisation is within its quota again", ""}
 	OrganisationIgnored      = Event{882, slog.LevelWarn, "part of an organisation in the configuration cannot be used", "Correct the organisation in the configuration; the attribute what names its position."}
 	SuspectReleased          = Event{889, slog.LevelWarn, "operator released a request that was held", ""}
 	SuspectCleared           = Event{877, slog.LevelInfo, "request is no longer held, a target has answered it", ""}
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -79,6 +79,7 @@
 	// CredentialsHash. It is called if the configuration has organisations.
 	RemoveIdentity func(*message.Request)
 	Revocation     Revocation
+	Quota          Quota // nil: organisations have no quotas
 }
 
 // RetryBounds are the operators' limits on the retries to one service, summed over all nodes.
--- a/internal/process/mesh/organisations.go
+++ b/internal/process/mesh/organisations.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/organisation"
@@ -16,6 +17,34 @@
 	Confirmed func(routing.Stamp) bool
 }
 
+// Quota decides whether an organisation may send another request, see package quota.
+type Quota interface {
+	// Admit counts a request that is admitted. If it is not, retryAfter is the time after which the caller may try again.
+	Admit(organisation string) (ok bool, retryAfter time.Duration)
+	// GiveBack takes back the admission of a request that has not reached a target.
+	GiveBack(organisation string)
+}
+
+// admitQuota refuses a new request of an organisation that has used up its quota, and returns nil for all others. Calls do not count.
+func (p *Proxy) admitQuota(f *forwardedRequest) *message.Response {
+	if p.cfg.Quota == nil || f.organisation == nil {
+		return nil
+	}
+	ok, after := p.cfg.Quota.Admit(f.organisation.Name)
+	if !ok {
+		return p.refuse(message.ReasonQuota, message.StepShed, after, "organisation %q has used up its quota", f.organisation.Name)
+	}
+	f.quotaTaken = true
+	return nil
+}
+
+// returnQuota gives back what admitQuota has taken for a request that has not reached a target.
+func (p *Proxy) returnQuota(f *forwardedRequest, r *message.Response) {
+	if f.quotaTaken && r.Outcome == message.NotRun && f.arrivals == 0 {
+		p.cfg.Quota.GiveBack(f.organisation.Name)
+	}
+}
+
 // checksKeys reports whether the requests under a configuration need keys. A list of organisations that is empty counts as none,
 // other than one whose organisations cannot be used, unless withdrawn keys must not be accepted in any case: the list may be empty because the last key was withdrawn.
 func (p *Proxy) checksKeys(table *routing.Table) bool {
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -62,6 +62,7 @@
 	parent           *run                       // run that made the call; nil for a new request
 	organisation     *organisation.Organisation // of a new request with a key; nil: none
 	service          string
+	quotaTaken       bool     // it counts against the quota of the organisation
 	arrivals         int      // attempts that reached a target, or may have
 	overloadRefusals int      // attempts that were refused because of overload, see maxOverloadRefusals
 	tried            []string // addresses of the nodes to which it was offered
@@ -118,6 +119,9 @@
 	defer cancel()
 	start := time.Now()
 	r := p.refuseHeld(f)
+	if r == nil {
+		r = p.admitQuota(f)
+	}
 	if r == nil {
 		r = p.shed(f)
 	}
@@ -127,6 +131,7 @@
 			p.learnThresholds(f, r) // no other target had room either
 		}
 	}
+	p.returnQuota(f, r)
 	if f.parent == nil && r.Outcome == message.NotRun && r.Reason == message.ReasonOverload {
 		r.RetryAfter = f.retryAfterWithinObjective(r.RetryAfter)
 	}
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -58,8 +59,9 @@
 // latencyBounds are the upper bounds of the histogram's buckets, in seconds.
 var latencyBounds = []float64{.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10}
 
-// New returns the metrics of a node. At each scrape, read is called for the values of the gauges.
-func New(read func() Gauges) (*Metrics, error) {
+// New returns the metrics of a node. At each scrape, read is called for the values of the gauges and quotas for the
+// state of the quotas; nil: there are none.
+func New(read func() Gauges, quotas func() []Quota) (*Metrics, error) {
 	registry := prometheus.NewRegistry()
 	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
 	if err != nil {
@@ -83,7 +85,10 @@
 		metric.WithExplicitBucketBoundaries(latencyBounds...)); err != nil {
 		return nil, fmt.Errorf("latency histogram: %w", err)
 	}
-	return m, registerGauges(meter, read)
+	if quotas != nil {
+		err = registerQuotas(meter, quotas)
+	}
+	return m, errors.Join(err, registerGauges(meter, read))
 }
 
 // registerGauges registers the gauges and the counts of invariant violations.
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -14,7 +14,7 @@
 
 // Guards against requests that are counted under the attributes of others, which are kept between requests.
 func TestRequestsAreCountedByTheirOwnAttributes(t *testing.T) {
-	m, err := New(func() Gauges { return Gauges{} })
+	m, err := New(func() Gauges { return Gauges{} }, nil)
 	require.NoError(t, err)
 	for range 2 {
 		m.Request("caller", &message.Response{Outcome: message.Answered}, time.Millisecond)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -98,7 +98,7 @@
 	if n.target, err = newTargetClient(context.Background(), s.Target.Address, n.policy.Load); err != nil {
 		return nil, err
 	}
-	if n.metrics, err = metrics.New(n.gauges); err != nil {
+	if n.metrics, err = metrics.New(n.gauges, nil); err != nil {
 		return nil, err
 	}
 	n.balancers = engine.NewBalancers(s.Node.AvailabilityZone, policy.New().Balance)
--- a/internal/process/sidecar/handlers.go
+++ b/internal/process/sidecar/handlers.go
@@ -122,6 +122,9 @@
 	case wire.ChannelFreshness:
 		h.s.receiveFreshness(from.Address, payload)
 		return
+	case wire.ChannelQuota:
+		h.s.receiveQuota(from.Address, payload)
+		return
 	default:
 		return
 	}
--- a/internal/process/sidecar/platform.go
+++ b/internal/process/sidecar/platform.go
@@ -269,6 +269,7 @@
 		}
 	}
 	s.confirmations.tracker.InForce(table.Stamp)
+	s.quotas.setLimits(s.routes.Load)
 	event.Log(s.log, event.RoutesApplied, slog.Uint64("version", uint64(table.Version)), slog.Uint64("epoch", epoch),
 		slog.String("source", source), slog.Int("routes", table.RouteCount()), slog.Int("organisations", table.Organisations.Len()))
 	s.logIgnored(table)
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -49,6 +49,7 @@
 	for _, loop := range []func(){s.recordLeavings, s.register, s.maintainRegistry, s.followConfig, s.gossip, s.reconnect, s.watchTarget, s.notifyCallers} {
 		s.background.Go(loop)
 	}
+	s.background.Go(s.runQuotas)
 	if s.settings.Revocation.Strict {
 		s.background.Go(s.keepConfirmed)
 	}
@@ -151,5 +152,6 @@
 	event.Log(s.log, event.SettingsReloaded, slog.Bool("changed", next != s.settings))
 	s.settings.Grace = next.Grace // only accessed by the goroutine of Run
 	s.retryBurst.Store(&next.RetryBurst)
+	s.quotas.setBounds(next.Quota)
 	s.refreshTargets()
 }
--- a/internal/process/sidecar/settings.go
+++ b/internal/process/sidecar/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/mesh"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/quota"
 )
 
 // Settings identify the node and set its bounds. They are read at the start; see Sidecar.reload for those that can
@@ -34,6 +35,7 @@
 	// to Retries.Ratio of the first attempts.
 	RetryBurst float64
 	Revocation Revocation
+	Quota      quota.Bounds // zero: quota.DefaultBounds
 }
 
 // Revocation is what operators require of the withdrawal of keys of organisations.
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -123,6 +123,7 @@
 	suspectNews       *suspectNews // records that the other nodes are to be told of
 	confirmed         confirmedRevision
 	confirmations     *confirmations
+	quotas            *quotas
 	// storedConfigRejected says that the configuration that the store had last could not be read.
 	storedConfigRejected atomic.Bool
 	leavings             *leavingsRecord
@@ -183,6 +184,7 @@
 		samples:      event.NewLimiter(samplesPerSecond),
 	}
 	s.confirmations = newConfirmations(opts.Settings.Revocation.Limit)
+	s.quotas = newQuotas(s.settings.PeerAddress, s.settings.Quota)
 	s.connectTarget = func(address string) exchanger { return targetconn.NewPool(address) }
 	s.targetHasEnded = func() bool { return refusesConnections(opts.Settings.TargetAddress) }
 	s.responseMemory = memory.NewBudget(int64(responseMemoryShare * float64(max(s.settings.MemoryBytes, minMemory))))
@@ -203,7 +205,7 @@
 		int(descriptorShare*float64(max(s.settings.Descriptors, minDescriptors))),
 		int64(requestMemoryShare*float64(max(s.settings.MemoryBytes, minMemory))))
 	var err error
-	if s.metrics, err = metrics.New(s.gauges); err != nil {
+	if s.metrics, err = metrics.New(s.gauges, s.quotaSeries); err != nil {
 		return nil, fmt.Errorf("sidecar: %w", err)
 	}
 	s.refreshTargets()
@@ -243,6 +245,7 @@
 		Retries:               s.settings.Retries,
 		RemoveIdentity:        func(req *message.Request) { s.opts.Codec.RemoveIdentity(req) },
 		Revocation:            s.revocation(),
+		Quota:                 s.quotas,
 	})
 }
 
@@ -298,6 +301,7 @@
 func (s *Sidecar) refreshTargets() {
 	s.pickers.Refresh(s.servingTargets)
 	s.refreshTrialTargets(time.Now())
+	s.quotas.membersChanged.Store(true)
 	s.path.SetRetryBurst(retryBurstShare * *s.retryBurst.Load() / float64(max(1, s.directory.Size())))
 }
 
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -166,6 +166,7 @@
 	ReasonKeyMissing          // the request has no key of an organisation, and its route is not public
 	ReasonKeyUnchecked        // the node does not know whether its list of keys is still the newest one
 	ReasonRunUnknown          // the request is a call of a run that is not in progress at this node
+	ReasonQuota               // the organisation has sent more requests than its quota
 )
 
 var reasonNames = [...]string{
@@ -192,6 +193,7 @@
 	ReasonKeyMissing:   "key-missing",
 	ReasonKeyUnchecked: "key-unchecked",
 	ReasonRunUnknown:   "run-unknown",
+	ReasonQuota:        "quota",
 }
 
 // String returns the name used in logs, metrics and error bodies.
