quota: usage that leaves the window is not admitted again without a grant

Cause: grants were compared with the usage in the window, so a node could admit as much as had left the window since its last report. Change: what grants are counted from falls with the usage that leaves the window. Tests of a lowered limit and of impossible figures.

--- a/internal/process/quota/exchange.go
+++ b/internal/process/quota/exchange.go
@@ -202,10 +202,7 @@
 func (n *Node) moveChild(c *child, sign float64) {
 	for i, o := range n.orgs {
 		used, _ := n.childUsed(o, c, i)
-		o.acked += sign * used
-		for k := range o.sent {
-			o.sent[k] += sign * used
-		}
+		o.shift(sign * used)
 	}
 }
 
@@ -272,7 +269,7 @@
 // refreshOne is refresh for the organisation with the given index.
 func (n *Node) refreshOne(i, nodes int, now time.Duration) {
 	o := n.orgs[i]
-	o.usage.advance(now, n.bounds.Window)
+	n.advance(o, now)
 	t := n.subtree(i, now)
 	limit := n.limitOf(o, nodes, now)
 	wasOpen := o.open
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -87,6 +87,7 @@
 	grant     float64       // of the parent, for the node and those below it
 	sent      [sentReports]float64
 	acked     float64 // usage in the report that the parent has answered
+	assumed   float64 // phantom at the last call of advance
 	reported  Usage   // as last sent
 	draw      float64 // for rounding a share at random, one for each window
 	drawnAt   int64
@@ -201,7 +202,7 @@
 	if o == nil {
 		return true, 0
 	}
-	o.usage.advance(now, n.bounds.Window)
+	n.advance(o, now)
 	o.usage.arrive()
 	if n.uplink.leased && now >= n.uplink.leaseEnd {
 		n.loseLease(now)
@@ -219,6 +220,25 @@
 	return true, 0
 }
 
+// advance moves to the given time. What leaves the window is not at this node's disposal: if more than the limit is used, because the
+// limit was lowered or parts of the nodes were cut off, nobody may use it again.
+func (n *Node) advance(o *organisation, now time.Duration) {
+	left := float64(o.usage.advance(now, n.bounds.Window))
+	phantom := n.phantom(o, now)
+	if left += o.assumed - phantom; left > 0 {
+		o.shift(-left)
+	}
+	o.assumed = phantom
+}
+
+// shift changes what the grants of the parent are counted from.
+func (o *organisation) shift(by float64) {
+	o.acked += by
+	for k := range o.sent {
+		o.sent[k] += by
+	}
+}
+
 // rounding is the tolerance for sums of shares.
 const rounding = 1e-6
 
@@ -236,7 +256,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if o := n.byName[name]; o != nil {
-		o.usage.advance(now, n.bounds.Window)
+		n.advance(o, now)
 		o.usage.giveBack()
 	}
 }
--- a/internal/process/quota/quota_test.go
+++ b/internal/process/quota/quota_test.go
@@ -217,6 +217,55 @@
 	s.requireBound()
 }
 
+// Guards against a lowered limit that takes more than one window to hold, because what was granted under the earlier one goes on.
+func TestLoweredLimitHoldsAfterOneWindow(t *testing.T) {
+	s, _, surge := start(t, 66, 6)
+	name := orgName(2)
+	surge[name] = 8
+	s.run(3*time.Second, nil)
+	s.limits[name] = Limit{Rate: 20, Burst: 20}
+	for _, v := range s.nodes {
+		v.node.SetLimits(func() map[string]Limit { return s.limits }, s.now)
+	}
+	s.run(s.bounds.Window, nil)
+	clear(s.admit)
+	s.run(6*time.Second, nil)
+	s.requireBound()
+	if n := len(s.admit[name]); n < 100 {
+		t.Errorf("%d requests were admitted in 6 s at a limit of 20/s", n)
+	}
+}
+
+// Guards against figures of other nodes that cannot be right and raise what a node admits, or end the process.
+func TestImpossibleFiguresGrantNothing(t *testing.T) {
+	now := time.Minute
+	n := New("10.0.0.1:1", DefaultBounds(), now-time.Minute)
+	n.SetLimits(func() map[string]Limit { return map[string]Limit{"org": {Rate: 2, Burst: 2}} }, now)
+	n.SetMembers([]string{"10.0.0.2:1", "10.0.0.3:1"}, 3)
+	most := math.MaxUint32
+	entries := []Usage{{ID: idOf("org"), Used: uint32(most), Demand: uint32(most)}, {ID: 7, Used: 3}}
+	for seq, r := range []*Report{
+		{Nodes: -4, Known: -1, Full: true, Entries: entries}, {Nodes: 1 << 40, Known: 1 << 40, Entries: entries}, {Nodes: 1},
+	} {
+		r.Seq = uint64(seq + 1)
+		n.Receive("10.0.0.9:1", Message{Report: r}, now)
+	}
+	n.Receive("10.0.0.9:1", Message{Reply: &Reply{Seq: 1, Closed: []Grant{{ID: idOf("org"), Amount: uint32(most)}}}}, now)
+	n.Receive("10.0.0.9:1", Message{}, now)
+	admitted := 0
+	for range 100 {
+		n.Tick(now)
+		if ok, after := n.Admit("org", now); ok {
+			admitted++
+		} else if after <= 0 {
+			t.Error("refused without a time to come back")
+		}
+	}
+	if admitted > 32 {
+		t.Errorf("%d requests admitted, the bound of all nodes is 33", admitted)
+	}
+}
+
 // BenchmarkRoot measures the processor time of the busiest node: one second of ticks, reports of its children and decisions.
 func BenchmarkRoot(b *testing.B) {
 	limits, _ := organisations(84, 1480)
--- a/internal/process/quota/receive.go
+++ b/internal/process/quota/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -38,7 +39,10 @@
 		c = n.addChild(from)
 	}
 	joins := c.seq == 0 || c.lapsed
-	known := min(max(0, r.Known), maxKnown)
+	known := r.Known
+	if known < 0 || known > maxKnown {
+		known = 0 // it cannot be right
+	}
 	n.known = max(n.known, known)
 	if joins {
 		n.moveChild(c, -1)
@@ -50,8 +54,8 @@
 	changed := n.changed[:0]
 	for i, o := range n.orgs {
 		c.entries[i].grant = 0
-		if r.Full {
-			c.entries[i] = childUsage{}
+		if r.Full && !slices.ContainsFunc(r.Entries, func(e Usage) bool { return e.ID == o.id }) {
+			n.setUsage(c, i, childUsage{}, joins)
 		}
 		if r.Full || joins || !o.open {
 			changed = append(changed, i)
@@ -59,7 +63,7 @@
 	}
 	for _, e := range r.Entries {
 		if i, ok := n.byID[e.ID]; ok {
-			c.entries[i] = childUsage{used: decodeUnits(e.Used), demand: float64(min(e.Demand, maxUnits))}
+			n.setUsage(c, i, childUsage{used: decodeUnits(e.Used), demand: float64(min(e.Demand, maxUnits))}, joins)
 			changed = append(changed, i)
 		}
 	}
@@ -80,6 +84,14 @@
 	return append(out, Outgoing{from, Message{Reply: reply}})
 }
 
+// setUsage records what a child has reported. Usage that has left its window is not at this node's disposal, see advance.
+func (n *Node) setUsage(c *child, i int, u childUsage, joins bool) {
+	if left := c.entries[i].used - u.used; left > 0 && !joins {
+		n.orgs[i].shift(-left)
+	}
+	c.entries[i] = u
+}
+
 // reply grants a child its part of what is left since its last report.
 func (n *Node) reply(c *child, now time.Duration) *Reply {
 	r := &Reply{Seq: c.seq}
--- a/internal/process/quota/usage.go
+++ b/internal/process/quota/usage.go
@@ -20,12 +20,13 @@
 	demand   int // of arrived in the last demandSlots
 }
 
-// advance moves to the slot of the given time.
-func (u *usage) advance(now, window time.Duration) {
+// advance moves to the slot of the given time and returns the number of requests that have left the window.
+func (u *usage) advance(now, window time.Duration) (left int) {
+	before := u.sum
 	slot := int64(now) / max(1, int64(window)/slotsPerWindow)
 	if slot-u.slot > slotsPerWindow {
 		*u = usage{slot: slot}
-		return
+		return before
 	}
 	for u.slot < slot {
 		u.slot++
@@ -37,6 +38,7 @@
 			u.demand -= int(u.arrived[old])
 		}
 	}
+	return before - u.sum
 }
 
 func (u *usage) arrive() {
