--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -35,7 +35,7 @@
 
 // Guards against a number of series that grows with the organisations of all configurations.
 func TestSeriesOfOrganisationsAreBounded(t *testing.T) {
-	m, err := New(func() Gauges { return Gauges{} })
+	m, err := New(func() Gauges { return Gauges{} }, nil)
 	require.NoError(t, err)
 	for range 2 {
 		for i := range 300 {
