freshness: do not ask a node again whose confirmation is old

Cause: a node that was helped by a random node preferred it for ten questions. Its answers were older than those of the followers, and ages added up among nodes that ask each other: TestCalmDeploymentStaysConfirmed saw confirmations up to 4.2 s old in about half of its runs. Change: an answer from 0.35 of the limit on sends the next question to the first choice again.

--- a/internal/process/freshness/asker.go
+++ b/internal/process/freshness/asker.go
@@ -67,11 +67,13 @@
 
 // Answered records that the answer to the last question has been taken into account. It helped if the confirmation is recent now.
 func (a *Asker) Answered(now Moment) {
-	if age, ok := a.tracker.Age(now); ok && age < a.tracker.share(goodShare) {
-		a.unanswered, a.misses, a.helpedAt = false, 0, now
-		a.preferred = a.nth
-		if a.helped++; a.helped >= maxPreferred {
-			a.preferred, a.helped = 0, 0
-		}
+	age, ok := a.tracker.Age(now)
+	if !ok || age >= a.tracker.share(goodShare) {
+		return
+	}
+	a.unanswered, a.misses, a.helpedAt = false, 0, now
+	a.preferred = a.nth
+	if a.helped++; a.helped >= maxPreferred || age >= a.tracker.share(preferShare) {
+		a.preferred, a.helped = 0, 0
 	}
 }
--- a/internal/process/freshness/freshness.go
+++ b/internal/process/freshness/freshness.go
@@ -26,6 +26,9 @@
 	// answer is useful: a node with an older confirmation has probably lost its own source.
 	askShare  = 0.2
 	goodShare = 0.45
+	// preferShare is the share of the limit from which an answer shows that the node that gave it does not follow the store. Such a node is
+	// not asked again at once: ages would add up among nodes that ask each other.
+	preferShare = 0.35
 	// storeShare is the share of the limit without any confirmation from which a node asks the store itself.
 	storeShare = 0.4
 	// minAskInterval is the shortest time between two questions of a node.
