measure/chains: two deployments with a scarce service and the load that refuses

Adds both deployments of docs/design/README.md, demand that swings by zone, the operators' slack on retries, a load with refusing targets, a burst of orders and callers that never return or retry at once, and the price of requests that are refused again or served out of order.

--- a/internal/measure/chains/chains_test.go
+++ b/internal/measure/chains/chains_test.go
@@ -19,6 +19,8 @@
 var (
 	measureAll = flag.Bool("chains", false, "measure every load on both sites")
 	seeds      = flag.Uint64("chains.seeds", 3, "runs of each load, with seeds from 1 on")
+	onlySite   = flag.String("chains.site", "", "measure this site only")
+	firstSeed  = flag.Uint64("chains.first", 1, "seed of the first run")
 	onlyLoad   = flag.String("chains.load", "", "measure this load only")
 )
 
@@ -88,26 +90,28 @@
 		t.Log("run by make measure-chains")
 		return
 	}
-	for _, site := range []Site{Haetsal(), Gnomon(), Sloughgrass()} {
+	for _, site := range []Site{Haetsal(), Gnomon(), Sloughgrass(), ScarceSonda(), ScarceInspection()} {
 		for _, l := range LoadProfiles() {
-			if *onlyLoad != "" && l.Name != *onlyLoad {
+			if *onlyLoad != "" && l.Name != *onlyLoad || *onlySite != "" && site.Name != *onlySite {
 				continue
 			}
 			t.Run(site.Name+"/"+l.Name, func(t *testing.T) {
 				t.Parallel()
 				var all []Outcome
 				for seed := range *seeds {
-					all = append(all, runLoad(t, site, seed+1, l)...)
+					all = append(all, runLoad(t, site, seed+*firstSeed, l)...)
 				}
 				total, kinds, worst := summarize(all)
+				againPrice, inversionPrice := prices(site, all)
 				var list []string
 				for _, k := range site.Kinds {
 					if s := kinds[k.Name]; s != nil {
-						list = append(list, fmt.Sprintf("%s %.3f", k.Name, s.worth/s.maxWorth))
+						list = append(list, fmt.Sprintf("%s %.3f (%.0f failed, %.0f refused)", k.Name, s.worth/s.maxWorth, s.failed, s.refused))
 					}
 				}
-				fmt.Fprintf(os.Stdout, "%-10s %-18s worth %.3f, worst window %.3f, failed %.3f, refused %.3f; %s\n", site.Name, l.Name,
-					total.worth/total.maxWorth, worst, total.failed/total.n, total.refused/total.n, strings.Join(list, ", "))
+				fmt.Fprintf(os.Stdout, "%-10s %-18s worth %.3f, net %.3f, worst window %.3f, failed %.3f, refused %.3f, prices %.3f %.3f; %s\n", site.Name, l.Name,
+					total.worth/total.maxWorth, (total.worth-againPrice-inversionPrice)/total.maxWorth, worst, total.failed/total.n, total.refused/total.n,
+					againPrice/total.maxWorth, inversionPrice/total.maxWorth, strings.Join(list, ", "))
 			})
 		}
 	}
--- a/internal/measure/chains/load.go
+++ b/internal/measure/chains/load.go
@@ -17,6 +17,25 @@
 	Length      time.Duration
 	Rate        func(at time.Duration) float64 // factor on the rates of the kinds of request
 	Events      []Event
+	// BurstFactor multiplies the rate of requests that must not run more than once from BurstStart on, for BurstLength. Zero: no burst.
+	BurstFactor             float64
+	BurstStart, BurstLength time.Duration
+	Callers                 Callers
+}
+
+// Callers describes the callers that do not return as they were told. All others return once, after the retry-after time.
+type Callers struct {
+	NeverReturn float64 // share that makes one attempt only
+	AtOnce      float64 // share that retries without waiting, up to atOnceAttempts attempts
+}
+
+// factor returns the factor on the rate of a kind at a point in time.
+func (l *LoadProfile) factor(k *Kind, at time.Duration) float64 {
+	f := l.Rate(at)
+	if k.Once && l.BurstFactor > 0 && at >= l.BurstStart && at < l.BurstStart+l.BurstLength {
+		f *= l.BurstFactor
+	}
+	return f
 }
 
 // Event changes the targets of a service at a point in time. It replaces the effects of earlier events on them.
@@ -52,6 +71,9 @@
 			Events: []Event{{At: start, Service: Deepest, AbortShare: 0.3, FirstTargetOnly: true}, {At: start + length, Service: Deepest, FirstTargetOnly: true}}},
 		{Name: "shedding-targets", Description: "1.6 times the load for 10 s while the targets of the deepest service turn away 0.55 of their requests.", Length: 20 * time.Second, Rate: surge(1.6),
 			Events: []Event{{At: start, Service: Deepest, ShedShare: 0.55}, {At: start + length, Service: Deepest}}},
+		{Name: "scarce", Description: "The targets of the deepest service turn away 0.55 of their requests for 8.5 s while orders burst by 2.4 for 6 s of it.", Length: 18 * time.Second, Rate: surge(1),
+			BurstFactor: 2.4, BurstStart: start + time.Second, BurstLength: 6 * time.Second, Callers: Callers{NeverReturn: 0.1, AtOnce: 0.1},
+			Events: []Event{{At: start, Service: Deepest, ShedShare: 0.55}, {At: start + 8500*time.Millisecond, Service: Deepest}}},
 	}
 }
 
@@ -81,12 +103,12 @@
 	for at := time.Duration(0); at < l.Length; at += step {
 		for i := range w.site.Kinds {
 			kind := &w.site.Kinds[i]
-			due[i] += l.Rate(at) * kind.Rate * step.Seconds() * 2 * w.random()
+			due[i] += l.factor(kind, at) * kind.Rate * step.Seconds() * 2 * w.random()
 			n := math.Floor(due[i])
 			due[i] -= n
 			for range int(n) {
 				all.Go(func() {
-					o := w.sendRequest(kind)
+					o := w.sendRequest(kind, at, l.Callers)
 					o.Start = at
 					mu.Lock()
 					defer mu.Unlock()
@@ -121,16 +143,42 @@
 	maxAttempts = 2
 	// maxWaitShare limits the wait for the retry-after time to a share of the time until the deadline.
 	maxWaitShare = 1.0 / 3
+	// atOnceAttempts is the number of attempts of a caller that does not wait, which retries three times as often as others.
+	atOnceAttempts = 4
 )
 
-// sendRequest sends one request to a random node, and retries it there after a failure, unless it must not run more than once
+// entryNode returns the node to which a caller sends a request at a point in time of the run: a random one, in the zones in
+// proportion to their present demand.
+func (w *World) entryNode(at time.Duration) *node {
+	for {
+		n := w.nodes[int(w.random()*float64(len(w.nodes)))]
+		if w.site.Swing == 0 {
+			return n
+		}
+		phase := at.Seconds()/swingPeriod.Seconds() + float64(n.zone)/float64(w.site.Zones)
+		if w.random()*(1+w.site.Swing) < 1+w.site.Swing*math.Sin(2*math.Pi*phase) {
+			return n
+		}
+	}
+}
+
+// sendRequest sends one request to a node, and retries it there after a failure, unless it must not run more than once
 // and may have run.
-func (w *World) sendRequest(kind *Kind) Outcome {
+func (w *World) sendRequest(kind *Kind, at time.Duration, c Callers) Outcome {
 	start := time.Now()
 	deadline := start.Add(kind.Deadline)
-	n := w.nodes[int(w.random()*float64(len(w.nodes)))]
+	n := w.entryNode(at)
 	o := Outcome{Kind: kind}
-	for i := range maxAttempts {
+	attempts, atOnce := maxAttempts, false
+	if c != (Callers{}) {
+		switch u := w.random(); {
+		case u < c.NeverReturn:
+			attempts = 1
+		case u < c.NeverReturn+c.AtOnce:
+			attempts, atOnce = atOnceAttempts, true
+		}
+	}
+	for i := range attempts {
 		attempt := w.nextID()
 		r := w.attempt(n, kind, attempt, deadline)
 		o.Status = r.Outcome
@@ -149,9 +197,12 @@
 			}
 			return o
 		}
-		if i == maxAttempts-1 || kind.Once && r.Outcome != message.NotRun {
+		if i == attempts-1 || kind.Once && r.Outcome != message.NotRun {
 			break
 		}
+		if atOnce {
+			continue
+		}
 		time.Sleep(min(r.RetryAfter, time.Duration(maxWaitShare*float64(time.Until(deadline)))))
 	}
 	return o
--- a/internal/measure/chains/site.go
+++ b/internal/measure/chains/site.go
@@ -15,6 +15,12 @@
 	CallerLatency time.Duration // one-way latency between callers and nodes
 	Services      []Service
 	Kinds         []Kind
+	// Swing is the share by which the demand of each availability zone rises and falls around its mean, with swingPeriod and
+	// shifted from zone to zone, while the demand of all zones together stays the same. Zero: all zones have the same demand.
+	Swing float64
+	// RetrySlack is the operators' bound on the retries to a service beyond a share of its requests, over all nodes. Zero leaves
+	// the burst of the retry budgets as it is without settings.
+	RetrySlack float64
 }
 
 // Service describes the targets of a service.
@@ -54,6 +60,9 @@
 	Parallel bool // instead of in sequence
 }
 
+// swingPeriod is the period of Site.Swing.
+const swingPeriod = 15 * time.Second
+
 // Haetsal returns the head office deployment of the franchise cafés.
 func Haetsal() Site {
 	const ms = time.Millisecond
--- a/internal/measure/chains/world.go
+++ b/internal/measure/chains/world.go
@@ -95,10 +95,16 @@
 	for _, n := range w.nodes {
 		n.start(current, limits(n.service.Slots))
 		n.balancers.Update(targets)
+		if site.RetrySlack > 0 {
+			n.path.SetRetryBurst(retryBurstShare * site.RetrySlack / float64(len(w.nodes)))
+		}
 	}
 	return w, nil
 }
 
+// retryBurstShare is the share of the operators' bound that production divides among the nodes (package sidecar).
+const retryBurstShare = 0.8
+
 func zoneName(zone int) string { return "zone-" + strconv.Itoa(zone) }
 
 func (n *node) start(routes *atomic.Pointer[routing.Table], limits admission.Limits) {
