wire: figures on what a run needs of downstream services

An entry node cannot know that the calls of a chain will be refused: the responses say only that a call failed. Adds the optional field 20 of responses: for each downstream service in trouble the calls that a run needs, the share of attempts that pass and the share that is retried. A response without figures is encoded as before.

--- a/internal/connection/wire/convert.go
+++ b/internal/connection/wire/convert.go
@@ -68,6 +68,9 @@
 	for _, t := range r.Thresholds {
 		f.Thresholds = append(f.Thresholds, Threshold{Service: t.Service, Priority: uint16(t.Priority)})
 	}
+	for _, n := range r.Needs {
+		f.Needs = append(f.Needs, Need{Service: n.Service, Calls: n.Calls, Passed: n.Passed, Retried: n.Retried})
+	}
 	return encodeWithBody(f, stream, r.Body)
 }
 
@@ -142,6 +145,9 @@
 	for _, t := range f.Thresholds {
 		r.Thresholds = append(r.Thresholds, message.Threshold{Service: t.Service, Priority: message.Priority(t.Priority)})
 	}
+	for _, n := range f.Needs {
+		r.Needs = append(r.Needs, message.Need{Service: n.Service, Calls: n.Calls, Passed: n.Passed, Retried: n.Retried})
+	}
 	return r
 }
 
--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -137,6 +137,16 @@
 	DownstreamFailed bool        `cbor:"17,keyasint,omitempty"` // a call made for the request was refused or failed
 	Waited           uint64      `cbor:"18,keyasint,omitempty"` // milliseconds for which the request and the calls made for it waited for slots
 	Notice           *Notice     `cbor:"19,keyasint,omitempty"`
+	Needs            []Need      `cbor:"20,keyasint,omitempty"`
+}
+
+// Need is what a run needs of a downstream service. The fields have the meaning of those of message.Need.
+type Need struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Calls   float64
+	Passed  float64
+	Retried float64
 }
 
 // Notice is what the sender knows of its target from the target's responses. The fields have the meaning of those of
--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -67,6 +67,22 @@
 	}
 }
 
+// Guards against figures on chains that are lost on the way upstream, and against a response without any that takes more bytes than one of
+// the previous version.
+func TestNeedsSurviveEncoding(t *testing.T) {
+	sizes := map[bool]int{}
+	for _, want := range [][]message.Need{nil, {{Service: "sonda", Calls: 8, Passed: 0.45, Retried: 0.3}, {Service: "mando", Calls: 2, Passed: 1}}} {
+		frames, err := EncodeResponse(9, message.ID{1}, &message.Response{Outcome: message.Answered, Status: 200, Needs: want})
+		require.NoError(t, err)
+		f, err := Decode(frames[0])
+		require.NoError(t, err)
+		require.Equal(t, want, f.(*Response).Message().Needs)
+		sizes[want != nil] = len(frames[0])
+	}
+	require.Less(t, sizes[false], 50)
+	require.Less(t, sizes[true]-sizes[false], 80)
+}
+
 // Guards against decoded or encoded frames that change when the buffer of the connection or of the encoder is reused.
 func TestFramesDoNotShareBuffers(t *testing.T) {
 	want := request([]byte("body"), time.Now())
@@ -112,7 +128,7 @@
 	f.Add(frames[0])
 	resp, err := EncodeResponse(1, message.ID{1}, &message.Response{
 		Outcome: message.Answered, Status: 200, Body: []byte("x"), Thresholds: []message.Threshold{{Service: "a", Priority: 3}},
-		Err: message.Errorf(message.StepRun, "p", "d"),
+		Err: message.Errorf(message.StepRun, "p", "d"), Needs: []message.Need{{Service: "b", Calls: 4, Passed: 0.5}},
 	})
 	require.NoError(f, err)
 	f.Add(resp[0])
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -86,6 +86,16 @@
 	Load        Load        // load of the responding node's target
 	// Notice is what the target says of itself in the header of the response; nil if the response is not the target's.
 	Notice *Notice
+	// Needs are the calls that a run of the request needs of downstream services that refuse or fail a part of them.
+	Needs []Need
+}
+
+// Need is what a run on a route needs of a downstream service, and how that service does at present.
+type Need struct {
+	Service string
+	Calls   float64 // mean number of calls of a run, through all hops
+	Passed  float64 // share of the attempts that the service neither refuses nor fails for reasons of its own
+	Retried float64 // share of the other attempts that are retried
 }
 
 // RateLimited reports whether the target is known to limit its requests per second.
