chain: orders that are unlikely to complete are refused at their entry

While all targets of a service refuse 0.55 of their requests, an order that needs four to eight of them fails after it has run and is lost. Package chain learns from responses what a run needs and refuses such an order once, as not run; a caller that returned is admitted. Retries go to calls of runs with the least left to do while the service is in trouble.

--- a/internal/measure/chains/chains_test.go
+++ b/internal/measure/chains/chains_test.go
@@ -135,3 +135,26 @@
 		require.Greater(t, order, kinds[k].worth/kinds[k].maxWorth-allowed, "%s earns more than orders", k)
 	}
 }
+
+// Guards against orders that are reported as not run although they ran, or run twice, while they are refused at their entry because
+// the deepest service refuses calls, and against refusals that start no order at all.
+func TestPromisesHoldWhileTheDeepestServiceRefuses(t *testing.T) {
+	load := LoadProfiles()[slices.IndexFunc(LoadProfiles(), func(l LoadProfile) bool { return l.Name == "scarce" })]
+	load.Length = 8 * time.Second // 3 s of them with refusing targets
+	out := runLoad(t, Haetsal(), 1, load)
+	refused, ran := 0, 0
+	for _, o := range out {
+		require.False(t, o.RanTwice, "a %s ran twice", o.Kind.Name)
+		require.Zero(t, o.FalseNotRun, "a %s was reported as not run although it ran", o.Kind.Name)
+		if o.Kind.Once && o.Start > 6*time.Second {
+			if o.Refused > 0 {
+				refused++
+			}
+			if o.FailedAfterRun || o.Worth > 0 {
+				ran++
+			}
+		}
+	}
+	require.Positive(t, refused)
+	require.Positive(t, ran)
+}
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -53,6 +53,6 @@
 		TargetRateLimited, TargetRateLimitEnded, TargetRateUnreadable, TargetLeftOut, RegistryRepaired,
 		TargetEnded, SuspectHeld, SuspectTried, SuspectCleared, RowIgnored, LeavingUnrecorded,
 		KeysUnconfirmed, KeysConfirmed, OrganisationIgnored, QuotaReached, QuotaRegained,
-		SuspectReleased,
+		ChainsRefused, ChainsAdmitted, SuspectReleased,
 	}
 }
--- a/internal/process/event/mesh.go
+++ b/internal/process/event/mesh.go
@@ -50,5 +50,7 @@
 	QuotaRegained            = Event{884, slog.LevelInfo, "organisation is within its quota again", ""}
 	OrganisationIgnored      = Event{882, slog.LevelWarn, "part of an organisation in the configuration cannot be used", "Correct the organisation in the configuration; the attribute what names its position."}
 	SuspectReleased          = Event{889, slog.LevelWarn, "operator released a request that was held", ""}
+	ChainsRefused            = Event{886, slog.LevelWarn, "service refuses or fails calls, orders that need it are refused at first", "Check the targets of the service: they refuse or fail requests although they have room."}
+	ChainsAdmitted           = Event{887, slog.LevelInfo, "service no longer refuses or fails calls, orders that need it are admitted", ""}
 	SuspectCleared           = Event{877, slog.LevelInfo, "request is no longer held, a target has answered it", ""}
 )
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -91,6 +91,7 @@
 	})
 	p.activeRuns.end(run)
 	r.Thresholds = run.thresholds.Thresholds()
+	r.Needs = p.finishChain(run, r)
 	callQueueTime := time.Duration(run.callQueueTime.Load())
 	r.Waited = start.Sub(arrived) + callQueueTime
 	r.DownstreamFailed = run.refusedCalls.Load() > 0 || run.failedCalls.Load() > 0
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -23,6 +23,7 @@
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/chain"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/quarantine"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/ratelimit"
@@ -73,8 +74,10 @@
 	// Suspected is called with what this node has learned of suspects, for other nodes; nil: it is not passed on.
 	Suspected func([]quarantine.Record)
 	Log       *slog.Logger
-	Limiter   *event.Limiter // limits the rate of log lines about single requests
-	Retries   RetryBounds    // zero: defaultRetries
+	// Chains holds what chains need of services that refuse or fail requests; nil: a table of its own.
+	Chains  *chain.Table
+	Limiter *event.Limiter // limits the rate of log lines about single requests
+	Retries RetryBounds    // zero: defaultRetries
 	// RemoveIdentity removes from the header of a request the credentials and what the caller says of its organisation, and sets
 	// CredentialsHash. It is called if the configuration has organisations.
 	RemoveIdentity func(*message.Request)
@@ -124,6 +127,9 @@
 	if cfg.Retries == (RetryBounds{}) {
 		cfg.Retries = defaultRetries
 	}
+	if cfg.Chains == nil {
+		cfg.Chains = chain.New()
+	}
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantine.New()
 	}
--- a/internal/process/mesh/runs.go
+++ b/internal/process/mesh/runs.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/process/chain"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/window"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
@@ -25,6 +26,7 @@
 	callQueueTime   atomic.Int64   // time for which its calls waited for slots, in nanoseconds
 	thresholds      shed.Collector // shedding thresholds that returned with its calls
 	window          *window.Window // nil if the run is itself a call
+	calls           chain.Calls    // by route
 }
 
 // activeRuns finds the run to which a call of the attached target belongs. A target forms the attempt ID of a call from the
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -62,11 +62,15 @@
 	parent           *run                       // run that made the call; nil for a new request
 	organisation     *organisation.Organisation // of a new request with a key; nil: none
 	service          string
-	quotaTaken       bool     // it counts against the quota of the organisation
-	arrivals         int      // attempts that reached a target, or may have
-	overloadRefusals int      // attempts that were refused because of overload, see maxOverloadRefusals
-	tried            []string // addresses of the nodes to which it was offered
-	trialKey         uint64   // of a request that was held and may run once, see Picker.PickStable; zero for all others
+	quotaTaken       bool          // it counts against the quota of the organisation
+	arrivals         int           // attempts that reached a target, or may have
+	overloadRefusals int           // attempts that were refused because of overload, see maxOverloadRefusals
+	tried            []string      // addresses of the nodes to which it was offered
+	returned         bool          // the caller has made an earlier attempt
+	callerLeft       time.Duration // until the caller's own deadline
+	callsBefore      int           // calls of the same route that the parent has made before
+	unlikely         bool          // refused because its chain is unlikely to complete
+	trialKey         uint64        // of a request that was held and may run once, see Picker.PickStable; zero for all others
 
 	last          *message.Response // of the latest attempt
 	targetFailure *message.Response // latest response for which failedByItself is true
@@ -125,6 +129,9 @@
 	if r == nil {
 		r = p.shed(f)
 	}
+	if r == nil {
+		r = p.refuseUnlikely(f)
+	}
 	if r == nil {
 		r = p.tryTargets(ctx, f)
 		if refusedByLimit(r) {
@@ -132,7 +139,8 @@
 		}
 	}
 	p.returnQuota(f, r)
-	if f.parent == nil && r.Outcome == message.NotRun && r.Reason == message.ReasonOverload {
+	p.observeRequest(f, r, time.Since(start))
+	if f.parent == nil && r.Outcome == message.NotRun && r.Reason == message.ReasonOverload && !f.unlikely {
 		r.RetryAfter = f.retryAfterWithinObjective(r.RetryAfter)
 	}
 	if f.parent != nil {
@@ -211,6 +219,11 @@
 	now := time.Now()
 	returned := !req.Deadline.IsZero() && route.WaitedBefore(req.Deadline.Sub(req.Arrived))
 	f.service = route.NextService()
+	f.returned = returned
+	if !req.Deadline.IsZero() {
+		f.callerLeft = req.Deadline.Sub(now)
+		f.returned = returned || route.ReturnedAtOnce(req.Deadline.Sub(req.Arrived))
+	}
 	req.ID = requestID(req.Attempt)
 	req.Service = f.service
 	req.Idempotent = route.Idempotent
@@ -226,6 +239,7 @@
 		return f, nil
 	}
 	req.Priority, req.Hop = f.parent.priority, f.parent.hop+1
+	f.callsBefore = f.parent.calls.Add(f.chainRoute())
 	if f.parent.deadline.Before(req.Deadline) {
 		req.Deadline = f.parent.deadline
 	}
@@ -257,7 +271,7 @@
 		if ctx.Err() != nil || !f.shouldRetry(r) || f.mayHaveRun && !p.mayRetrySuspect(f.req) {
 			return f.finalResponse()
 		}
-		if tookRetry = mayHaveArrived(r); tookRetry && !bucket.Take(rank) {
+		if tookRetry = mayHaveArrived(r); tookRetry && !p.takeRetry(bucket, f) {
 			return f.finalResponse()
 		}
 		p.logRetry(f, r)
@@ -326,6 +340,7 @@
 		p.learnThresholds(f, r)
 	}
 	p.learnNotice(outgoing.Instance, r)
+	p.observeChain(f, r)
 	// An error on the way to the node names the node's address as its peer; an error between that node and its target does not.
 	if r.Reason == message.ReasonConnection && r.Err != nil && r.Err.Peer == target.Address && target.Address != p.cfg.Address {
 		p.cfg.Unreachable(target.Address, r.Err)
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -33,6 +33,8 @@
 	Links     int64 // open links to and from peers
 	Epoch     int64 // of the platform's store
 	Held      int64 // requests that are held, see package quarantine
+	// UnlikelyRefused and FiguresIgnored count since the start, see package chain.
+	UnlikelyRefused, FiguresIgnored int64
 	// RateLimit is the limit on requests per second that the local target names; zero: none.
 	RateLimit float64
 	// ConfirmationAge is the age of the last confirmation that the configuration was the newest one, in seconds. Confirmed is false
@@ -111,6 +113,8 @@
 	epoch := gauge("wigeoncleat.store.epoch", "Times that the platform's store has come back from an older copy.")
 	held := gauge("wigeoncleat.quarantine.held", "Requests that are held because targets ended while they ran them.")
 	links := gauge("wigeoncleat.links", "Open links to and from peers.")
+	unlikely := gauge("wigeoncleat.chain.refused", "Requests refused since the start because a service that they need refuses or fails calls.")
+	ignored := gauge("wigeoncleat.chain.figures_ignored", "Figures on chains since the start that could not be true.")
 	rateLimit, err := meter.Float64ObservableGauge("wigeoncleat.target.rate_limit", metric.WithUnit("{request}/s"),
 		metric.WithDescription("Limit on requests per second that the target beside the node names; zero: none."))
 	if err != nil {
@@ -136,6 +140,8 @@
 		o.ObserveInt64(links, g.Links)
 		o.ObserveInt64(epoch, g.Epoch)
 		o.ObserveInt64(held, g.Held)
+		o.ObserveInt64(unlikely, g.UnlikelyRefused)
+		o.ObserveInt64(ignored, g.FiguresIgnored)
 		o.ObserveFloat64(rateLimit, g.RateLimit)
 		o.ObserveInt64(invalidConfirmations, g.InvalidConfirmations)
 		if g.Confirmed {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -325,6 +325,7 @@
 func (s *Sidecar) gauges() metrics.Gauges {
 	load := s.path.Load() // requests at the attached target; Active counts all unanswered requests, also those for other nodes
 	dialed, accepted := s.pool.Links()
+	chains := s.path.ChainCounts()
 	g := metrics.Gauges{
 		Active:   int64(s.entry.Active() + s.pool.Active()),
 		InFlight: int64(load.InFlight), Limit: int64(load.Limit),
@@ -332,6 +333,8 @@
 		RateLimit: s.path.RateLimit(),
 		Epoch:     int64(s.storeEpoch.Load()),
 		Held:      int64(s.quarantine.HeldCount()),
+
+		UnlikelyRefused: chains.Refused, FiguresIgnored: chains.Ignored,
 	}
 	if t := s.routes.Load(); t != nil {
 		g.Version = int64(t.Version)
--- a/internal/request/retry/ranked.go
+++ b/internal/request/retry/ranked.go
@@ -9,6 +9,8 @@
 	// urgentReserve is the fraction of a bucket's capacity that only requests of the highest recent rank may use. Otherwise
 	// less urgent requests, which are more numerous and fail first, would use up scarce retries.
 	urgentReserve = 0.5
+	// leftReserve is the fraction of a bucket's capacity that a run of the highest rank leaves if all of its calls are left.
+	leftReserve = 0.5
 	// rankMemory is the time for which a rank counts as recent after its last request.
 	rankMemory = 10 * time.Second
 )
@@ -38,6 +40,19 @@
 	return r.Bucket.Take()
 }
 
+// TakeFor is Take for a call of a run that has the given share of its calls left. The more is left, the more retries are kept for
+// calls of runs that are nearer to their end: one of these saves more work, and is more likely to save the chain.
+func (r *RankedBucket) TakeFor(rank uint8, left float64) bool {
+	reserve := leftReserve * left
+	if r.outranked(rank) {
+		reserve = urgentReserve + (1-urgentReserve)*left
+	}
+	if reserve > 0 && float64(r.tokens.Load()) <= reserve*float64(r.capacity()) {
+		return false
+	}
+	return r.Bucket.Take()
+}
+
 // outranked reports whether there were requests of a higher rank within rankMemory.
 func (r *RankedBucket) outranked(rank uint8) bool {
 	since := int64(time.Since(r.origin) - rankMemory)
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -113,6 +113,12 @@
 	return float64(left) < waitedBeforeShare*float64(longest)
 }
 
+// ReturnedAtOnce reports whether a caller states less time than callers of the route have at first, as one does that retries without
+// waiting. It is no proof of an earlier attempt: a caller with a shorter deadline states less too.
+func (r *Route) ReturnedAtOnce(left time.Duration) bool {
+	return int64(left) < r.longestWait.Load()-int64(time.Millisecond)
+}
+
 // WeightedService is one of the services among which a route splits its requests.
 type WeightedService struct {
 	Service string
