mesh: callers that a target refused return within the objective

A target that refuses a part of its requests may take the next one at once, but callers were told to return after 0.3 to 1.2 s, later than the objective of routes without calls. They now get 0.1 to 0.4 of the objective, as in an overload.

--- a/internal/process/mesh/chains_test.go
+++ b/internal/process/mesh/chains_test.go
@@ -61,3 +61,16 @@
 		n.proxy.DetachTarget()
 	})
 }
+
+// Guards against callers that are told to return after the objective of their route when targets refuse a part of the requests
+// themselves: the next attempt may succeed at once, and a late response is worth little.
+func TestRefusalByATargetLeavesTimeForTheObjective(t *testing.T) {
+	n := newNode(t, 2)
+	for range 30 {
+		n.answers = []*message.Response{refusedBy(message.ReasonTargetUnable), refusedBy(message.ReasonTargetUnable)}
+		r := n.proxy.Serve(t.Context(), request("/menu/1", "a"))
+		require.Equal(t, message.NotRun, r.Outcome)
+		require.GreaterOrEqual(t, r.RetryAfter, testRoutes[0].Objective/10)
+		require.Less(t, r.RetryAfter, testRoutes[0].Objective/2)
+	}
+}
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -35,7 +35,7 @@
 )
 
 const (
-	// minRetryAfterShare and maxRetryAfterShare bound the retry-after time of a caller that was refused in an overload, as shares
+	// minRetryAfterShare and maxRetryAfterShare bound the retry-after time of a caller that was refused in an overload or by a target itself, as shares
 	// of the objective of its route: a response after the objective is worth little, and the run itself takes time too.
 	minRetryAfterShare = 0.1
 	maxRetryAfterShare = 0.4
@@ -50,6 +50,12 @@
 	return time.Duration((minRetryAfterShare + (maxRetryAfterShare-minRetryAfterShare)*rand.Float64()) * float64(f.route.Objective))
 }
 
+// returnsWithinObjective reports whether a caller that was refused for the reason should return within the objective of its route. A target
+// that refuses a request itself may take the next one at once: it refuses a part of them, or another target has a share of the load.
+func returnsWithinObjective(r message.Reason) bool {
+	return r == message.ReasonOverload || r == message.ReasonTargetUnable
+}
+
 func randomRetryAfter() time.Duration { return minRetryAfter + rand.N(retryAfterSpread) }
 
 func shortRetryAfter() time.Duration { return minShortRetryAfter + rand.N(shortRetryAfterSpread) }
@@ -140,7 +146,7 @@
 	}
 	p.returnQuota(f, r)
 	p.observeRequest(f, r, time.Since(start))
-	if f.parent == nil && r.Outcome == message.NotRun && r.Reason == message.ReasonOverload && !f.unlikely {
+	if f.parent == nil && !f.unlikely && r.Outcome == message.NotRun && returnsWithinObjective(r.Reason) {
 		r.RetryAfter = f.retryAfterWithinObjective(r.RetryAfter)
 	}
 	if f.parent != nil {
