retry: the highest rank leaves no retries to runs nearer to their end

With half of the bucket left by the highest rank too, orders of the 64 VMs went without retries that nobody else used. Only lower ranks now leave retries to runs with fewer calls left.

--- a/internal/request/retry/ranked.go
+++ b/internal/request/retry/ranked.go
@@ -9,8 +9,6 @@
 	// urgentReserve is the fraction of a bucket's capacity that only requests of the highest recent rank may use. Otherwise
 	// less urgent requests, which are more numerous and fail first, would use up scarce retries.
 	urgentReserve = 0.5
-	// leftReserve is the fraction of a bucket's capacity that a run of the highest rank leaves if all of its calls are left.
-	leftReserve = 0.5
 	// rankMemory is the time for which a rank counts as recent after its last request.
 	rankMemory = 10 * time.Second
 )
@@ -41,13 +39,11 @@
 }
 
 // TakeFor is Take for a call of a run that has the given share of its calls left. The more is left, the more retries are kept for
-// calls of runs that are nearer to their end: one of these saves more work, and is more likely to save the chain.
+// calls of runs that are nearer to their end: one of these saves more work, and is more likely to save the chain. Requests of the highest
+// recent rank get retries whatever they have left.
 func (r *RankedBucket) TakeFor(rank uint8, left float64) bool {
-	reserve := leftReserve * left
-	if r.outranked(rank) {
-		reserve = urgentReserve + (1-urgentReserve)*left
-	}
-	if reserve > 0 && float64(r.tokens.Load()) <= reserve*float64(r.capacity()) {
+	reserve := urgentReserve + (1-urgentReserve)*left
+	if r.outranked(rank) && float64(r.tokens.Load()) <= reserve*float64(r.capacity()) {
 		return false
 	}
 	return r.Bucket.Take()
