--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -35,7 +35,7 @@
 )
 
 const (
-	// minRetryAfterShare and maxRetryAfterShare bound the retry-after time of a caller that was refused in an overload, as shares
+	// minRetryAfterShare and maxRetryAfterShare bound the retry-after time of a caller that was refused in an overload or by a target itself, as shares
 	// of the objective of its route: a response after the objective is worth little, and the run itself takes time too.
 	minRetryAfterShare = 0.1
 	maxRetryAfterShare = 0.4
@@ -50,6 +50,12 @@
 	return time.Duration((minRetryAfterShare + (maxRetryAfterShare-minRetryAfterShare)*rand.Float64()) * float64(f.route.Objective))
 }
 
+// returnsWithinObjective reports whether a caller that was refused for the reason should return within the objective of its route. A target
+// that refuses a request itself may take the next one at once: it refuses a part of them, or another target has a share of the load.
+func returnsWithinObjective(r message.Reason) bool {
+	return r == message.ReasonOverload || r == message.ReasonTargetUnable
+}
+
 func randomRetryAfter() time.Duration { return minRetryAfter + rand.N(retryAfterSpread) }
 
 func shortRetryAfter() time.Duration { return minShortRetryAfter + rand.N(shortRetryAfterSpread) }
@@ -62,11 +68,15 @@
 	parent           *run                       // run that made the call; nil for a new request
 	organisation     *organisation.Organisation // of a new request with a key; nil: none
 	service          string
-	quotaTaken       bool     // it counts against the quota of the organisation
-	arrivals         int      // attempts that reached a target, or may have
-	overloadRefusals int      // attempts that were refused because of overload, see maxOverloadRefusals
-	tried            []string // addresses of the nodes to which it was offered
-	trialKey         uint64   // of a request that was held and may run once, see Picker.PickStable; zero for all others
+	quotaTaken       bool          // it counts against the quota of the organisation
+	arrivals         int           // attempts that reached a target, or may have
+	overloadRefusals int           // attempts that were refused because of overload, see maxOverloadRefusals
+	tried            []string      // addresses of the nodes to which it was offered
+	returned         bool          // the caller has made an earlier attempt
+	callerLeft       time.Duration // until the caller's own deadline
+	callsBefore      int           // calls of the same route that the parent has made before
+	unlikely         bool          // refused because its chain is unlikely to complete
+	trialKey         uint64        // of a request that was held and may run once, see Picker.PickStable; zero for all others
 
 	last          *message.Response // of the latest attempt
 	targetFailure *message.Response // latest response for which failedByItself is true
@@ -125,6 +135,9 @@
 	if r == nil {
 		r = p.shed(f)
 	}
+	if r == nil {
+		r = p.refuseUnlikely(f)
+	}
 	if r == nil {
 		r = p.tryTargets(ctx, f)
 		if refusedByLimit(r) {
@@ -132,7 +145,8 @@
 		}
 	}
 	p.returnQuota(f, r)
-	if f.parent == nil && r.Outcome == message.NotRun && r.Reason == message.ReasonOverload {
+	p.observeRequest(f, r, time.Since(start))
+	if f.parent == nil && !f.unlikely && r.Outcome == message.NotRun && returnsWithinObjective(r.Reason) {
 		r.RetryAfter = f.retryAfterWithinObjective(r.RetryAfter)
 	}
 	if f.parent != nil {
@@ -211,6 +225,11 @@
 	now := time.Now()
 	returned := !req.Deadline.IsZero() && route.WaitedBefore(req.Deadline.Sub(req.Arrived))
 	f.service = route.NextService()
+	f.returned = returned
+	if !req.Deadline.IsZero() {
+		f.callerLeft = req.Deadline.Sub(now)
+		f.returned = returned || route.ReturnedAtOnce(req.Deadline.Sub(req.Arrived))
+	}
 	req.ID = requestID(req.Attempt)
 	req.Service = f.service
 	req.Idempotent = route.Idempotent
@@ -226,6 +245,7 @@
 		return f, nil
 	}
 	req.Priority, req.Hop = f.parent.priority, f.parent.hop+1
+	f.callsBefore = f.parent.calls.Add(f.chainRoute())
 	if f.parent.deadline.Before(req.Deadline) {
 		req.Deadline = f.parent.deadline
 	}
@@ -257,7 +277,7 @@
 		if ctx.Err() != nil || !f.shouldRetry(r) || f.mayHaveRun && !p.mayRetrySuspect(f.req) {
 			return f.finalResponse()
 		}
-		if tookRetry = mayHaveArrived(r); tookRetry && !bucket.Take(rank) {
+		if tookRetry = mayHaveArrived(r); tookRetry && !p.takeRetry(bucket, f) {
 			return f.finalResponse()
 		}
 		p.logRetry(f, r)
@@ -326,6 +346,7 @@
 		p.learnThresholds(f, r)
 	}
 	p.learnNotice(outgoing.Instance, r)
+	p.observeChain(f, r)
 	// An error on the way to the node names the node's address as its peer; an error between that node and its target does not.
 	if r.Reason == message.ReasonConnection && r.Err != nil && r.Err.Peer == target.Address && target.Address != p.cfg.Address {
 		p.cfg.Unreachable(target.Address, r.Err)
--- a/internal/request/retry/ranked.go
+++ b/internal/request/retry/ranked.go
@@ -38,6 +38,17 @@
 	return r.Bucket.Take()
 }
 
+// TakeFor is Take for a call of a run that has the given share of its calls left. The more is left, the more retries are kept for
+// calls of runs that are nearer to their end: one of these saves more work, and is more likely to save the chain. Requests of the highest
+// recent rank get retries whatever they have left.
+func (r *RankedBucket) TakeFor(rank uint8, left float64) bool {
+	reserve := urgentReserve + (1-urgentReserve)*left
+	if r.outranked(rank) && float64(r.tokens.Load()) <= reserve*float64(r.capacity()) {
+		return false
+	}
+	return r.Bucket.Take()
+}
+
 // outranked reports whether there were requests of a higher rank within rankMemory.
 func (r *RankedBucket) outranked(rank uint8) bool {
 	since := int64(time.Since(r.origin) - rankMemory)
