balance: estimate when a target would answer, where the objective is near

Cause: targets of a service run at 0.5 to 1.6 of the usual speed, pause for some hundred milliseconds and slow down near full load. The choice followed load and failures alone, so that requests with short objectives were late on slow and pausing targets.

Change: the node beside a target measures the usual time of each kind of request and how much slower the latest ones are (package servicetime), and sends both with responses (optional field 21), the slowdown also with the condition of the target, as soon as the target becomes slow or no longer is. Picker.Pick learns the kind of a new request and the time left to its objective, estimates when a target would answer, and weighs the risk of a late response in the comparison of two targets and of zones. Where no objective is near, and for calls, the choice is as before. A target with little room gets no precedence for being fast. Figures that cannot be are ignored and counted.

--- a/internal/connection/wire/convert.go
+++ b/internal/connection/wire/convert.go
@@ -62,6 +62,11 @@
 	if n := r.Notice; n != nil {
 		f.Notice = &Notice{Leaving: n.Leaving, Born: n.Born, RateLimited: n.RateLimited, RateLimit: n.RateLimit}
 	}
+	if t := r.Timing; t != (message.Timing{}) {
+		f.Timing = &Timing{
+			Own: t.Own.Microseconds(), Calls: t.Calls.Microseconds(), Slowdown: float32(t.Slowdown), Spent: t.Spent.Microseconds(),
+		}
+	}
 	if r.Err != nil {
 		f.ErrStep, f.ErrPeer, f.ErrDetail = string(r.Err.Step), r.Err.Peer, r.Err.Detail
 	}
@@ -136,6 +141,11 @@
 	if n := f.Notice; n != nil {
 		r.Notice = &message.Notice{Leaving: n.Leaving, Born: n.Born, RateLimited: n.RateLimited, RateLimit: n.RateLimit}
 	}
+	if t := f.Timing; t != nil {
+		r.Timing = message.Timing{
+			Own: microseconds(t.Own), Calls: microseconds(t.Calls), Slowdown: float64(t.Slowdown), Spent: microseconds(t.Spent),
+		}
+	}
 	if f.ErrStep != "" {
 		r.Err = &message.Error{Step: message.Step(f.ErrStep), Peer: f.ErrPeer, Detail: f.ErrDetail}
 	}
@@ -145,6 +155,12 @@
 	return r
 }
 
+// microseconds converts a time of a peer without overflow. Values out of range stay out of the range that message.Timing allows.
+func microseconds(n int64) time.Duration {
+	const limit = int64(2 * maxTimeLeft / time.Microsecond)
+	return time.Duration(min(max(n, -limit), limit)) * time.Microsecond
+}
+
 // Assembly reassembles a body from its parts. The body is complete only when exactly its stated size has arrived in order.
 type Assembly struct {
 	size uint64
--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -137,6 +137,7 @@
 	DownstreamFailed bool        `cbor:"17,keyasint,omitempty"` // a call made for the request was refused or failed
 	Waited           uint64      `cbor:"18,keyasint,omitempty"` // milliseconds for which the request and the calls made for it waited for slots
 	Notice           *Notice     `cbor:"19,keyasint,omitempty"`
+	Timing           *Timing     `cbor:"21,keyasint,omitempty"` // message.Timing; nil: nothing was measured
 }
 
 // Notice is what the sender knows of its target from the target's responses. The fields have the meaning of those of
@@ -149,6 +150,15 @@
 	RateLimit   float64
 }
 
+// Timing is message.Timing with times in microseconds. The receiver checks the figures; they are signed so that a negative one does
+// not make the frame unreadable.
+type Timing struct {
+	Own      int64   `cbor:"1,keyasint,omitempty"`
+	Calls    int64   `cbor:"2,keyasint,omitempty"`
+	Slowdown float32 `cbor:"3,keyasint,omitempty"`
+	Spent    int64   `cbor:"4,keyasint,omitempty"`
+}
+
 // Cancel says that the sender no longer waits for the response on a stream.
 type Cancel struct {
 	Stream uint64 `cbor:"1,keyasint"`
--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"net/http"
 	"testing"
 	"time"
@@ -67,6 +68,27 @@
 	}
 }
 
+// Guards against times that are lost on the way, that overflow, or that make the whole response unreadable because they cannot be.
+func TestTimingSurvivesEncoding(t *testing.T) {
+	for want, valid := range map[message.Timing]bool{
+		{}: false,
+		{Own: 55 * time.Millisecond, Calls: time.Second, Slowdown: 2.5, Spent: 60 * time.Millisecond}: true,
+		{Own: -time.Second, Slowdown: 1}:                        false,
+		{Own: math.MaxInt64, Slowdown: 1, Spent: math.MinInt64}: false,
+		{Own: time.Second, Slowdown: math.Inf(1)}:               false,
+	} {
+		frames, err := EncodeResponse(9, message.ID{1}, &message.Response{Outcome: message.Answered, Status: 200, Timing: want})
+		require.NoError(t, err)
+		f, err := Decode(frames[0])
+		require.NoError(t, err)
+		got := f.(*Response).Message().Timing
+		require.Equal(t, valid, got.Valid(), "%v", want)
+		if valid || want == (message.Timing{}) {
+			require.Equal(t, want, got)
+		}
+	}
+}
+
 // Guards against decoded or encoded frames that change when the buffer of the connection or of the encoder is reused.
 func TestFramesDoNotShareBuffers(t *testing.T) {
 	want := request([]byte("body"), time.Now())
--- a/internal/process/balance/balance_test.go
+++ b/internal/process/balance/balance_test.go
@@ -73,7 +73,7 @@
 		time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 		p := pickers[rng.IntN(len(pickers))]
 		wg.Go(func() {
-			if target, done, ok := p.Pick(); ok {
+			if target, done, ok := p.Pick(Request{}); ok {
 				done(Result{Load: fakes[target.Address].run()})
 			}
 		})
@@ -163,7 +163,7 @@
 			}
 			counts := map[string]int{}
 			for range 100 {
-				target, done, ok := p.Pick()
+				target, done, ok := p.Pick(Request{})
 				require.True(t, ok)
 				counts[target.Address]++
 				done(Result{Load: loads[target.Address]})
@@ -176,7 +176,7 @@
 // failPicks picks and reports failures of the target until it has failed n times. It gives up after 10,000 picks.
 func failPicks(p *Picker, address string, n int) {
 	for range 10_000 {
-		target, done, _ := p.Pick()
+		target, done, _ := p.Pick(Request{})
 		done(Result{Failed: target.Address == address && n > 0, Cancelled: target.Address != address})
 		if target.Address == address {
 			n--
@@ -191,7 +191,7 @@
 func countPicks(p *Picker, n int) map[string]int {
 	out := map[string]int{}
 	for range n {
-		target, done, ok := p.Pick()
+		target, done, ok := p.Pick(Request{})
 		if ok {
 			out[target.Address]++
 			done(Result{Cancelled: true})
@@ -237,7 +237,7 @@
 			rng := rand.New(rand.NewPCG(1, 2))
 			run := func(n int, failing float64) (share float64) {
 				for range n {
-					target, done, _ := p.Pick()
+					target, done, _ := p.Pick(Request{})
 					time.Sleep(5 * time.Millisecond)
 					failed := target.Address == "t0" && rng.Float64() < failing
 					if target.Address == "t0" {
@@ -265,7 +265,7 @@
 		rng := rand.New(rand.NewPCG(1, 2))
 		got := map[string]int{}
 		for range 4000 {
-			target, done, _ := p.Pick()
+			target, done, _ := p.Pick(Request{})
 			time.Sleep(5 * time.Millisecond)
 			got[target.Address]++
 			done(Result{Failed: rng.Float64() < 0.1, Load: message.Load{InFlight: 5, Limit: 40}})
@@ -294,23 +294,23 @@
 func TestExcludeAndUpdate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPicker("a", 1)
-		_, _, ok := p.Pick()
+		_, _, ok := p.Pick(Request{})
 		require.False(t, ok)
 		p.Update(newTargets(2, 40, "a"))
 		for range 100 {
-			target, done, ok := p.Pick("t0")
+			target, done, ok := p.Pick(Request{}, "t0")
 			require.True(t, ok)
 			require.Equal(t, "t1", target.Address)
 			done(Result{Refused: true})
 			done(Result{Refused: true}) // a second call must not count
 		}
-		_, _, ok = p.Pick("t0", "t1")
+		_, _, ok = p.Pick(Request{}, "t0", "t1")
 		require.False(t, ok)
-		_, done, _ := p.Pick("t0")
+		_, done, _ := p.Pick(Request{}, "t0")
 		done(Result{Leaving: true})
 		require.Equal(t, map[string]int{"t0": 100}, countPicks(p, 100), "a leaving target must get no work while another one is available")
 		time.Sleep(leavingTime)
-		_, done, _ = p.Pick("t1")
+		_, done, _ = p.Pick(Request{}, "t1")
 		p.Update(newTargets(3, 40, "b"))
 		require.EqualValues(t, 1, p.snapshot.Load().all[0].inFlight.Load())
 		done(Result{})
@@ -333,7 +333,7 @@
 				if w == 0 && i%50 == 0 {
 					p.Update(newTargets(3+i%3, 40, "a", "b"))
 				}
-				if _, done, ok := p.Pick("t1"); ok {
+				if _, done, ok := p.Pick(Request{}, "t1"); ok {
 					done(Result{Failed: i%3 == 0, Load: message.Load{InFlight: i % 40, Limit: 40}})
 				}
 			}
@@ -355,7 +355,7 @@
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
 				for pb.Next() {
-					_, done, _ := p.Pick()
+					_, done, _ := p.Pick(Request{})
 					done(Result{Load: message.Load{InFlight: 1, Limit: 40}})
 				}
 			})
--- a/internal/process/balance/condition.go
+++ b/internal/process/balance/condition.go
@@ -29,6 +29,7 @@
 type Condition struct {
 	Load        message.Load
 	FailureRate float64 // of the latest requests; does not count failures caused by downstream services
+	Slowdown    float64 // see message.Timing; zero: not reported
 }
 
 // SetCondition records the condition that the node at the address reports for its target.
@@ -37,6 +38,12 @@
 	for _, m := range p.snapshot.Load().all {
 		if m.Address == address {
 			m.lastCondition.set(c, now)
+			switch {
+			case message.ValidSlowdown(c.Slowdown):
+				m.slowdown.set(c.Slowdown, now)
+			case c.Slowdown != 0:
+				p.ignoredFigures.Add(1)
+			}
 			if load, ok := m.lastCondition.utilisation(now); ok && m.Zone == p.zone {
 				p.zoneLoad.add(load, now)
 			}
--- a/internal/process/balance/condition_test.go
+++ b/internal/process/balance/condition_test.go
@@ -58,7 +58,7 @@
 func (s *sparseCluster) pickOnce() map[string]int {
 	out := map[string]int{}
 	for _, p := range s.pickers {
-		t, done, _ := p.Pick()
+		t, done, _ := p.Pick(Request{})
 		out[t.Address]++
 		done(Result{Failed: s.rng.Float64() < s.failureRate[t.Address], Load: message.Load{InFlight: s.load[t.Address], Limit: sparseSlots}})
 	}
@@ -138,7 +138,7 @@
 		}
 		far := 0
 		for range 1000 {
-			target, done, _ := p.Pick()
+			target, done, _ := p.Pick(Request{})
 			if target.Zone != "a" {
 				far++
 			}
--- a/internal/process/balance/set.go
+++ b/internal/process/balance/set.go
@@ -71,3 +71,12 @@
 
 // Picker returns the picker of a service, or nil if the service never had a target.
 func (s *Set) Picker(service string) *Picker { return (*s.pickers.Load())[service] }
+
+// IgnoredFigures returns the sum of that of all pickers.
+func (s *Set) IgnoredFigures() int64 {
+	var sum int64
+	for _, p := range *s.pickers.Load() {
+		sum += p.IgnoredFigures()
+	}
+	return sum
+}
--- a/internal/process/balance/set_test.go
+++ b/internal/process/balance/set_test.go
@@ -31,6 +31,6 @@
 	close(goOn)
 	refreshes.Wait()
 	require.NotNil(t, s.Picker("menu"))
-	_, _, ok := s.Picker("menu").Pick()
+	_, _, ok := s.Picker("menu").Pick(Request{})
 	require.True(t, ok, "the target that is ready by now is not used")
 }
--- a/internal/process/engine/balancers.go
+++ b/internal/process/engine/balancers.go
@@ -27,7 +27,7 @@
 type pickerAdapter struct{ p *balance.Picker }
 
 func (a pickerAdapter) Pick(exclude []string) (string, func(time.Duration, *message.Response), bool) {
-	t, done, ok := a.p.Pick(exclude...)
+	t, done, ok := a.p.Pick(balance.Request{}, exclude...)
 	if !ok {
 		return "", nil, false
 	}
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -28,8 +28,14 @@
 	}
 	p.removeIdentity(req)
 	p.restoreRate(g, req.RateLimit)
-	r := p.deliverWithinWindow(ctx, g, req)
+	arrived := time.Now()
+	kind, objective := p.routeOf(req)
+	r := p.deliverWithinWindow(ctx, g, req, kind, objective)
 	r.Load = g.control.Load()
+	now := time.Now()
+	if r.Timing = g.times.Timing(kind, now.Sub(g.attachedAt)); r.Timing.Own > 0 && r.Outcome == message.Answered {
+		r.Timing.Spent = now.Sub(arrived)
+	}
 	r.Notice = g.notice()
 	// The response reports the shedding threshold of this service, the lowest priority that its target admits. Upstream nodes
 	// shed requests below it, see package shed. A threshold of zero is reported too: it ends that shedding before the last
@@ -44,25 +50,24 @@
 // deliverWithinWindow runs a request within the limit on the runs in progress of its route, see package window. While the calls
 // of these runs wait too long for slots at downstream services, it refuses new requests above the limit. The limit does not
 // apply to calls: they are part of a chain whose first run was counted.
-func (p *Proxy) deliverWithinWindow(ctx context.Context, g *attachedTarget, req *message.Request) *message.Response {
+func (p *Proxy) deliverWithinWindow(ctx context.Context, g *attachedTarget, req *message.Request, kind string, objective time.Duration) *message.Response {
 	if req.Hop > 0 {
-		r, _ := p.admitAndRun(ctx, g, req, nil, 0)
+		r, _ := p.admitAndRun(ctx, g, req, kind, nil, 0)
 		return r
 	}
-	name, objective := p.routeOf(req)
-	w := g.windows.Get(name)
+	w := g.windows.Get(kind)
 	if !w.TryStart() {
-		return p.refuse(message.ReasonOverload, message.StepAdmit, randomRetryAfter(), "calls of route %q wait too long for more runs", name)
+		return p.refuse(message.ReasonOverload, message.StepAdmit, randomRetryAfter(), "calls of route %q wait too long for more runs", kind)
 	}
-	r, ended := p.admitAndRun(ctx, g, req, w, objective)
+	r, ended := p.admitAndRun(ctx, g, req, kind, w, objective)
 	w.Finish(ended)
 	return r
 }
 
 // admitAndRun waits for a slot, sends the request to the target and returns its response with the measurements of the run. The
-// window is nil for a call. The objective is the response time within which a response on the route is worth most, or zero;
+// kind is the name of the request's route. The window is nil for a call. The objective is the response time within which a response on the route is worth most, or zero;
 // unlike the time-out, it does not end the request.
-func (p *Proxy) admitAndRun(ctx context.Context, g *attachedTarget, req *message.Request, w *window.Window, objective time.Duration) (*message.Response, window.RunStats) {
+func (p *Proxy) admitAndRun(ctx context.Context, g *attachedTarget, req *message.Request, kind string, w *window.Window, objective time.Duration) (*message.Response, window.RunStats) {
 	arrived := time.Now()
 	permit, err := g.control.Acquire(ctx, admission.Work{
 		Priority:   req.Priority,
@@ -90,6 +95,7 @@
 		Paused:    pause.Since(start),
 	})
 	p.activeRuns.end(run)
+	g.recordTime(kind, start, took, run.callClock.elapsed(), r)
 	r.Thresholds = run.thresholds.Thresholds()
 	callQueueTime := time.Duration(run.callQueueTime.Load())
 	r.Waited = start.Sub(arrived) + callQueueTime
@@ -106,6 +112,14 @@
 	}
 }
 
+// recordTime adds a completed run to the measured times of its kind. The time of a failure says little about that of a response,
+// and a run during which the process was paused measures the pause.
+func (g *attachedTarget) recordTime(kind string, start time.Time, took, calls time.Duration, r *message.Response) {
+	if r.Outcome == message.Answered && r.Status < http.StatusInternalServerError && !pause.Since(start) {
+		g.times.Record(kind, took-calls, calls, time.Since(g.attachedAt))
+	}
+}
+
 // timeAllowed returns the time within which a run should end: the objective of its route or, if that is zero or longer, the
 // time left until its deadline.
 func timeAllowed(left, objective time.Duration) time.Duration {
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -26,6 +26,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/quarantine"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/ratelimit"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/servicetime"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/window"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
@@ -113,6 +114,7 @@
 	target     Target
 	attachedAt time.Time
 	failures   balance.FailureRate // its clock starts at attachedAt
+	times      servicetime.Meter   // of its requests by route; its clock starts at attachedAt
 	windows    window.Set          // limits on runs in progress, by route
 	rate       *ratelimit.Limiter  // limit on requests per second that the target names
 	cutOff     *cutOffRequests     // of the target process
@@ -188,7 +190,8 @@
 	if g == nil {
 		return balance.Condition{}, false
 	}
-	return balance.Condition{Load: g.control.Load(), FailureRate: g.failures.Rate(time.Since(g.attachedAt))}, true
+	return balance.Condition{Load: g.control.Load(), FailureRate: g.failures.Rate(time.Since(g.attachedAt)),
+		Slowdown: g.times.Slowdown(time.Since(g.attachedAt))}, true
 }
 
 const (
--- a/internal/process/mesh/runs.go
+++ b/internal/process/mesh/runs.go
@@ -25,6 +25,43 @@
 	callQueueTime   atomic.Int64   // time for which its calls waited for slots, in nanoseconds
 	thresholds      shed.Collector // shedding thresholds that returned with its calls
 	window          *window.Window // nil if the run is itself a call
+	callClock       callClock
+}
+
+// callClock measures the time in which at least one call of a run is in progress. Calls at the same time count once, unlike in
+// callServiceTime, so that the rest of the run's time is that of its target.
+type callClock struct {
+	mu         sync.Mutex
+	inProgress int
+	since      time.Time
+	total      time.Duration
+}
+
+func (c *callClock) start() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inProgress == 0 {
+		c.since = time.Now()
+	}
+	c.inProgress++
+}
+
+func (c *callClock) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inProgress--; c.inProgress == 0 {
+		c.total += time.Since(c.since)
+	}
+}
+
+// elapsed returns the time until now. It includes that of calls in progress, which a target can leave behind when it answers.
+func (c *callClock) elapsed() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inProgress > 0 {
+		return c.total + time.Since(c.since)
+	}
+	return c.total
 }
 
 // activeRuns finds the run to which a call of the attached target belongs. A target forms the attempt ID of a call from the
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -118,6 +118,10 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	start := time.Now()
+	if f.parent != nil {
+		f.parent.callClock.start()
+		defer f.parent.callClock.stop()
+	}
 	r := p.refuseHeld(f)
 	if r == nil {
 		r = p.admitQuota(f)
@@ -341,7 +345,18 @@
 	if f.trialKey != 0 {
 		return picker.PickStable(f.trialKey, f.tried...)
 	}
-	return picker.Pick(f.tried...)
+	return picker.Pick(f.requirements(), f.tried...)
+}
+
+// requirements returns what the choice of a target depends on: the kind of request and the time left to its objective. A call has
+// none: the caller waits for the whole chain, and calls that avoid a slow target fill those that can meet the objectives of new
+// requests.
+func (f *forwardedRequest) requirements() balance.Request {
+	w := balance.Request{Kind: f.route.Name}
+	if f.route.Objective > 0 && f.parent == nil {
+		w.TimeLeft = f.route.Objective - time.Since(f.req.Arrived)
+	}
+	return w
 }
 
 func (p *Proxy) send(ctx context.Context, address string, req *message.Request) *message.Response {
@@ -360,5 +375,6 @@
 		Leaving:   r.Outcome == message.NotRun && r.Reason == message.ReasonLeaving,
 		Cancelled: r.Reason == message.ReasonCancelled,
 		Load:      r.Load,
+		Timing:    r.Timing,
 	}
 }
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -40,6 +40,9 @@
 	Confirmed            bool
 	ConfirmationAge      float64
 	InvalidConfirmations int64 // that were ignored because of an impossible age or moment
+	// Slowdown is the time of the latest requests at the local target as a factor on their usual time; zero: no target.
+	Slowdown       float64
+	IgnoredFigures int64 // figures of targets that other nodes reported and that cannot be
 }
 
 // Metrics holds the instruments of a node.
@@ -116,7 +119,6 @@
 	if err != nil {
 		return fmt.Errorf("gauge of the rate limit: %w", err)
 	}
-	gauges = append(gauges, rateLimit)
 	confirmationAge, err := meter.Float64ObservableGauge("wigeoncleat.configuration.confirmation_age", metric.WithUnit("s"),
 		metric.WithDescription("Age of the last confirmation that the configuration was the newest one."))
 	if err != nil {
@@ -124,6 +126,13 @@
 	}
 	gauges = append(gauges, confirmationAge)
 	invalidConfirmations := gauge("wigeoncleat.configuration.invalid_confirmations", "Confirmations that were ignored because of an impossible age.")
+	slowdown, err := meter.Float64ObservableGauge("wigeoncleat.target.slowdown",
+		metric.WithDescription("Time of the latest requests at the target beside the node, as a factor on their usual time."))
+	if err != nil {
+		return fmt.Errorf("gauge of the slowdown: %w", err)
+	}
+	gauges = append(gauges, rateLimit, slowdown)
+	ignored := gauge("wigeoncleat.balance.ignored_figures", "Reported times of targets that cannot be and did not count, since the start.")
 	violations := gauge("wigeoncleat.invariant.violations", "Violations of an invariant since the start.")
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g := read()
@@ -141,6 +150,8 @@
 		if g.Confirmed {
 			o.ObserveFloat64(confirmationAge, g.ConfirmationAge)
 		}
+		o.ObserveFloat64(slowdown, g.Slowdown)
+		o.ObserveInt64(ignored, g.IgnoredFigures)
 		for name, n := range invariant.Counts() {
 			o.ObserveInt64(violations, n, metric.WithAttributes(attribute.String("invariant", string(name))))
 		}
--- a/internal/process/sidecar/condition.go
+++ b/internal/process/sidecar/condition.go
@@ -14,10 +14,16 @@
 )
 
 const (
-	// Each conditionCheckInterval, a node checks the condition of its target and sends it to callers if it changed
-	// considerably, or if the target is in use or failing and the last message is maxConditionInterval old.
+	// Each slowCheckInterval, a node checks the condition of its target and sends it to callers if the target has become slow or is
+	// no longer slow, if load or failures have changed considerably and the last message is conditionCheckInterval old, or if the
+	// target is in use or failing and the last message is maxConditionInterval old.
+	slowCheckInterval      = 100 * time.Millisecond
 	conditionCheckInterval = 250 * time.Millisecond
 	maxConditionInterval   = time.Second
+	// slowFrom and slowUntil are the slowdowns from which and below which a target counts as slow and as no longer slow. The spread
+	// of the work of requests alone seldom reaches slowFrom, so that a steady target sends no more messages than before.
+	slowFrom  = 1.6
+	slowUntil = 1.25
 	// minLoadChange and minFailureRateChange are the changes of utilisation and failure rate that are sent at the next
 	// check.
 	minLoadChange        = 0.15
@@ -39,6 +45,7 @@
 	InFlight     int     `cbor:"2,keyasint"`
 	Limit        int     `cbor:"3,keyasint"`
 	FailureShare float32 `cbor:"4,keyasint,omitempty"` // the FailureRate of balance.Condition
+	Slowdown     float32 `cbor:"5,keyasint,omitempty"` // zero: not stated
 }
 
 // recentCallers records which nodes of the node's own availability zone sent requests recently. It is safe for
@@ -77,17 +84,20 @@
 type conditionLimiter struct {
 	last balance.Condition
 	at   time.Time
+	slow bool // as sent
 }
 
 // due reports whether to send the condition now, and if so records it as sent.
 func (t *conditionLimiter) due(now time.Time, c balance.Condition) bool {
+	slow := c.Slowdown >= slowFrom || t.slow && c.Slowdown >= slowUntil
 	idle := c.Load.InFlight == 0 && c.FailureRate < minFailureRateChange
 	changed := math.Abs(utilisation(c.Load)-utilisation(t.last.Load)) >= minLoadChange ||
 		math.Abs(c.FailureRate-t.last.FailureRate) >= minFailureRateChange
-	if !changed && (idle || now.Sub(t.at) < maxConditionInterval) {
+	since := now.Sub(t.at)
+	if slow == t.slow && (!changed || since < conditionCheckInterval) && (idle || since < maxConditionInterval) {
 		return false
 	}
-	t.last, t.at = c, now
+	t.last, t.at, t.slow = c, now, slow
 	return true
 }
 
@@ -98,7 +108,7 @@
 func (s *Sidecar) notifyCallers() {
 	var t conditionLimiter
 	failing := false
-	s.every(conditionCheckInterval, func() {
+	s.every(slowCheckInterval, func() {
 		now := time.Now()
 		c, open := s.path.Condition()
 		if !open || !t.due(now, c) {
@@ -106,7 +116,7 @@
 		}
 		failing = s.logFailureState(failing, c)
 		msg := s.message()
-		msg.Condition = &condition{s.settings.Service, c.Load.InFlight, c.Load.Limit, float32(c.FailureRate)}
+		msg.Condition = &condition{s.settings.Service, c.Load.InFlight, c.Load.Limit, float32(c.FailureRate), float32(c.Slowdown)}
 		for _, address := range s.recentCallers.latest(now) {
 			s.send(address, msg)
 		}
@@ -132,5 +142,6 @@
 	s.pickers.SetCondition(c.Service, from, balance.Condition{
 		Load:        message.Load{InFlight: c.InFlight, Limit: c.Limit},
 		FailureRate: float64(c.FailureShare),
+		Slowdown:    float64(c.Slowdown),
 	})
 }
--- a/internal/process/sidecar/condition_test.go
+++ b/internal/process/sidecar/condition_test.go
@@ -28,6 +28,23 @@
 	require.False(t, limiter.due(now.Add(time.Minute), load(0)))
 }
 
+// Guards against a pause of the target that the callers learn of late, and against control traffic for the spread of the work of requests.
+func TestConditionIsSentWhenTheTargetBecomesSlow(t *testing.T) {
+	var limiter conditionLimiter
+	now := time.Unix(1000, 0)
+	at := func(slowdown float64) balance.Condition {
+		return balance.Condition{Load: message.Load{InFlight: 5, Limit: 10}, Slowdown: slowdown}
+	}
+	require.True(t, limiter.due(now, at(1)))
+	for i, c := range []struct {
+		slowdown float64
+		due      bool
+	}{{1.5, false}, {1.7, true}, {2.5, false}, {1.4, false}, {1.2, true}, {1.5, false}, {1, false}} {
+		now = now.Add(slowCheckInterval)
+		require.Equal(t, c.due, limiter.due(now, at(c.slowdown)), "check %d", i)
+	}
+}
+
 // Guards against control traffic that grows with the number of nodes of an availability zone: only callers are notified,
 // the latest first.
 func TestOnlyRecentCallersAreNotified(t *testing.T) {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -332,6 +332,11 @@
 		RateLimit: s.path.RateLimit(),
 		Epoch:     int64(s.storeEpoch.Load()),
 		Held:      int64(s.quarantine.HeldCount()),
+
+		IgnoredFigures: s.pickers.IgnoredFigures(),
+	}
+	if c, ok := s.path.Condition(); ok {
+		g.Slowdown = c.Slowdown
 	}
 	if t := s.routes.Load(); t != nil {
 		g.Version = int64(t.Version)
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -84,6 +84,7 @@
 	RetriesLeft int         // unused part of the retries that were handed down with the request
 	Thresholds  []Threshold // shedding thresholds of the services downstream of this hop
 	Load        Load        // load of the responding node's target
+	Timing      Timing      // of the requests to the responding node's target
 	// Notice is what the target says of itself in the header of the response; nil if the response is not the target's.
 	Notice *Notice
 }
@@ -107,6 +108,31 @@
 	Limit    int // current limit on requests in flight
 }
 
+// Timing describes how long requests like the one that was answered take at the responding node's target, as measured by that
+// node. The zero value says that nothing was measured.
+type Timing struct {
+	Own      time.Duration // mean time at the target without the calls that the target makes
+	Calls    time.Duration // mean time in which calls are in progress
+	Slowdown float64       // of the latest requests of all kinds, as a factor on their usual time
+	Spent    time.Duration // from the arrival of the request at the node to its response
+}
+
+const (
+	// maxTiming and maxSlowdown bound the figures that count as measured. Requests have ended long before maxTiming, and a target
+	// that is slower by more than maxSlowdown no longer answers in time whatever its usual time is.
+	maxTiming   = 10 * time.Minute
+	maxSlowdown = 1000
+)
+
+// Valid reports whether the figures can be used: each is in range, and the comparisons are false for a number that is none.
+func (t Timing) Valid() bool {
+	return t.Own > 0 && t.Own <= maxTiming && t.Calls >= 0 && t.Calls <= maxTiming && t.Spent >= 0 && t.Spent <= maxTiming &&
+		ValidSlowdown(t.Slowdown)
+}
+
+// ValidSlowdown reports whether a reported slowdown can be used.
+func ValidSlowdown(s float64) bool { return s > 0 && s <= maxSlowdown }
+
 // Threshold is the lowest priority that a service currently admits.
 type Threshold struct {
 	Service  string
