pace: let the node beside a target decide how it grows after a start

Cause: each sender ramped a new target by itself from a tenth to its share over 5 s, whatever the target answered. A node that had just started ramped all targets but the first one that it learned of, which got everything. The limit of the target's own node took no part.

Change: the node beside the target paces it (package pace): a quarter of the slots at first while a peer is warm, one more with each good answer, 0.6 of it when answers fail or become slower, until the times are level with those of the peers or no longer improve. If all targets are young, each starts with all of its slots. Admission enforces the limit; the pace travels with responses (field 22) and conditions (field 6) and ends the ramp of the senders. Without figures these grow with good answers, at the latest within 5 s, and begin anew after a failure. In the first second after its first target, a node takes all others for as old. An outlier is ejected only if the estimates for the kind confirm it.

--- a/internal/connection/wire/convert.go
+++ b/internal/connection/wire/convert.go
@@ -56,6 +56,7 @@
 		Waited:           uint64(max(r.Waited.Milliseconds(), 0)),
 		InFlight:         r.Load.InFlight,
 		Limit:            r.Load.Limit,
+		Pace:             float32(r.Load.Pace),
 		BodySize:         uint64(len(r.Body)),
 		Part:             firstPart(r.Body),
 	}
@@ -136,7 +137,7 @@
 		RetriesLeft:      f.RetriesLeft,
 		DownstreamFailed: f.DownstreamFailed,
 		Waited:           time.Duration(min(f.Waited, uint64(maxTimeLeft.Milliseconds()))) * time.Millisecond,
-		Load:             message.Load{InFlight: f.InFlight, Limit: f.Limit},
+		Load:             message.Load{InFlight: f.InFlight, Limit: f.Limit, Pace: float64(f.Pace)},
 	}
 	if n := f.Notice; n != nil {
 		r.Notice = &message.Notice{Leaving: n.Leaving, Born: n.Born, RateLimited: n.RateLimited, RateLimit: n.RateLimit}
--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -138,6 +138,7 @@
 	Waited           uint64      `cbor:"18,keyasint,omitempty"` // milliseconds for which the request and the calls made for it waited for slots
 	Notice           *Notice     `cbor:"19,keyasint,omitempty"`
 	Timing           *Timing     `cbor:"21,keyasint,omitempty"` // message.Timing; nil: nothing was measured
+	Pace             float32     `cbor:"22,keyasint,omitempty"` // see message.Load
 }
 
 // Notice is what the sender knows of its target from the target's responses. The fields have the meaning of those of
--- a/internal/process/admission/admission.go
+++ b/internal/process/admission/admission.go
@@ -8,7 +8,8 @@
 //
 // A priority has a rank in its high byte; the low byte, which derives from a hash of the request's ID, divides the requests
 // of a rank. The limit on requests in flight follows from three values: the configured limit (Limits), the learned limit,
-// which the tuner lowers if the target has fewer slots than configured, and the ramp of a target that starts cold.
+// which the tuner lowers if the target has fewer slots than configured, and the ramp of a target that starts cold: either over a fixed
+// time or as its answers allow (Pacer).
 //
 // A Controller is safe for concurrent use. Acquire and Release hold the Controller's mutex for a bounded number of
 // steps; Threshold and Load read atomics and lock the mutex only when a measurement interval has ended.
@@ -112,6 +113,7 @@
 	rampFrom    time.Duration // start of the ramp; negative: no ramp in progress
 	rampTimer   *time.Timer
 	rate        RateLimiter // nil: no limit on requests per second
+	pace        Pacer       // nil: no pace
 	timeInUse   timeInUse
 	rateTimer   *time.Timer // dispatches when the rate allows the next request
 }
@@ -126,6 +128,12 @@
 	Wait(now time.Time) time.Duration
 }
 
+// Pacer limits the requests in flight of a target that has just started, see package pace.
+type Pacer interface {
+	// Limit returns the limit on requests in flight, given the one without a ramp.
+	Limit(unpaced int) int
+}
+
 // New returns a Controller that admits at the full limit. Call StartRamp to raise the limit gradually instead.
 func New(l Limits) *Controller {
 	c := &Controller{origin: time.Now(), random: rand.Float64, limits: l, rampFrom: -1}
@@ -368,7 +376,7 @@
 	if !c.rateLimited() {
 		c.tuner.updateBaseline(now, m, &c.latency)
 	}
-	if c.rampFrom < 0 && !c.rateLimited() {
+	if c.rampFrom < 0 && !c.rateLimited() && !c.paced() {
 		before := c.tuner.learned
 		c.tuner.observe(now, m, &c.latency, c.longWaitSlots())
 		logLimit(before, c.tuner.learned)
@@ -400,6 +408,9 @@
 // currentLimit returns the limit on requests in flight at the given time, and ends the ramp when it is complete.
 func (c *Controller) currentLimit(now time.Duration) int {
 	limit := c.tuner.limit()
+	if c.pace != nil {
+		limit = c.pace.Limit(limit)
+	}
 	if c.rampFrom < 0 {
 		return limit
 	}
--- a/internal/process/admission/rate.go
+++ b/internal/process/admission/rate.go
@@ -21,6 +21,18 @@
 	c.publish()
 }
 
+// SetPace sets what paces the target after its start. It must be called before the first request.
+func (c *Controller) SetPace(p Pacer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pace = p
+	c.limit = c.currentLimit(time.Since(c.origin))
+	c.publish()
+}
+
+// paced reports whether the pace keeps the limit below the one that the tuner would set.
+func (c *Controller) paced() bool { return c.pace != nil && c.limit < c.tuner.limit() }
+
 // RateChanged applies a changed limit on requests per second. The capacity measured under another limit no longer holds, and the
 // trials of the tuner, which compare the throughput at two limits on requests in flight, say nothing while the rate bounds it.
 func (c *Controller) RateChanged() {
--- a/internal/process/balance/balance.go
+++ b/internal/process/balance/balance.go
@@ -44,14 +44,15 @@
 
 // Picker chooses targets of one service.
 type Picker struct {
-	zone     string
-	origin   time.Time      // times in the state are nanoseconds since origin, plus one; zero means never
-	random   func() float64 // in [0, 1); safe for concurrent use; replaced by tests
-	settings atomic.Pointer[settings]
-	snapshot atomic.Pointer[snapshot]
-	zoneLoad zoneLoad
-	kinds    kinds
-	mu       sync.Mutex // held by Update, ejections and for new kinds of request
+	zone       string
+	origin     time.Time      // times in the state are nanoseconds since origin, plus one; zero means never
+	random     func() float64 // in [0, 1); safe for concurrent use; replaced by tests
+	settings   atomic.Pointer[settings]
+	snapshot   atomic.Pointer[snapshot]
+	zoneLoad   zoneLoad
+	kinds      kinds
+	mu         sync.Mutex // held by Update, ejections and for new kinds of request
+	firstKnown int64      // when there were targets again after there had been none; guarded by mu
 
 	ignoredFigures atomic.Int64
 }
@@ -81,8 +82,12 @@
 
 func (p *Picker) now() int64 { return int64(time.Since(p.origin)) + 1 }
 
+// learnTime is the time after the first target in which others are taken for as old as that one: a node that has just started learns
+// of the targets one after another, and a small share for the later ones would flood the first.
+const learnTime = time.Second
+
 // Update replaces the list of targets. Targets that stay keep their state. New ones start with a small share of traffic,
-// unless there were no targets before.
+// unless the node knows none for longer than learnTime.
 func (p *Picker) Update(targets []Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -95,12 +100,15 @@
 	for _, m := range old.all {
 		known[key{m.Address, m.Incarnation}] = m.state
 	}
+	if len(old.all) == 0 {
+		p.firstKnown = now
+	}
 	next := &snapshot{}
 	for _, t := range targets {
 		s := known[key{t.Address, t.Incarnation}]
 		if s == nil {
 			s = &state{}
-			if len(old.all) > 0 {
+			if p.firstKnown != 0 && now-p.firstKnown >= int64(learnTime) {
 				s.rampFrom.Store(now)
 			}
 		}
--- a/internal/process/balance/choice.go
+++ b/internal/process/balance/choice.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
 const (
@@ -23,8 +25,11 @@
 	failureMargin = 0.05
 	// rampStartShare is the fraction of its normal traffic that a new or returning target gets at first.
 	rampStartShare = 0.1
-	// DefaultRampTime is the time in which a new or returning target reaches its normal share of traffic.
+	// DefaultRampTime is the time in which a new or returning target reaches its normal share of traffic if it gives no answer and its
+	// node does not report its pace.
 	DefaultRampTime = 5 * time.Second
+	// rampAnswerShare is the fraction by which each good answer raises that share: after nine, a target has its normal traffic.
+	rampAnswerShare = 0.1
 	// sampleTries is the number of random samples before the list is scanned for an eligible target.
 	sampleTries = 4
 )
@@ -111,21 +116,43 @@
 // index returns a random integer in [0, n).
 func (p *Picker) index(n int) int { return int(p.random() * float64(n)) }
 
-// passesRamp reports whether a sampled target may be used. During its ramp, a target is accepted with a probability that
-// grows to one.
+// passesRamp reports whether a sampled target may be used. During its ramp, a target is accepted with a probability that grows to
+// one, with its answers or with time, so that a target of a sender with few requests does not wait for answers that never come.
 func (p *Picker) passesRamp(m *candidate, set *settings, now int64) bool {
 	from := m.rampFrom.Load()
 	if from == 0 {
 		return true
 	}
-	share := rampStartShare + (1-rampStartShare)*float64(now-from)/float64(max(1, set.ramp))
+	share := max(float64(now-from)/float64(max(1, set.ramp)), rampAnswerShare/(1-rampStartShare)*float64(m.rampAnswers.Load()))
+	share = rampStartShare + (1-rampStartShare)*share
 	if share >= 1 {
-		m.rampFrom.CompareAndSwap(from, 0)
+		m.endRamp(from)
 		return true
 	}
 	return p.random() < share
 }
 
+// endRamp ends the ramp that began at the given time.
+func (s *state) endRamp(from int64) {
+	if s.rampFrom.CompareAndSwap(from, 0) {
+		s.rampAnswers.Store(0)
+		s.returning.Store(false)
+	}
+}
+
+// recordPace ends the ramp of a new target whose node reports its pace: that node sees all of its requests and bounds them, so that
+// the target's limit and load say what it can take. A target that was ejected has failed requests of this node, whatever its node
+// says.
+func (p *Picker) recordPace(m *candidate, share float64) {
+	switch {
+	case share == 0:
+	case !message.ValidPace(share):
+		p.ignoredFigures.Add(1)
+	case m.rampFrom.Load() != 0 && !m.returning.Load():
+		m.endRamp(m.rampFrom.Load())
+	}
+}
+
 func (m *candidate) busy(now int64) bool { return m.occupancy(now) >= spillLoad }
 
 // worse reports whether a local target is a worse choice for the request than one of another zone.
--- a/internal/process/balance/condition.go
+++ b/internal/process/balance/condition.go
@@ -38,6 +38,7 @@
 	for _, m := range p.snapshot.Load().all {
 		if m.Address == address {
 			m.lastCondition.set(c, now)
+			p.recordPace(m, c.Load.Pace)
 			switch {
 			case message.ValidSlowdown(c.Slowdown):
 				m.slowdown.set(c.Slowdown, now)
--- a/internal/process/balance/ejection.go
+++ b/internal/process/balance/ejection.go
@@ -25,19 +25,29 @@
 	ejectResetFactor = 10
 )
 
-// outlier reports whether the target's latency is far above the median of the other targets.
-func (p *Picker) outlier(m *candidate, now int64) bool {
-	var others []float64
+// outlier reports whether the target is far slower than the median of the other targets. The latencies that this node has seen must
+// show it, and the estimates for the kind of request must confirm it, where there are any: of few requests of several kinds, one
+// target can get the longer ones by chance.
+func (p *Picker) outlier(m *candidate, kind int, now int64) bool {
+	var latencies, estimates []float64
 	for _, o := range p.snapshot.Load().all {
 		if o.state != m.state && o.samples.Load() >= outlierSamples && o.ejectedUntil.Load() <= now {
-			others = append(others, o.meanLatency())
+			latencies = append(latencies, o.meanLatency())
+			if own, rest := o.estimate(kind, now); own > 0 {
+				estimates = append(estimates, own+rest)
+			}
 		}
 	}
-	if len(others) == 0 {
+	if len(latencies) == 0 || m.meanLatency() <= outlierFactor*median(latencies)+outlierFloor.Seconds() {
 		return false
 	}
-	slices.Sort(others)
-	return m.meanLatency() > outlierFactor*others[len(others)/2]+outlierFloor.Seconds()
+	own, rest := m.estimate(kind, now)
+	return own == 0 || len(estimates) == 0 || own+rest > outlierFactor*median(estimates)+float64(outlierFloor)
+}
+
+func median(list []float64) float64 {
+	slices.Sort(list)
+	return list[len(list)/2]
 }
 
 // eject ejects a target and logs the cause, unless too many targets are ejected already.
@@ -70,6 +80,8 @@
 	}
 	back := now + int64(m.ejectTime)
 	m.rampFrom.Store(back)
+	m.rampAnswers.Store(0)
+	m.returning.Store(true)
 	m.samples.Store(0)
 	m.latency.Store(0)
 	// The first failure after the return ejects the target again; a successful response clears the count.
--- a/internal/process/balance/estimate.go
+++ b/internal/process/balance/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -174,6 +175,27 @@
 	return loadA < loadB
 }
 
+// UsualTime returns the median of the usual times of a kind of request at the targets other than that of the node at the address, or
+// zero if none is known.
+func (p *Picker) UsualTime(kind, except string) time.Duration {
+	number, now := p.kinds.number(kind), p.now()
+	if number == 0 {
+		return 0
+	}
+	var times []int64
+	for _, m := range p.snapshot.Load().all {
+		of := &m.timings[number-1]
+		if own := of.own.Load(); own > 0 && m.Address != except && now-of.at.Load() <= int64(timingMaxAge) {
+			times = append(times, own)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return time.Duration(times[len(times)/2])
+}
+
 func (m *candidate) hasRoom(now int64) bool { return m.occupancy(now) < roomLoad }
 
 // IgnoredFigures returns how many reported figures were absent in part, negative, too large or no numbers, and so did not count.
--- a/internal/process/balance/estimate_test.go
+++ b/internal/process/balance/estimate_test.go
@@ -85,6 +85,27 @@
 	}
 }
 
+// Guards against ejecting a target that got the longer kind of request by chance, and against keeping one whose times confirm that it is
+// far slower than the others.
+func TestEstimatesConfirmOutliers(t *testing.T) {
+	for slow, ejected := range map[time.Duration]bool{10 * time.Millisecond: false, 200 * time.Millisecond: true} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPicker("a", 1)
+			p.Update(newTargets(4, 40, "a"))
+			const ms = time.Millisecond
+			answer(p, "short", map[string]time.Duration{"t0": slow, "t1": 10 * ms, "t2": 10 * ms, "t3": 10 * ms})
+			for range 400 {
+				target, done, _ := p.Pick(Request{Kind: "short"})
+				if target.Address == "t0" {
+					time.Sleep(200 * ms)
+				}
+				done(Result{})
+			}
+			require.Equal(t, ejected, len(p.Ejected()) > 0 || p.snapshot.Load().all[0].returning.Load())
+		})
+	}
+}
+
 // Guards against figures that no target can have: they must count as absent, be counted, and leave earlier ones in force.
 func TestFiguresOutOfRangeCountAsAbsent(t *testing.T) {
 	p := newPicker("a", 1)
--- a/internal/process/balance/state.go
+++ b/internal/process/balance/state.go
@@ -48,6 +48,9 @@
 	leavingUntil        atomic.Int64     // end of the time without picks after a refusal as leaving
 	rampFrom            atomic.Int64     // start of the ramp; for an ejected target the end of its ejection; zero: none
 
+	rampAnswers atomic.Int64 // good answers in a row during the ramp
+	returning   atomic.Bool  // the ramp follows an ejection
+
 	ejectTime time.Duration // length of the last ejection; guarded by the Picker's mutex
 }
 
@@ -100,6 +103,10 @@
 		m.load.Store(uint64(uint32(max(0, r.Load.InFlight)))<<32 | uint64(uint32(r.Load.Limit)))
 		m.loadAt.Store(now)
 	}
+	p.recordPace(m, r.Load.Pace)
+	if from := m.rampFrom.Load(); from != 0 {
+		m.recordRampAnswer(r, from, now)
+	}
 	switch {
 	case r.Cancelled:
 	case r.Leaving:
@@ -117,12 +124,24 @@
 		}
 		m.ownFailures.count(false, now)
 		m.recordLatency(time.Duration(now - start).Seconds())
-		if n := m.samples.Add(1); n >= outlierSamples && n%outlierEvery == 0 && p.outlier(m, now) {
+		if n := m.samples.Add(1); n >= outlierSamples && n%outlierEvery == 0 && p.outlier(m, kind, now) {
 			p.eject(m, "latency")
 		}
 	}
 }
 
+// recordRampAnswer lets the ramp grow with a good answer, and begin anew with a failure.
+func (s *state) recordRampAnswer(r Result, from, now int64) {
+	switch {
+	case r.Cancelled || r.Leaving || r.Refused || now < from:
+	case r.Failed:
+		s.rampAnswers.Store(0)
+		s.rampFrom.CompareAndSwap(from, now)
+	default:
+		s.rampAnswers.Add(1)
+	}
+}
+
 // recordLatency adds a latency to the moving average.
 func (s *state) recordLatency(seconds float64) {
 	for {
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -40,7 +40,7 @@
 		LeaveUnsent, AuditEncodingFailed, StoreRestored, DrainClosing,
 		LinkOpened, LinkClosed, LinkSilent, LinkRefused, FrameInvalid, RequestOutlivedLink,
 		TargetAnnounced, TargetLeaseExpired,
-		TargetEjected, LimitLowered, LimitRaised,
+		TargetEjected, LimitLowered, LimitRaised, TargetPaced, TargetPaceFell, TargetPaceEnded,
 		MemberJoined, MemberReplaced, MemberSuspected, MemberDied, MemberLeft, SelfActive, SelfIsolated,
 		SelfChecking, SelfRefuted, SelfReplaced, SelfLeft, RegistrationFailed, LookupFailed, GossipInvalid,
 		CommandFailed,
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -31,7 +31,7 @@
 	arrived := time.Now()
 	kind, objective := p.routeOf(req)
 	r := p.deliverWithinWindow(ctx, g, req, kind, objective)
-	r.Load = g.control.Load()
+	r.Load = g.load()
 	now := time.Now()
 	if r.Timing = g.times.Timing(kind, now.Sub(g.attachedAt)); r.Timing.Own > 0 && r.Outcome == message.Answered {
 		r.Timing.Spent = now.Sub(arrived)
@@ -88,6 +88,10 @@
 	took := time.Since(start)
 	p.observeSuspect(g, req, r)
 	p.observeNotice(g, start, r.Notice)
+	calls := run.callClock.elapsed()
+	r.DownstreamFailed = run.refusedCalls.Load() > 0 || run.failedCalls.Load() > 0
+	g.recordTime(kind, start, took, calls, r)
+	p.observePace(g, kind, start, took-calls, r)
 	permit.Release(admission.Result{
 		Latency:   took,
 		Failed:    r.Outcome != message.Answered && r.Reason != message.ReasonCancelled || r.Status >= http.StatusInternalServerError,
@@ -95,11 +99,9 @@
 		Paused:    pause.Since(start),
 	})
 	p.activeRuns.end(run)
-	g.recordTime(kind, start, took, run.callClock.elapsed(), r)
 	r.Thresholds = run.thresholds.Thresholds()
 	callQueueTime := time.Duration(run.callQueueTime.Load())
 	r.Waited = start.Sub(arrived) + callQueueTime
-	r.DownstreamFailed = run.refusedCalls.Load() > 0 || run.failedCalls.Load() > 0
 	if seen := targetResult(r); !seen.Cancelled {
 		g.failures.Count(seen.Failed, time.Since(g.attachedAt))
 	}
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -24,6 +24,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/admission"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/pace"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/quarantine"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/ratelimit"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/servicetime"
@@ -81,6 +82,7 @@
 	RemoveIdentity func(*message.Request)
 	Revocation     Revocation
 	Quota          Quota // nil: organisations have no quotas
+	Pace           Pace  // of the attached target after a start; zero: it uses all of its slots at once
 }
 
 // RetryBounds are the operators' limits on the retries to one service, summed over all nodes.
@@ -114,11 +116,13 @@
 	target     Target
 	attachedAt time.Time
 	failures   balance.FailureRate // its clock starts at attachedAt
-	times      servicetime.Meter   // of its requests by route; its clock starts at attachedAt
+	times      *servicetime.Meter  // of its requests by route; its clock starts at attachedAt
 	windows    window.Set          // limits on runs in progress, by route
-	rate       *ratelimit.Limiter  // limit on requests per second that the target names
-	cutOff     *cutOffRequests     // of the target process
-	ended      atomic.Bool         // TargetEnded was called
+	pace       *pace.Pacer
+	past       *servicetime.Meter // of the target that was attached before; nil: none was
+	rate       *ratelimit.Limiter // limit on requests per second that the target names
+	cutOff     *cutOffRequests    // of the target process
+	ended      atomic.Bool        // TargetEnded was called
 }
 
 // New returns a proxy without an attached target.
@@ -142,11 +146,17 @@
 	control.SetRate(rate)
 	g := &attachedTarget{
 		service: service, instance: instance, born: born, control: control, target: target, attachedAt: time.Now(), rate: rate,
-		cutOff: &cutOffRequests{},
+		cutOff: &cutOffRequests{}, times: new(servicetime.Meter), pace: pace.New(p.cfg.Pace.Settings),
 	}
-	if before := p.latestTarget.Load(); before != nil && before.instance == instance && before.born == born {
-		g.cutOff = before.cutOff // the process was only detached
+	before := p.latestTarget.Load()
+	returned := before != nil && before.instance == instance && before.born == born // the process was only detached
+	if returned {
+		g.cutOff = before.cutOff
+	}
+	if before != nil {
+		g.past = before.times
 	}
+	p.startPace(g, returned)
 	p.latestTarget.Store(g)
 	if old := p.attachedTarget.Swap(g); old != nil {
 		old.control.StopAdmitting()
@@ -171,7 +181,7 @@
 // Load returns the load and the limit of the attached target, or zero if there is none.
 func (p *Proxy) Load() message.Load {
 	if g := p.attachedTarget.Load(); g != nil {
-		return g.control.Load()
+		return g.load()
 	}
 	return message.Load{}
 }
@@ -190,7 +200,7 @@
 	if g == nil {
 		return balance.Condition{}, false
 	}
-	return balance.Condition{Load: g.control.Load(), FailureRate: g.failures.Rate(time.Since(g.attachedAt)),
+	return balance.Condition{Load: g.load(), FailureRate: g.failures.Rate(time.Since(g.attachedAt)),
 		Slowdown: g.times.Slowdown(time.Since(g.attachedAt))}, true
 }
 
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -41,7 +41,9 @@
 	ConfirmationAge      float64
 	InvalidConfirmations int64 // that were ignored because of an impossible age or moment
 	// Slowdown is the time of the latest requests at the local target as a factor on their usual time; zero: no target.
-	Slowdown       float64
+	Slowdown float64
+	// Pace is the share of its slots that the local target uses after a start; zero: no target.
+	Pace           float64
 	IgnoredFigures int64 // figures of targets that other nodes reported and that cannot be
 }
 
@@ -131,7 +133,12 @@
 	if err != nil {
 		return fmt.Errorf("gauge of the slowdown: %w", err)
 	}
-	gauges = append(gauges, rateLimit, slowdown)
+	pace, err := meter.Float64ObservableGauge("wigeoncleat.target.pace",
+		metric.WithDescription("Share of its slots that the target beside the node uses after a start; one: no ramp is in progress."))
+	if err != nil {
+		return fmt.Errorf("gauge of the pace: %w", err)
+	}
+	gauges = append(gauges, rateLimit, slowdown, pace)
 	ignored := gauge("wigeoncleat.balance.ignored_figures", "Reported times of targets that cannot be and did not count, since the start.")
 	violations := gauge("wigeoncleat.invariant.violations", "Violations of an invariant since the start.")
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
@@ -151,6 +158,7 @@
 			o.ObserveFloat64(confirmationAge, g.ConfirmationAge)
 		}
 		o.ObserveFloat64(slowdown, g.Slowdown)
+		o.ObserveFloat64(pace, g.Pace)
 		o.ObserveInt64(ignored, g.IgnoredFigures)
 		for name, n := range invariant.Counts() {
 			o.ObserveInt64(violations, n, metric.WithAttributes(attribute.String("invariant", string(name))))
--- a/internal/process/servicetime/servicetime.go
+++ b/internal/process/servicetime/servicetime.go
@@ -99,6 +99,16 @@
 	return m.slowdownAt(now)
 }
 
+// Usual returns the usual time of a kind of request at the target itself, or zero if none was measured.
+func (m *Meter) Usual(name string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.kinds[name]; k != nil {
+		return time.Duration(k.own)
+	}
+	return 0
+}
+
 // Timing returns the figures for a kind of request, or the zero value if none was measured.
 func (m *Meter) Timing(name string, now time.Duration) message.Timing {
 	m.mu.Lock()
--- a/internal/process/sidecar/condition.go
+++ b/internal/process/sidecar/condition.go
@@ -46,6 +46,7 @@
 	Limit        int     `cbor:"3,keyasint"`
 	FailureShare float32 `cbor:"4,keyasint,omitempty"` // the FailureRate of balance.Condition
 	Slowdown     float32 `cbor:"5,keyasint,omitempty"` // zero: not stated
+	Pace         float32 `cbor:"6,keyasint,omitempty"` // see message.Load; zero: not stated
 }
 
 // recentCallers records which nodes of the node's own availability zone sent requests recently. It is safe for
@@ -116,7 +117,7 @@
 		}
 		failing = s.logFailureState(failing, c)
 		msg := s.message()
-		msg.Condition = &condition{s.settings.Service, c.Load.InFlight, c.Load.Limit, float32(c.FailureRate), float32(c.Slowdown)}
+		msg.Condition = &condition{s.settings.Service, c.Load.InFlight, c.Load.Limit, float32(c.FailureRate), float32(c.Slowdown), float32(c.Load.Pace)}
 		for _, address := range s.recentCallers.latest(now) {
 			s.send(address, msg)
 		}
@@ -140,7 +141,7 @@
 // applyPeerCondition stores the condition of another node's target for load balancing.
 func (s *Sidecar) applyPeerCondition(from string, c *condition) {
 	s.pickers.SetCondition(c.Service, from, balance.Condition{
-		Load:        message.Load{InFlight: c.InFlight, Limit: c.Limit},
+		Load:        message.Load{InFlight: c.InFlight, Limit: c.Limit, Pace: float64(c.Pace)},
 		FailureRate: float64(c.FailureShare),
 		Slowdown:    float64(c.Slowdown),
 	})
--- a/internal/process/sidecar/settings.go
+++ b/internal/process/sidecar/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/mesh"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/pace"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/quota"
 )
 
@@ -34,6 +35,7 @@
 	// RetryBurst is the number of retries to one service that all nodes together may make within Retries.Window in addition
 	// to Retries.Ratio of the first attempts.
 	RetryBurst float64
+	Pace       pace.Settings // of the target after a start; zero: it uses all of its slots at once
 	Revocation Revocation
 	Quota      quota.Bounds // zero: quota.DefaultBounds
 }
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -127,6 +127,7 @@
 	// storedConfigRejected says that the configuration that the store had last could not be read.
 	storedConfigRejected atomic.Bool
 	leavings             *leavingsRecord
+	ignoredWarmups       atomic.Int64  // warm-ups that the target has stated and that cannot be
 	recordFailedAt       atomic.Int64  // time from the start to the last failure of recordFor, in nanoseconds; zero: none
 	reconnectNow         chan struct{} // wakes the reconnect loop
 
@@ -246,6 +247,7 @@
 		RemoveIdentity:        func(req *message.Request) { s.opts.Codec.RemoveIdentity(req) },
 		Revocation:            s.revocation(),
 		Quota:                 s.quotas,
+		Pace:                  mesh.Pace{Settings: s.settings.Pace, Warmup: s.reportedWarmup, WarmPeers: s.hasWarmPeers},
 	})
 }
 
@@ -333,10 +335,10 @@
 		Epoch:     int64(s.storeEpoch.Load()),
 		Held:      int64(s.quarantine.HeldCount()),
 
-		IgnoredFigures: s.pickers.IgnoredFigures(),
+		IgnoredFigures: s.pickers.IgnoredFigures() + s.ignoredWarmups.Load(),
 	}
 	if c, ok := s.path.Condition(); ok {
-		g.Slowdown = c.Slowdown
+		g.Slowdown, g.Pace = c.Slowdown, c.Load.Pace
 	}
 	if t := s.routes.Load(); t != nil {
 		g.Version = int64(t.Version)
--- a/internal/request/message/message.go
+++ b/internal/request/message/message.go
@@ -106,8 +106,14 @@
 type Load struct {
 	InFlight int // requests running at the target or queued for it
 	Limit    int // current limit on requests in flight
+	// Pace is the share of its slots that the target uses after a start, as its node has decided: one if no ramp is in progress, zero
+	// if the node does not report it.
+	Pace float64
 }
 
+// ValidPace reports whether a reported pace can be used.
+func ValidPace(share float64) bool { return share > 0 && share <= 1 }
+
 // Timing describes how long requests like the one that was answered take at the responding node's target, as measured by that
 // node. The zero value says that nothing was measured.
 type Timing struct {
