--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -28,8 +28,14 @@
 	}
 	p.removeIdentity(req)
 	p.restoreRate(g, req.RateLimit)
-	r := p.deliverWithinWindow(ctx, g, req)
-	r.Load = g.control.Load()
+	arrived := time.Now()
+	kind, objective := p.routeOf(req)
+	r := p.deliverWithinWindow(ctx, g, req, kind, objective)
+	r.Load = g.load()
+	now := time.Now()
+	if r.Timing = g.times.Timing(kind, now.Sub(g.attachedAt)); r.Timing.Own > 0 && r.Outcome == message.Answered {
+		r.Timing.Spent = now.Sub(arrived)
+	}
 	r.Notice = g.notice()
 	// The response reports the shedding threshold of this service, the lowest priority that its target admits. Upstream nodes
 	// shed requests below it, see package shed. A threshold of zero is reported too: it ends that shedding before the last
@@ -44,25 +50,24 @@
 // deliverWithinWindow runs a request within the limit on the runs in progress of its route, see package window. While the calls
 // of these runs wait too long for slots at downstream services, it refuses new requests above the limit. The limit does not
 // apply to calls: they are part of a chain whose first run was counted.
-func (p *Proxy) deliverWithinWindow(ctx context.Context, g *attachedTarget, req *message.Request) *message.Response {
+func (p *Proxy) deliverWithinWindow(ctx context.Context, g *attachedTarget, req *message.Request, kind string, objective time.Duration) *message.Response {
 	if req.Hop > 0 {
-		r, _ := p.admitAndRun(ctx, g, req, nil, 0)
+		r, _ := p.admitAndRun(ctx, g, req, kind, nil, 0)
 		return r
 	}
-	name, objective := p.routeOf(req)
-	w := g.windows.Get(name)
+	w := g.windows.Get(kind)
 	if !w.TryStart() {
-		return p.refuse(message.ReasonOverload, message.StepAdmit, randomRetryAfter(), "calls of route %q wait too long for more runs", name)
+		return p.refuse(message.ReasonOverload, message.StepAdmit, randomRetryAfter(), "calls of route %q wait too long for more runs", kind)
 	}
-	r, ended := p.admitAndRun(ctx, g, req, w, objective)
+	r, ended := p.admitAndRun(ctx, g, req, kind, w, objective)
 	w.Finish(ended)
 	return r
 }
 
 // admitAndRun waits for a slot, sends the request to the target and returns its response with the measurements of the run. The
-// window is nil for a call. The objective is the response time within which a response on the route is worth most, or zero;
+// kind is the name of the request's route. The window is nil for a call. The objective is the response time within which a response on the route is worth most, or zero;
 // unlike the time-out, it does not end the request.
-func (p *Proxy) admitAndRun(ctx context.Context, g *attachedTarget, req *message.Request, w *window.Window, objective time.Duration) (*message.Response, window.RunStats) {
+func (p *Proxy) admitAndRun(ctx context.Context, g *attachedTarget, req *message.Request, kind string, w *window.Window, objective time.Duration) (*message.Response, window.RunStats) {
 	arrived := time.Now()
 	permit, err := g.control.Acquire(ctx, admission.Work{
 		Priority:   req.Priority,
@@ -83,6 +88,10 @@
 	took := time.Since(start)
 	p.observeSuspect(g, req, r)
 	p.observeNotice(g, start, r.Notice)
+	calls := run.callClock.elapsed()
+	r.DownstreamFailed = run.refusedCalls.Load() > 0 || run.failedCalls.Load() > 0
+	g.recordTime(kind, start, took, calls, r)
+	p.observePace(g, kind, start, took-calls, r)
 	permit.Release(admission.Result{
 		Latency:   took,
 		Failed:    r.Outcome != message.Answered && r.Reason != message.ReasonCancelled || r.Status >= http.StatusInternalServerError,
@@ -94,7 +103,6 @@
 	r.Needs = p.finishChain(run, r)
 	callQueueTime := time.Duration(run.callQueueTime.Load())
 	r.Waited = start.Sub(arrived) + callQueueTime
-	r.DownstreamFailed = run.refusedCalls.Load() > 0 || run.failedCalls.Load() > 0
 	if seen := targetResult(r); !seen.Cancelled {
 		g.failures.Count(seen.Failed, time.Since(g.attachedAt))
 	}
@@ -107,6 +115,14 @@
 	}
 }
 
+// recordTime adds a completed run to the measured times of its kind. The time of a failure says little about that of a response,
+// and a run during which the process was paused measures the pause.
+func (g *attachedTarget) recordTime(kind string, start time.Time, took, calls time.Duration, r *message.Response) {
+	if r.Outcome == message.Answered && r.Status < http.StatusInternalServerError && !pause.Since(start) {
+		g.times.Record(kind, took-calls, calls, time.Since(g.attachedAt))
+	}
+}
+
 // timeAllowed returns the time within which a run should end: the objective of its route or, if that is zero or longer, the
 // time left until its deadline.
 func timeAllowed(left, objective time.Duration) time.Duration {
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -33,8 +33,8 @@
 	Links     int64 // open links to and from peers
 	Epoch     int64 // of the platform's store
 	Held      int64 // requests that are held, see package quarantine
-	// UnlikelyRefused and FiguresIgnored count since the start, see package chain.
-	UnlikelyRefused, FiguresIgnored int64
+	// UnlikelyRefused and IgnoredChainFigures count since the start, see package chain.
+	UnlikelyRefused, IgnoredChainFigures int64
 	// RateLimit is the limit on requests per second that the local target names; zero: none.
 	RateLimit float64
 	// ConfirmationAge is the age of the last confirmation that the configuration was the newest one, in seconds. Confirmed is false
@@ -42,6 +42,11 @@
 	Confirmed            bool
 	ConfirmationAge      float64
 	InvalidConfirmations int64 // that were ignored because of an impossible age or moment
+	// Slowdown is the time of the latest requests at the local target as a factor on their usual time; zero: no target.
+	Slowdown float64
+	// Pace is the share of its slots that the local target uses after a start; zero: no target.
+	Pace                 float64
+	IgnoredTargetFigures int64 // reported times and loads of targets that are out of range
 }
 
 // Metrics holds the instruments of a node.
@@ -114,13 +119,12 @@
 	held := gauge("wigeoncleat.quarantine.held", "Requests that are held because targets ended while they ran them.")
 	links := gauge("wigeoncleat.links", "Open links to and from peers.")
 	unlikely := gauge("wigeoncleat.chain.refused", "Requests refused since the start because a service that they need refuses or fails calls.")
-	ignored := gauge("wigeoncleat.chain.figures_ignored", "Figures on chains since the start that could not be true.")
+	ignoredChain := gauge("wigeoncleat.chain.figures_ignored", "Figures on chains since the start that could not be true.")
 	rateLimit, err := meter.Float64ObservableGauge("wigeoncleat.target.rate_limit", metric.WithUnit("{request}/s"),
 		metric.WithDescription("Limit on requests per second that the target beside the node names; zero: none."))
 	if err != nil {
 		return fmt.Errorf("gauge of the rate limit: %w", err)
 	}
-	gauges = append(gauges, rateLimit)
 	confirmationAge, err := meter.Float64ObservableGauge("wigeoncleat.configuration.confirmation_age", metric.WithUnit("s"),
 		metric.WithDescription("Age of the last confirmation that the configuration was the newest one."))
 	if err != nil {
@@ -128,6 +132,18 @@
 	}
 	gauges = append(gauges, confirmationAge)
 	invalidConfirmations := gauge("wigeoncleat.configuration.invalid_confirmations", "Confirmations that were ignored because of an impossible age.")
+	slowdown, err := meter.Float64ObservableGauge("wigeoncleat.target.slowdown",
+		metric.WithDescription("Time of the latest requests at the target beside the node, as a factor on their usual time."))
+	if err != nil {
+		return fmt.Errorf("gauge of the slowdown: %w", err)
+	}
+	pace, err := meter.Float64ObservableGauge("wigeoncleat.target.pace",
+		metric.WithDescription("Share of its slots that the target beside the node uses after a start; one: no ramp is in progress."))
+	if err != nil {
+		return fmt.Errorf("gauge of the pace: %w", err)
+	}
+	gauges = append(gauges, rateLimit, slowdown, pace)
+	ignoredTarget := gauge("wigeoncleat.balance.ignored_figures", "Reported times of targets that cannot be and did not count, since the start.")
 	violations := gauge("wigeoncleat.invariant.violations", "Violations of an invariant since the start.")
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g := read()
@@ -141,12 +157,15 @@
 		o.ObserveInt64(epoch, g.Epoch)
 		o.ObserveInt64(held, g.Held)
 		o.ObserveInt64(unlikely, g.UnlikelyRefused)
-		o.ObserveInt64(ignored, g.FiguresIgnored)
+		o.ObserveInt64(ignoredChain, g.IgnoredChainFigures)
 		o.ObserveFloat64(rateLimit, g.RateLimit)
 		o.ObserveInt64(invalidConfirmations, g.InvalidConfirmations)
 		if g.Confirmed {
 			o.ObserveFloat64(confirmationAge, g.ConfirmationAge)
 		}
+		o.ObserveFloat64(slowdown, g.Slowdown)
+		o.ObserveFloat64(pace, g.Pace)
+		o.ObserveInt64(ignoredTarget, g.IgnoredTargetFigures)
 		for name, n := range invariant.Counts() {
 			o.ObserveInt64(violations, n, metric.WithAttributes(attribute.String("invariant", string(name))))
 		}
