--- a/test/sidecar/site_test.go
+++ b/test/sidecar/site_test.go
@@ -95,6 +95,7 @@
 	config     []byte // as written last
 	told       toldNodes
 	deadly     deadlyRequests
+	limits     limits
 	// killsAll says that all nodes are killed at the same time now and then. What they know of requests that end targets is lost with
 	// them, so that such requests are not sent then.
 	killsAll      bool
@@ -107,12 +108,29 @@
 
 var storeIP = loopbackNetwork + ".10"
 
+// limits are the limits of the nodes' settings and of the operator's configuration.
+type limits struct {
+	memoryMB, descriptors, bodyBytes int
+}
+
+var defaultLimits = limits{memoryMB: 284, descriptors: 4100, bodyBytes: 1 << 20}
+
 func newSite(t *testing.T, vms int) *site { return newSiteOf(t, vms, nil) }
 
 // newSiteOf is newSite with organisations, each a key by the name of the organisation. Nil stands for a deployment without them.
 func newSiteOf(t *testing.T, vms int, organisations map[string]string) *site {
 	t.Helper()
-	s := &site{t: t, store: standin.NewStore(), organisations: organisations}
+	return startSite(t, vms, &site{organisations: organisations, limits: defaultLimits})
+}
+
+func newLimitedSite(t *testing.T, vms int, bounds limits) *site {
+	t.Helper()
+	return startSite(t, vms, &site{limits: bounds})
+}
+
+func startSite(t *testing.T, vms int, s *site) *site {
+	t.Helper()
+	s.t, s.store = t, standin.NewStore()
 	l := listen(t, at(storeIP, portStore))
 	srv := &http.Server{Handler: s.store}
 	go func() { _ = srv.Serve(l) }() // ends with Close
@@ -170,7 +188,7 @@
 		"services": []any{
 			map[string]any{"name": "menu", "max_connections": 100}, map[string]any{"name": "profile", "max_connections": 100},
 		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_s": 3, "idle_timeout_s": 15},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": s.limits.bodyBytes, "header_timeout_s": 3, "idle_timeout_s": 15},
 	}
 	if s.organisations != nil {
 		standin.AddOrganisations(config, s.organisations)
@@ -202,8 +220,8 @@
 app_address = %q
 service = %q
 [self.limits]
-memory_mb = 284
-max_fds = 4100
+memory_mb = %d
+max_fds = %d
 [network.listen]
 inbound = %q
 outbound = %q
@@ -216,7 +234,7 @@
 retry_slack = 48
 retry_budget_ratio = 0.2
 budget_window_s = 10
-`, v.ip, v.ip, zone, at(v.ip, portProxy), v.service, at(v.ip, portPeers), at(v.ip, portCallers),
+`, v.ip, v.ip, zone, at(v.ip, portProxy), v.service, v.site.limits.memoryMB, v.site.limits.descriptors, at(v.ip, portPeers), at(v.ip, portCallers),
 		at(v.ip, portReadiness), at(v.ip, portControl), at(storeIP, portProxy))
 	if v.site.organisations != nil {
 		text += standin.StrictRevocation
