wire: frame that grants an announced body

Cause: a node sends a body without knowing whether the other one has room for it.

Change: the frame Grant, a field of Hello in which a node states that it understands it, and functions that encode the first frame of a request or response without a part of the body and a body part by part. Nodes of the previous release ignore the field and never get the frame.

Result: nothing uses the frame yet; the tests of the package pass.

--- a/internal/connection/wire/convert.go
+++ b/internal/connection/wire/convert.go
@@ -13,7 +13,12 @@
 
 // EncodeRequest returns the frames of a request. They carry the time from now to its deadline.
 func EncodeRequest(stream uint64, r *message.Request, now time.Time) ([][]byte, error) {
-	f := &Request{
+	return encodeAll(stream, r.Body, func(part []byte) ([]byte, error) { return EncodeRequestHead(stream, r, now, part) })
+}
+
+// EncodeRequestHead returns the first frame of a request, with the first part of its body.
+func EncodeRequestHead(stream uint64, r *message.Request, now time.Time, part []byte) ([]byte, error) {
+	return Encode(&Request{
 		Stream:     stream,
 		ID:         r.ID,
 		Span:       r.Span,
@@ -29,7 +34,7 @@
 		Key:        r.Key,
 		Mode:       uint8(r.Mode),
 		BodySize:   uint64(len(r.Body)),
-		Part:       firstPart(r.Body),
+		Part:       part,
 		Host:       r.Host,
 		Attempt:    r.Attempt,
 		Instance:   r.Instance,
@@ -37,12 +42,16 @@
 		RateLimit:  r.RateLimit,
 
 		Organisation: r.Organisation, CredentialsHash: r.CredentialsHash,
-	}
-	return encodeWithBody(f, stream, r.Body)
+	})
 }
 
 // EncodeResponse returns the frames of a response to the request with the given ID.
 func EncodeResponse(stream uint64, id message.ID, r *message.Response) ([][]byte, error) {
+	return encodeAll(stream, r.Body, func(part []byte) ([]byte, error) { return EncodeResponseHead(stream, id, r, part) })
+}
+
+// EncodeResponseHead returns the first frame of a response, with the first part of its body.
+func EncodeResponseHead(stream uint64, id message.ID, r *message.Response, part []byte) ([]byte, error) {
 	f := &Response{
 		Stream:           stream,
 		ID:               id,
@@ -57,7 +66,7 @@
 		InFlight:         r.Load.InFlight,
 		Limit:            r.Load.Limit,
 		BodySize:         uint64(len(r.Body)),
-		Part:             firstPart(r.Body),
+		Part:             part,
 	}
 	if n := r.Notice; n != nil {
 		f.Notice = &Notice{Leaving: n.Leaving, Born: n.Born, RateLimited: n.RateLimited, RateLimit: n.RateLimit}
@@ -68,20 +77,18 @@
 	for _, t := range r.Thresholds {
 		f.Thresholds = append(f.Thresholds, Threshold{Service: t.Service, Priority: uint16(t.Priority)})
 	}
-	return encodeWithBody(f, stream, r.Body)
+	return Encode(f)
 }
 
-func firstPart(body []byte) []byte { return body[:min(len(body), MaxPart)] }
-
-func encodeWithBody(head Frame, stream uint64, body []byte) ([][]byte, error) {
-	b, err := Encode(head)
+func encodeAll(stream uint64, body []byte, encodeHead func(part []byte) ([]byte, error)) ([][]byte, error) {
+	offset := min(len(body), MaxPart)
+	b, err := encodeHead(body[:offset])
 	if err != nil {
 		return nil, err
 	}
 	frames := [][]byte{b}
-	for offset := MaxPart; offset < len(body); offset += MaxPart {
-		part := body[offset:min(offset+MaxPart, len(body))]
-		if b, err = Encode(&Body{Stream: stream, Offset: uint64(offset), Part: part}); err != nil {
+	for offset < len(body) {
+		if b, offset, err = EncodePart(stream, body, offset); err != nil {
 			return nil, err
 		}
 		frames = append(frames, b)
@@ -89,6 +96,13 @@
 	return frames, nil
 }
 
+// EncodePart returns the frame with the part of a body that begins at the offset, and the offset of the next part.
+func EncodePart(stream uint64, body []byte, offset int) ([]byte, int, error) {
+	end := min(offset+MaxPart, len(body))
+	b, err := Encode(&Body{Stream: stream, Offset: uint64(offset), Part: body[offset:end]})
+	return b, end, err
+}
+
 // Message returns the request without its body. Its deadline is now plus the time left.
 func (f *Request) Message(now time.Time) *message.Request {
 	return &message.Request{
@@ -164,6 +178,11 @@
 	return a, a.Add(0, first) // the buffer grows as parts arrive: a stated size alone allocates nothing
 }
 
+// NewReservedAssembly starts a body of a size for which memory is reserved, so that its buffer does not grow.
+func NewReservedAssembly(size uint64) *Assembly {
+	return &Assembly{size: size, body: make([]byte, 0, size)}
+}
+
 // Add appends the part that starts at offset.
 func (a *Assembly) Add(offset uint64, part []byte) error {
 	if offset != uint64(len(a.body)) || offset+uint64(len(part)) > a.size {
--- a/internal/connection/wire/frame.go
+++ b/internal/connection/wire/frame.go
@@ -42,6 +42,7 @@
 	TypeGoAway   Type = 8
 	TypeControl  Type = 9
 	TypeAttach   Type = 10
+	TypeGrant    Type = 11
 )
 
 // Channel names the receiver of a control frame inside a node.
@@ -64,8 +65,16 @@
 	Incarnation uint64 `cbor:"3,keyasint"` // start of the sender's process in Unix milliseconds; identifies the process
 	Zone        string `cbor:"4,keyasint"` // availability zone
 	Generation  uint64 `cbor:"5,keyasint"` // number of the link, assigned by the node that dialed it
+	// Features are optional parts of the protocol that the sender understands, a bit each. A node of an earlier release states none.
+	Features uint64 `cbor:"6,keyasint,omitempty"`
 }
 
+// FeatureGrant says that a node understands Grant. Bodies above MaxUnasked bytes are announced to it without a part.
+const FeatureGrant uint64 = 1
+
+// MaxUnasked is the size up to which a body is sent without a grant. Most bodies are smaller, and a grant takes a round trip.
+const MaxUnasked = 16 << 10
+
 // Request starts a request on a new stream. Its body may continue in Body frames. The fields have the meaning of
 // those of message.Request; TimeLeft stands for its Deadline.
 type Request struct {
@@ -161,6 +170,12 @@
 	ID            [16]byte `cbor:"4,keyasint"` // of the request
 }
 
+// Grant says that the sender has reserved memory for the announced body on a stream: that of a request or, on a stream of the receiver's
+// own, that of its response. The body follows in Body frames.
+type Grant struct {
+	Stream uint64 `cbor:"1,keyasint"`
+}
+
 // Ping asks for a Pong with the same sequence number.
 type Ping struct {
 	Sequence uint64 `cbor:"1,keyasint"`
@@ -223,6 +238,7 @@
 func (*GoAway) frameType() Type   { return TypeGoAway }
 func (*Control) frameType() Type  { return TypeControl }
 func (*Attach) frameType() Type   { return TypeAttach }
+func (*Grant) frameType() Type    { return TypeGrant }
 
 // Decode decodes one frame. The frame does not refer to the memory of b.
 func Decode(b []byte) (Frame, error) {
@@ -264,6 +280,8 @@
 		return new(Control)
 	case TypeAttach:
 		return new(Attach)
+	case TypeGrant:
+		return new(Grant)
 	default:
 		return nil
 	}
