--- a/cmd/wigeoncleat-sidecar/main.go
+++ b/cmd/wigeoncleat-sidecar/main.go
@@ -26,9 +26,6 @@
 const (
 	exitFailed   = 1
 	exitSettings = 2
-	// memoryLimitFraction is the fraction of the memory in the settings that is set as the soft memory limit of
-	// the Go runtime.
-	memoryLimitFraction = 0.7
 )
 
 func main() {
@@ -97,7 +94,7 @@
 	klog.SetLogger(klog.NewStdLogger(io.Discard))
 	event.Log(log, event.SettingsRead, slog.String("file", path))
 	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
+		debug.SetMemoryLimit(sidecar.CollectorLimit(settings.MemoryBytes))
 	}
 	s, err := assemble(settings, path, log)
 	if err != nil {
--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -8,8 +8,8 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
@@ -27,6 +27,13 @@
 	requestsCtx context.Context
 	giveUp      context.CancelCauseFunc
 
+	held     *memory.Reservation                // for the connection and the header that arrives
+	arriving atomic.Pointer[memory.Reservation] // of the request that arrives; nil if there is none
+	arrival  transfer                           // of that request
+	out      transfer                           // of the response that is being written
+	unread   atomic.Int64                       // bytes of finished responses that were not written
+	reason   atomic.Int32                       // 1 + CloseReason; zero: not closed for one
+
 	mu        sync.Mutex
 	pending   int           // requests that were read and not answered yet
 	waiting   int           // pending requests whose response is not being written yet
@@ -41,39 +48,14 @@
 const readBuffer = 2 << 10
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{srv: s, nc: nc, in: limitedReader{r: nc}}
+	c := &conn{srv: s, nc: nc, held: s.budget.NewReservation(memory.Connections)}
+	c.in = limitedReader{r: nc, held: c.held, moved: &c.arrival.moved}
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	c.requestsCtx, c.giveUp = context.WithCancelCause(c.ctx)
 	c.br = bufio.NewReaderSize(&c.in, readBuffer)
 	return c
 }
 
-// limitedReader reads up to a number of bytes from r and then returns errHeaderSize.
-type limitedReader struct {
-	r         io.Reader
-	remaining int  // bytes that may still be read; negative: no limit
-	exceeded  bool // a read failed with errHeaderSize
-	expired   bool // a read failed because of its deadline; a parser can report that as malformed input
-}
-
-var errHeaderSize = errors.New("header exceeds its limit")
-
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining == 0 {
-		l.exceeded = true
-		return 0, errHeaderSize
-	}
-	if l.remaining > 0 && len(p) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.r.Read(p)
-	if l.remaining > 0 {
-		l.remaining -= n
-	}
-	l.expired = l.expired || errors.Is(err, os.ErrDeadlineExceeded)
-	return n, err
-}
-
 // run reads requests until the caller or the server ends the connection, then waits for the pending requests.
 func (c *conn) run() {
 	cause := c.read()
@@ -92,6 +74,7 @@
 	}
 	c.cancel(errCallerLeft)
 	_ = c.nc.Close()
+	c.held.Release()
 }
 
 // read reads and dispatches requests. It returns nil if pending requests are still to be answered, else the cause with which
@@ -104,10 +87,14 @@
 		} else if err != nil {
 			return err
 		}
+		c.arrival.begin(c.srv)
 		r, err := c.readRequest(limits)
+		c.arriving.Store(nil)
+		c.arrival.end()
 		var reject *RejectError
 		switch {
 		case errors.As(err, &reject):
+			c.held.Shrink(connectionBytes)
 			c.reject(reject)
 			return nil
 		case err != nil:
@@ -206,12 +193,13 @@
 	}
 }
 
-// throttle waits if the connection has maxPipelined pending requests. Since it waits for the newest of them and responses are sent
+// throttle waits if the connection has maxPipelined pending requests, or more than maxUnread bytes of responses to write, or if it has
+// any while memory is short. Since it waits for the newest of them and responses are sent
 // in order, all of them are answered before the next request is read.
 func (c *conn) throttle() error {
 	for {
 		c.mu.Lock()
-		full, lastDone := c.pending >= maxPipelined, c.lastDone
+		full, lastDone := c.pending >= maxPipelined || c.pending > 0 && (c.unread.Load() > maxUnread || c.srv.budget.Short()), c.lastDone
 		c.mu.Unlock()
 		if !full {
 			return nil
@@ -224,118 +212,6 @@
 	}
 }
 
-func (c *conn) readRequest(limits Limits) (*Request, error) {
-	arrived := time.Now()
-	c.in.remaining, c.in.exceeded = max(0, limits.HeaderBytes-c.br.Buffered())+readBuffer, false
-	c.in.expired = false
-	hr, err := http.ReadRequest(c.br)
-	if err != nil {
-		return nil, c.headerError(err)
-	}
-	if headerSize(hr) > limits.HeaderBytes {
-		return nil, &RejectError{http.StatusRequestHeaderFieldsTooLarge, errHeaderSize.Error()}
-	}
-	c.in.remaining = -1
-	if hr.ContentLength > int64(limits.BodyBytes) {
-		return nil, &RejectError{http.StatusRequestEntityTooLarge, "body exceeds its limit"}
-	}
-	r := &Request{Request: hr, Arrived: arrived, memory: c.srv.bodies.NewReservation()}
-	if hr.ContentLength != 0 {
-		if err = c.readBody(r, limits); err != nil {
-			r.memory.Release()
-			return nil, err
-		}
-	}
-	if c.isLate() {
-		r.memory.Release()
-		return nil, errStopping
-	}
-	return r, nil
-}
-
-func (c *conn) isLate() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.late
-}
-
-// errStopping rejects a request that has not arrived before the server stops.
-var errStopping = &RejectError{http.StatusServiceUnavailable, "the node stops and takes no further requests"}
-
-// headerError returns a RejectError for a header that cannot be read, or err if the connection itself has failed.
-func (c *conn) headerError(err error) error {
-	switch {
-	case c.in.exceeded:
-		return &RejectError{http.StatusRequestHeaderFieldsTooLarge, errHeaderSize.Error()}
-	case c.in.expired:
-		return c.lateError("header did not arrive in time")
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
-		return err
-	default:
-		return errHeaderMalformed
-	}
-}
-
-// errHeaderMalformed rejects a header that cannot be read, and errBodyMalformed a body. The errors of the library are not passed on:
-// they quote lines of the header or trailer, which may contain credentials, and the text is logged.
-var (
-	errHeaderMalformed = &RejectError{http.StatusBadRequest, "malformed request header"}
-	errBodyMalformed   = &RejectError{http.StatusBadRequest, "malformed request body"}
-)
-
-// lateError returns the error for a request that did not arrive in time.
-func (c *conn) lateError(detail string) error {
-	if c.isLate() {
-		return errStopping
-	}
-	return &RejectError{http.StatusRequestTimeout, detail}
-}
-
-func isNetError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op)
-}
-
-// headerSize returns the size of a request header as it was sent, apart from optional white space.
-func headerSize(r *http.Request) int {
-	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + len("Host: ")
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
-		}
-	}
-	return n
-}
-
-func (c *conn) readBody(r *Request, limits Limits) error {
-	hr := r.Request
-	c.setArrivalDeadline(bodyTimeout)
-	if strings.EqualFold(hr.Header.Get("Expect"), "100-continue") {
-		if err := c.sendContinue(); err != nil {
-			return err
-		}
-	}
-	body, err := r.memory.ReadAll(hr.Body, hr.ContentLength, limits.BodyBytes)
-	switch {
-	case err == nil:
-		r.Payload = body
-		return nil
-	case errors.Is(err, memory.ErrBudget):
-		return errMemory
-	case errors.Is(err, memory.ErrSize):
-		return &RejectError{http.StatusRequestEntityTooLarge, "body exceeds its limit"}
-	case c.in.expired:
-		return c.lateError("body did not arrive in time")
-	case isNetError(err), errors.Is(err, io.ErrUnexpectedEOF):
-		return err
-	default:
-		return errBodyMalformed
-	}
-}
-
-// errMemory rejects a request whose body does not fit into the memory for request bodies at present.
-var errMemory = &RejectError{http.StatusServiceUnavailable, "no memory for the body at present"}
-
 // sendContinue sends 100 Continue after the responses to earlier requests.
 func (c *conn) sendContinue() error {
 	c.mu.Lock()
@@ -359,6 +235,11 @@
 	}
 	previous := c.lastDone
 	c.lastDone = done
+	var kept int64 // what the request takes until its response is written
+	if c.pending > 0 {
+		kept = requestBytes
+		r.memory.ReserveOver(kept)
+	}
 	c.pending++
 	c.waiting++
 	c.reading = false
@@ -369,11 +250,16 @@
 		defer close(done)
 		defer c.srv.active.Add(-1)
 		a := c.srv.handler.Serve(c.requestsCtx, r)
-		r.memory.Release()
+		res, method, last := r.memory, r.Method, r.Close
+		r = nil // its header and body are not needed while the response waits
+		res.Shrink(kept)
+		defer res.Release()
+		c.unread.Add(int64(len(a.Body)))
+		defer c.unread.Add(-int64(len(a.Body)))
 		if previous != nil {
 			<-previous
 		}
-		c.respond(r.Request, a)
+		c.respond(method, last, a)
 		a.Memory.Release()
 	}()
 	return true
@@ -381,21 +267,26 @@
 
 // respond writes a response. The response ends the connection if the caller asked for that, or if keep-alives are disabled
 // and no other request has been read or is arriving: those must still be answered.
-func (c *conn) respond(r *http.Request, a *Response) {
+func (c *conn) respond(method string, last bool, a *Response) {
 	c.mu.Lock()
 	c.waiting--
 	if c.ctx.Err() != nil {
 		c.mu.Unlock()
+		c.reportCut(a, c.ctx.Err())
 		c.finish(nil)
 		return
 	}
-	last := r.Close || c.srv.closing.Load() && c.pending == 1 && !c.reading
+	last = last || c.srv.closing.Load() && c.pending == 1 && !c.reading
 	if last {
 		c.closed, c.closeSent = true, true
 	}
 	c.mu.Unlock()
-	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	err := writeResponse(c.nc, r, a, last)
+	c.out.begin(c.srv)
+	err := c.writeResponse(method, a, last)
+	c.out.end()
+	if err != nil {
+		c.reportCut(a, err)
+	}
 	c.finish(err)
 	if last {
 		_ = c.nc.SetReadDeadline(time.Now()) // interrupts the wait for the next request
@@ -425,8 +316,7 @@
 	if before != nil {
 		<-before
 	}
-	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_ = writeResponse(c.nc, &http.Request{Method: http.MethodGet}, c.srv.handler.Reject(e.Status, e.Detail), true)
+	_ = c.writeResponse(http.MethodGet, c.srv.handler.Reject(e.Status, e.Detail), true)
 	c.linger()
 }
 
--- a/internal/connection/entry/entry.go
+++ b/internal/connection/entry/entry.go
@@ -33,6 +33,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	ID     string              // of the request, for logs
 	Memory *memory.Reservation // released after the response was written or discarded; may be nil
 }
 
@@ -59,10 +60,11 @@
 	// maxPipelined bounds the concurrent requests of one connection. When there are that many, the next
 	// request is read after all of them are answered.
 	maxPipelined = 64
-	// bodyTimeout bounds the time to read a body, because a body that arrives slowly occupies memory meanwhile.
+	// bodyTimeout bounds the time in which nothing of a body arrives. A body that arrives slowly is read while there is room.
 	bodyTimeout = 30 * time.Second
-	// writeTimeout bounds the time to write a response to a caller that reads slowly.
-	writeTimeout = 20 * time.Second
+	// DefaultStallTime is the stall time if none is given, see Config.StallTime. Within it, the slowest caller that is served takes
+	// the third of its socket buffer that the kernel frees at a time: about 0.7 KiB/s.
+	DefaultStallTime = 60 * time.Second
 	// acceptPause is the delay after a failed accept, the usual cause of which is a lack of file descriptors.
 	acceptPause = 5 * time.Millisecond
 	// CloseDelay is how long CloseIdle continues to accept connections from the accept queue and requests on idle connections.
@@ -72,9 +74,14 @@
 
 // Server serves the connections of one or more listeners.
 type Server struct {
-	handler  Handler
-	maxConns int
-	bodies   *memory.Budget // for the bodies of pending requests
+	handler   Handler
+	maxConns  int
+	budget    *memory.Budget // for connections and for the headers and bodies of pending requests
+	stallTime time.Duration
+	started   time.Time
+
+	closedFor [closeReasons]atomic.Int64
+	lastClose atomic.Int64 // when CloseSlowest last closed a connection, in nanoseconds from started
 
 	active    atomic.Int64              // requests that were read and not answered yet
 	closing   atomic.Bool               // each connection ends with the requests that have begun to arrive
@@ -87,10 +94,23 @@
 	running   sync.WaitGroup // of connections; grows only under mu while closed is not set
 }
 
-// NewServer returns a server that limits the open connections to maxConns and the memory for request bodies to maxBodyMemory
-// bytes.
-func NewServer(h Handler, maxConns int, maxBodyMemory int64) *Server {
-	return &Server{handler: h, maxConns: maxConns, bodies: memory.NewBudget(maxBodyMemory), conns: map[*conn]struct{}{}}
+// Config configures a server.
+type Config struct {
+	MaxConnections int
+	// Budget counts connections and the headers and bodies of pending requests.
+	Budget *memory.Budget
+	// StallTime is the time after which a connection is closed whose caller takes nothing of a response. Zero: DefaultStallTime.
+	StallTime time.Duration
+}
+
+// NewServer returns a server.
+func NewServer(h Handler, cfg Config) *Server {
+	if cfg.StallTime <= 0 {
+		cfg.StallTime = DefaultStallTime
+	}
+	return &Server{
+		handler: h, maxConns: cfg.MaxConnections, budget: cfg.Budget, stallTime: cfg.StallTime, started: time.Now(), conns: map[*conn]struct{}{},
+	}
 }
 
 // Serve accepts connections until the listener is closed, or until CloseDelay after CloseIdle was called.
@@ -115,18 +135,21 @@
 	}
 }
 
-// start serves a new connection. If maxConns is reached, it closes an idle connection to make room, or the new one if none is
-// idle. It also closes the new one after Close.
+// start serves a new connection. If maxConns is reached or memory is short, it closes an idle connection to make room, or a slow one, or
+// the new one if there is neither. It also closes the new one after Close.
 func (s *Server) start(nc net.Conn) {
+	limitSocket(nc)
 	c := newConn(s, nc)
 	s.mu.Lock()
-	refused := s.closed || len(s.conns) >= s.maxConns && !s.evictLocked()
+	refused := s.closed || !s.admitLocked(c)
 	if !refused {
 		s.conns[c] = struct{}{}
 		s.running.Add(1)
 	}
 	s.mu.Unlock()
 	if refused {
+		c.cancel(errServerClosed)
+		c.held.Release()
 		_ = nc.Close() // nothing was read, so the caller can retry immediately
 		return
 	}
@@ -143,6 +166,7 @@
 func (s *Server) evictLocked() bool {
 	for c := range s.conns {
 		if c.closeIdle() {
+			_ = c.nc.Close() // at once: its goroutine may notice only after further connections were accepted
 			delete(s.conns, c)
 			return true
 		}
--- a/internal/connection/entry/entry_test.go
+++ b/internal/connection/entry/entry_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
 )
 
 // handler responds with the path and body of the request. If the path starts with a duration, as in /500ms/x, it waits for that
@@ -48,11 +50,15 @@
 	return Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 }
 
+func newTestServer(h Handler, maxConns int) *Server {
+	return NewServer(h, Config{MaxConnections: maxConns, Budget: memory.NewBudget(4 << 20)})
+}
+
 // connect starts a server and returns the caller's end of a connection to it.
 func connect(t *testing.T) (net.Conn, *bufio.Reader, *handler, *Server) {
 	t.Helper()
 	h := &handler{}
-	s := NewServer(h, 10, 1500)
+	s := newTestServer(h, 10)
 	caller, served := net.Pipe()
 	s.start(served)
 	t.Cleanup(func() {
@@ -188,7 +194,7 @@
 func TestBodiesAreBoundedTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := &handler{}
-		s := NewServer(h, 10, 1500)
+		s := NewServer(h, Config{MaxConnections: 10, Budget: memory.NewBudget(2*connectionBytes + 1500)})
 		open := func() (net.Conn, *bufio.Reader) {
 			caller, served := net.Pipe()
 			s.start(served)
@@ -220,7 +226,7 @@
 func TestIdleConnectionMakesRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := &handler{}
-		s := NewServer(h, 2, 1500)
+		s := newTestServer(h, 2)
 		var callers []net.Conn
 		for i := range 3 {
 			caller, served := net.Pipe()
@@ -245,7 +251,7 @@
 func TestNoResponseAfterConnectionEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		caller, served := net.Pipe()
-		c := newConn(NewServer(&handler{}, 10, 1500), served)
+		c := newConn(newTestServer(&handler{}, 10), served)
 		c.closed = true
 		require.NoError(t, served.SetReadDeadline(time.Now()))
 		go c.run()
--- a/internal/connection/entry/stop_test.go
+++ b/internal/connection/entry/stop_test.go
@@ -17,7 +17,7 @@
 func TestRequestOnAConnectionAcceptedDuringCloseIsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := &handler{}
-		s := NewServer(h, 10, 1500)
+		s := newTestServer(h, 10)
 		s.Close()
 		caller, served := net.Pipe()
 		defer caller.Close()
@@ -92,7 +92,7 @@
 // and those that are in transit on idle connections.
 func TestStopAnswersWhatHasJustArrived(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := NewServer(&handler{}, 100, 1500)
+		s := newTestServer(&handler{}, 100)
 		l := newBacklog()
 		served := make(chan error, 1)
 		go func() { served <- s.Serve(l) }()
--- a/internal/connection/entry/write.go
+++ b/internal/connection/entry/write.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 )
 
 // buffers pools the buffers of writeResponse.
@@ -14,9 +14,13 @@
 // maxPooledBuffer is the capacity, in bytes, above which a buffer is not returned to the pool.
 const maxPooledBuffer = 64 << 10
 
-// writeResponse writes a response with a single call of Write. If last is set, the response announces the end of the
-// connection.
-func writeResponse(nc net.Conn, r *http.Request, a *Response, last bool) error {
+// writePiece is the size of the parts in which a long body is written. The first one is copied behind the header, so that an ordinary
+// response takes a single call of Write.
+const writePiece = 16 << 10
+
+// writeResponse writes a response. If last is set, the response announces the end of the connection. It fails if the caller does not
+// take writePiece bytes within the stall time.
+func (c *conn) writeResponse(method string, a *Response, last bool) error {
 	b := buffers.Get().(*bytes.Buffer)
 	defer func() {
 		if b.Cap() <= maxPooledBuffer {
@@ -29,7 +33,7 @@
 	b.WriteByte(' ')
 	b.WriteString(http.StatusText(a.Status))
 	b.WriteString("\r\n")
-	bodyless := r.Method == http.MethodHead || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
+	bodyless := method == http.MethodHead || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
 	for name, values := range a.Header {
 		if name == "Content-Length" && !bodyless {
 			continue
@@ -50,9 +54,20 @@
 		b.WriteString("Connection: close\r\n")
 	}
 	b.WriteString("\r\n")
+	var rest []byte
 	if !bodyless {
-		b.Write(a.Body)
+		first := min(len(a.Body), writePiece)
+		b.Write(a.Body[:first])
+		rest = a.Body[first:]
+	}
+	for piece := b.Bytes(); ; {
+		_ = c.nc.SetWriteDeadline(time.Now().Add(c.srv.stallTime))
+		n, err := c.nc.Write(piece)
+		c.out.moved.Add(int64(n))
+		if err != nil || len(rest) == 0 {
+			return err
+		}
+		piece = rest[:min(len(rest), writePiece)]
+		rest = rest[len(piece):]
 	}
-	_, err := nc.Write(b.Bytes())
-	return err
 }
--- a/internal/connection/link/inbound.go
+++ b/internal/connection/link/inbound.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
@@ -29,6 +30,9 @@
 	streams    map[uint64]*stream
 	lastStream uint64 // highest accepted stream
 	leaving    bool   // this node has queued a go-away frame and ignores new requests
+
+	unsentMu sync.Mutex
+	unsent   map[uint64]*unsentBody // announced bodies of responses, until they are written
 }
 
 // serve handles the link until the connection ends. Then it cancels the idempotent requests that still run, hands the others
@@ -45,9 +49,21 @@
 	in.handOver()
 	close(in.done)
 	in.running.Wait()
+	in.releaseStreams()
 	return context.Cause(ctx)
 }
 
+// releaseStreams releases what the requests hold that end with the link.
+func (in *inbound) releaseStreams() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for id, s := range in.streams {
+		s.dropBody()
+		s.req.Memory.Release()
+		delete(in.streams, id)
+	}
+}
+
 // handOver hands the started requests that are not idempotent over to the sessions. The link no longer reads or writes by then.
 func (in *inbound) handOver() {
 	in.mu.Lock()
@@ -101,6 +117,9 @@
 		return in.handleAttach(f)
 	case *wire.Cancel:
 		in.handleCancel(f)
+		in.dropUnsent(f.Stream)
+	case *wire.Grant:
+		in.handleGrant(f)
 	case *wire.Ping:
 		in.post(&wire.Pong{Sequence: f.Sequence})
 	case *wire.Control:
@@ -120,12 +139,26 @@
 	}
 	in.lastStream = f.Stream
 	req := f.Message(time.Now())
+	s := &stream{key: streamKey{in.generation, f.Stream}, req: req, cancel: func() {}}
+	if f.BodySize > 0 {
+		s.held = in.cfg.Budget.NewReservation(memory.Forwarded)
+	}
+	if announced(f.BodySize, f.Part) && f.BodySize <= uint64(in.cfg.MaxBody) {
+		in.streams[f.Stream] = s
+		in.awaitRoom(ctx, f.Stream, s, f.BodySize)
+		return nil
+	}
 	body, err := wire.NewAssembly(f.BodySize, f.Part, in.cfg.MaxBody)
 	if err != nil {
 		in.respond(f.Stream, req.ID, message.Refuse(message.ReasonTooLarge, message.Errorf(message.StepAccept, in.cfg.Self.Address, "%v", err)))
 		return nil
 	}
-	s := &stream{key: streamKey{in.generation, f.Stream}, req: req, body: body, cancel: func() {}}
+	if f.BodySize > 0 && !s.held.Reserve(int64(f.BodySize)) {
+		in.respond(f.Stream, req.ID, message.Refuse(message.ReasonOverload,
+			message.Errorf(message.StepAccept, in.cfg.Self.Address, "no memory for a body of %d bytes", f.BodySize)))
+		return nil
+	}
+	s.body = body
 	in.streams[f.Stream] = s
 	in.startIfComplete(ctx, f.Stream, s)
 	return nil
@@ -172,9 +205,12 @@
 	if !ok || s.started {
 		return
 	}
-	if err := s.body.Add(f.Offset, f.Part); err != nil {
-		delete(in.streams, f.Stream) // a later part must not start a request that is reported as not run
-		in.respond(f.Stream, s.req.ID, message.Refuse(message.ReasonInvalid, message.Errorf(message.StepAccept, in.cfg.Self.Address, "%v", err)))
+	err := wire.ErrBody // of a body that was not granted
+	if s.body != nil {
+		err = s.body.Add(f.Offset, f.Part)
+	}
+	if err != nil {
+		in.refuseUnfinished(f.Stream, s, message.Refuse(message.ReasonInvalid, message.Errorf(message.StepAccept, in.cfg.Self.Address, "%v", err)))
 		return
 	}
 	in.startIfComplete(ctx, f.Stream, s)
@@ -187,9 +223,13 @@
 		return
 	}
 	s.req.Body, s.body, s.started = body, nil, true
+	if s.stopExpiry != nil {
+		s.stopExpiry()
+	}
 	if !s.req.Idempotent {
 		ctx = in.poolCtx // it must not run again elsewhere, so it goes on without the link
 	}
+	s.req.Memory = in.cfg.Budget.NewReservation(memory.Responses)
 	ctx, s.cancel = context.WithDeadline(ctx, s.req.Deadline)
 	s.bind(in, id)
 	in.running.Go(func() {
@@ -206,9 +246,16 @@
 	s, ok := in.streams[id]
 	delete(in.streams, id)
 	in.mu.Unlock()
-	if ok && !s.req.Idempotent {
+	in.unsentMu.Lock()
+	delete(in.unsent, id)
+	in.unsentMu.Unlock()
+	if !ok {
+		return
+	}
+	if !s.req.Idempotent {
 		in.sessions.keep(in, s)
 	}
+	s.req.Memory.Release()
 }
 
 func (in *inbound) handleCancel(f *wire.Cancel) {
@@ -218,25 +265,38 @@
 	if !ok {
 		return
 	}
+	s.cancel()
 	if !s.started {
 		delete(in.streams, f.Stream)
-		return
+		s.dropBody()
 	}
-	s.cancel()
 }
 
 // respond queues the response on a stream.
 func (in *inbound) respond(stream uint64, id message.ID, r *message.Response) {
-	frames, err := wire.EncodeResponse(stream, id, r)
+	part := firstPart(r.Body, in.peer.grants)
+	head, err := wire.EncodeResponseHead(stream, id, r, part)
 	if err != nil {
 		// Only response headers set by the target, the process that ran the request, can make the first frame too large.
 		unknown := message.UnknownOutcome(message.ReasonTooLarge, message.Errorf(message.StepRun, in.cfg.Self.Address, "%v", err))
 		unknown.RetriesLeft = r.RetriesLeft
-		if frames, err = wire.EncodeResponse(stream, id, unknown); err != nil {
+		if head, err = wire.EncodeResponseHead(stream, id, unknown, nil); err != nil {
 			return
 		}
+		r, part = unknown, nil
+	}
+	written := func() { in.responseWritten(stream) }
+	if !announced(uint64(len(r.Body)), part) {
+		in.writer.enqueue(&outgoing{frame: head, body: r.Body, offset: len(part), stream: stream, onWritten: written})
+		return
+	}
+	in.unsentMu.Lock()
+	if in.unsent == nil {
+		in.unsent = map[uint64]*unsentBody{}
 	}
-	in.writer.enqueue(&outgoing{frames: frames, onWritten: func() { in.responseWritten(stream) }})
+	in.unsent[stream] = &unsentBody{msg: &outgoing{body: r.Body, stream: stream, onWritten: written}}
+	in.unsentMu.Unlock()
+	in.writer.enqueue(&outgoing{frame: head})
 }
 
 func (in *inbound) post(f wire.Frame) {
@@ -244,7 +304,7 @@
 	if err != nil {
 		return
 	}
-	in.writer.enqueue(&outgoing{frames: [][]byte{b}})
+	in.writer.enqueue(&outgoing{frame: b})
 }
 
 // goAway refuses new requests from now on and tells the peer. Attach frames are still answered.
--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -14,6 +14,7 @@
 	"github.com/coder/websocket"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
@@ -45,6 +46,8 @@
 	Address     string // of its peer interface
 	Incarnation uint64 // start of the process in Unix milliseconds; tells it from earlier processes at the same address
 	Zone        string // availability zone
+
+	grants bool // understands wire.Grant
 }
 
 // Config configures links.
@@ -72,6 +75,8 @@
 	DialBackoff time.Duration
 	// MaxBody bounds the body of a request or response, in bytes. Default 16 MiB.
 	MaxBody int
+	// Budget bounds the memory for bodies of requests of peers; nil: it is not bounded.
+	Budget *memory.Budget
 }
 
 func (c Config) withDefaults() Config {
--- a/internal/connection/link/outbound.go
+++ b/internal/connection/link/outbound.go
@@ -49,6 +49,11 @@
 	head     *message.Response      // response whose body is not complete yet
 	body     *wire.Assembly
 	memory   *memory.Reservation // reserves the bytes of the response's body
+	ctx      context.Context     // of the request
+
+	unsent   *outgoing // announced body of the request; nil if there is none
+	granted  bool      // the peer has asked for it
+	answered bool      // the head of the response has arrived
 }
 
 // dialHandshake exchanges the hello frames on a connection that this node dialed.
@@ -60,7 +65,11 @@
 	if err != nil {
 		return Peer{}, fmt.Errorf("read hello: %w", err)
 	}
-	return Peer{Address: hello.Address, Incarnation: hello.Incarnation, Zone: hello.Zone}, nil
+	return peerOf(hello), nil
+}
+
+func peerOf(h *wire.Hello) Peer {
+	return Peer{Address: h.Address, Incarnation: h.Incarnation, Zone: h.Zone, grants: h.Features&wire.FeatureGrant != 0}
 }
 
 func writeHello(ctx context.Context, conn Conn, self Peer, generation uint64) error {
@@ -70,6 +79,7 @@
 		Incarnation: self.Incarnation,
 		Zone:        self.Zone,
 		Generation:  generation,
+		Features:    wire.FeatureGrant,
 	})
 	if err != nil {
 		return err
@@ -160,7 +170,11 @@
 	if o.leaving.Load() {
 		return message.Refuse(message.ReasonLeaving, message.Errorf(message.StepSend, o.peer.Address, "node is leaving")), nil, true
 	}
-	stream, c, err := o.open(req, false, func(stream uint64) ([][]byte, error) { return wire.EncodeRequest(stream, req, time.Now()) })
+	stream, c, err := o.open(ctx, req, false, func(stream uint64) (*outgoing, error) {
+		part := firstPart(req.Body, o.peer.grants)
+		b, err := wire.EncodeRequestHead(stream, req, time.Now(), part)
+		return &outgoing{frame: b, body: req.Body, offset: len(part), stream: stream}, err
+	})
 	if err != nil {
 		return message.Refuse(message.ReasonInvalid, message.Errorf(message.StepSend, o.peer.Address, "%v", err)), nil, true
 	}
@@ -169,9 +183,9 @@
 
 // attach asks for the response to a request whose link was lost. Its results are those of send.
 func (o *outbound) attach(ctx context.Context, req *message.Request, earlier *lostCall) (r *message.Response, lost *lostCall, sent bool) {
-	stream, c, err := o.open(req, true, func(stream uint64) ([][]byte, error) {
+	stream, c, err := o.open(ctx, req, true, func(stream uint64) (*outgoing, error) {
 		b, err := wire.Encode(&wire.Attach{Stream: stream, Generation: earlier.generation, EarlierStream: earlier.stream, ID: req.ID})
-		return [][]byte{b}, err
+		return &outgoing{frame: b}, err
 	})
 	if err != nil {
 		return earlier.unknownOutcome(o.peer.Address), nil, true
@@ -216,7 +230,7 @@
 }
 
 // open registers a call and queues its frames. It returns a nil call if the link is closed.
-func (o *outbound) open(req *message.Request, attached bool, encode func(stream uint64) ([][]byte, error)) (uint64, *call, error) {
+func (o *outbound) open(ctx context.Context, req *message.Request, attached bool, encode func(stream uint64) (*outgoing, error)) (uint64, *call, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.closed {
@@ -224,13 +238,17 @@
 	}
 	stream := o.nextStream + 1
 	now := time.Now()
-	frames, err := encode(stream)
+	msg, err := encode(stream)
 	if err != nil {
 		return 0, nil, err
 	}
 	c := &call{
-		id: req.ID, attached: attached, once: !req.Idempotent, msg: &outgoing{frames: frames},
-		response: make(chan *message.Response, 1), memory: req.Memory,
+		id: req.ID, attached: attached, once: !req.Idempotent, msg: msg,
+		response: make(chan *message.Response, 1), memory: req.Memory, ctx: ctx,
+	}
+	if len(msg.body) > 0 && msg.offset == 0 {
+		c.unsent = &outgoing{body: msg.body, stream: stream}
+		msg.body = nil
 	}
 	if !o.writer.enqueue(c.msg) {
 		return 0, nil, nil
@@ -268,9 +286,14 @@
 	if c.msg.withdraw() && !c.attached {
 		return message.Refuse(unknown.Reason, message.Errorf(message.StepSend, o.peer.Address, "%v before the request was written", ctx.Err()))
 	}
+	if c.neverSent() {
+		o.post(&wire.Cancel{Stream: stream})
+		return message.Refuse(unknown.Reason, message.Errorf(message.StepSend, o.peer.Address, "%v before the body was sent", ctx.Err()))
+	}
 	if c.once && errors.Is(context.Cause(ctx), message.ErrStopping) {
 		return unknown // the target completes it, as it does when the link of this node is lost
 	}
+	c.dropBody()
 	o.post(&wire.Cancel{Stream: stream})
 	return unknown
 }
@@ -281,7 +304,7 @@
 	if err != nil {
 		return
 	}
-	o.writer.enqueue(&outgoing{frames: [][]byte{b}})
+	o.writer.enqueue(&outgoing{frame: b})
 }
 
 // failPending settles all calls of a closed link. A request of which nothing was written was not run; the response channel of
@@ -293,9 +316,9 @@
 	o.calls = nil
 	o.mu.Unlock()
 	for _, c := range calls {
-		if c.msg.withdraw() && !c.attached {
+		if c.msg.withdraw() && !c.attached || c.neverSent() {
 			c.response <- message.Refuse(message.ReasonConnection,
-				message.Errorf(message.StepSend, o.peer.Address, "link closed before the request was written: %v", cause))
+				message.Errorf(message.StepSend, o.peer.Address, "link closed before the request was sent: %v", cause))
 			continue
 		}
 		close(c.response)
@@ -308,6 +331,8 @@
 		o.handleResponse(f)
 	case *wire.Body:
 		o.handleBody(f)
+	case *wire.Grant:
+		o.handleGrant(f)
 	case *wire.GoAway:
 		o.handleGoAway(f)
 	}
@@ -317,14 +342,26 @@
 func (o *outbound) handleResponse(f *wire.Response) {
 	o.mu.Lock()
 	c, ok := o.calls[f.Stream]
+	again := ok && c.answered
+	if ok {
+		c.answered = true
+	}
 	o.mu.Unlock()
 	if !ok {
 		return // the call was settled before: a late response is dropped
 	}
+	if again {
+		o.refuse(f.Stream, fmt.Errorf("%w: second response on stream %d", errProtocol, f.Stream))
+		return
+	}
 	if c.id != f.ID {
 		o.refuse(f.Stream, fmt.Errorf("%w: response to request %s on the stream of request %s", errProtocol, message.ID(f.ID), c.id))
 		return
 	}
+	if announced(f.BodySize, f.Part) && f.BodySize <= uint64(o.cfg.MaxBody) {
+		go o.awaitRoom(c, f) // ends with the call or the link
+		return
+	}
 	body, err := wire.NewAssembly(f.BodySize, f.Part, o.cfg.MaxBody)
 	if err == nil && !c.memory.Reserve(int64(f.BodySize)) {
 		err = memory.ErrBudget
@@ -333,15 +370,18 @@
 		o.refuse(f.Stream, err)
 		return
 	}
+	o.mu.Lock()
 	c.head, c.body = f.Message(), body
+	o.mu.Unlock()
 	o.finish(f.Stream, c)
 }
 
 func (o *outbound) handleBody(f *wire.Body) {
 	o.mu.Lock()
 	c, ok := o.calls[f.Stream]
+	ok = ok && c.head != nil
 	o.mu.Unlock()
-	if !ok || c.head == nil {
+	if !ok {
 		return
 	}
 	if err := c.body.Add(f.Offset, f.Part); err != nil {
@@ -360,6 +400,7 @@
 	if _, ok := o.take(stream); !ok {
 		return
 	}
+	c.dropBody() // a response can arrive before the whole body of the request was sent
 	c.head.Body = body
 	invariant.Check(invariant.AnswerMatches, c.msg.state.Load() == stateWriting,
 		"response on stream %d, whose request was never written", stream)
@@ -368,8 +409,11 @@
 
 // refuse settles a call whose response cannot be used.
 func (o *outbound) refuse(stream uint64, err error) {
-	event.Log(o.log, event.FrameInvalid, slog.String("peer", o.peer.Address), slog.String("error", err.Error()))
+	if !errors.Is(err, memory.ErrBudget) {
+		event.Log(o.log, event.FrameInvalid, slog.String("peer", o.peer.Address), slog.String("error", err.Error()))
+	}
 	if c, ok := o.take(stream); ok {
+		c.dropBody()
 		c.response <- message.UnknownOutcome(message.ReasonConnection, message.Errorf(message.StepAwait, o.peer.Address, "%v", err))
 	}
 }
--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -137,7 +137,7 @@
 		return fmt.Errorf("send control to %s: %w", address, err)
 	}
 	l.noteControl()
-	if !l.writer.enqueue(&outgoing{frames: [][]byte{b}}) {
+	if !l.writer.enqueue(&outgoing{frame: b}) {
 		return fmt.Errorf("send control to %s: %w", address, errClosed)
 	}
 	return nil
@@ -346,7 +346,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read hello: %w", err)
 	}
-	peer := Peer{Address: hello.Address, Incarnation: hello.Incarnation, Zone: hello.Zone}
+	peer := peerOf(hello)
 	in := &inbound{
 		cfg:        p.cfg,
 		peer:       peer,
--- a/internal/connection/link/session.go
+++ b/internal/connection/link/session.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
@@ -111,11 +112,16 @@
 }
 
 func (ss *sessions) keepLocked(s *session, st *stream) {
-	if _, ok := s.kept[st.key]; ok || time.Until(st.req.Deadline) <= 0 {
+	if _, ok := s.kept[st.key]; ok {
+		return
+	}
+	if time.Until(st.req.Deadline) <= 0 {
+		st.req.Memory.Release()
 		return
 	}
 	if n := st.countBody(); n > 0 {
 		if ss.keptBytes+n > maxKeptBytes {
+			st.req.Memory.Release()
 			return
 		}
 		ss.keptBytes += n
@@ -130,6 +136,7 @@
 	defer ss.mu.Unlock()
 	delete(s.kept, st.key)
 	ss.keptBytes -= st.countedBytes()
+	st.req.Memory.Release()
 }
 
 // find returns the kept request with the key. If there is none, it reports whether it is certain that it never arrived.
@@ -161,11 +168,14 @@
 
 // stream is a request of a peer that has no response yet or whose response may not have arrived.
 type stream struct {
-	key     streamKey
-	cancel  func()
-	req     *message.Request
-	body    *wire.Assembly // of the request; nil once it is complete
-	started bool           // the handler was called; guarded by the mutex of the link on which the request arrived
+	key    streamKey
+	cancel func()
+	req    *message.Request
+	body   *wire.Assembly      // of the request; nil once it is complete
+	held   *memory.Reservation // for the body of the request; nil: not counted
+	// stopExpiry stops the timer that drops the request if its body does not arrive; nil if there is none.
+	stopExpiry func()
+	started    bool // the handler was called; guarded by the mutex of the link on which the request arrived
 
 	mu        sync.Mutex
 	link      *inbound // that the response is sent on; nil if it was lost
@@ -186,6 +196,7 @@
 
 // finish stores the response and sends it on the bound link, if there is one.
 func (st *stream) finish(r *message.Response) {
+	st.held.Release()
 	st.req.Body, st.req.Header = nil, nil // a kept request needs only its response
 	st.mu.Lock()
 	link, id := st.link, st.id
--- a/internal/connection/link/writer.go
+++ b/internal/connection/link/writer.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
 )
 
 // States of a queued message. A message leaves stateQueued once, either to be written or to be withdrawn, so that a sender
@@ -15,27 +17,36 @@
 	stateWithdrawn
 )
 
-// outgoing is a message of one or more frames that are written without other frames between them.
+// outgoing is a message of one or more frames. Other messages may be written between the parts of its body.
 type outgoing struct {
-	frames    [][]byte
+	frame     []byte // first frame; nil if the message consists of parts of a body only
+	body      []byte // from offset on it is written in parts, each encoded when its turn comes
+	offset    int
+	stream    uint64 // of the body
 	state     atomic.Int32
-	onWritten func() // called after all frames are written; may be nil
+	dropped   atomic.Bool // the rest of the body is not wanted any more
+	onWritten func()      // called after all frames are written, or dropped; may be nil
 }
 
+// drop ends the writing of the body after the part that is being written.
+func (o *outgoing) drop() { o.dropped.Store(true) }
+
 // withdraw removes the message if no byte of it was written yet, and reports whether it did.
 func (o *outgoing) withdraw() bool {
 	return o.state.CompareAndSwap(stateQueued, stateWithdrawn)
 }
 
-// writer writes messages in the order in which they were queued. Its writes have no cancellable context, which would cost the
+// writer writes messages in the order in which they were queued, and the parts of bodies in turn, one after each round of other
+// messages: a large body delays small messages by one part. Its writes have no cancellable context, which would cost the
 // WebSocket library several allocations and a timer for each frame; writeDuration reveals a blocked write instead.
 type writer struct {
 	conn      Conn
-	lastWrite atomicTime  // start of the last message's write; initially the creation of the writer
+	lastWrite atomicTime  // start of the last frame's write; initially the creation of the writer
 	writing   atomic.Bool // that write has not ended
 
 	mu     sync.Mutex
 	queue  []*outgoing
+	bodies []*outgoing   // with parts left; only accessed by run
 	wake   chan struct{} // capacity 1
 	closed bool
 }
@@ -65,7 +76,7 @@
 	defer w.close()
 	for {
 		batch := w.take()
-		if len(batch) == 0 {
+		if len(batch) == 0 && len(w.bodies) == 0 {
 			select {
 			case <-w.wake:
 				continue
@@ -77,16 +88,56 @@
 			if !o.state.CompareAndSwap(stateQueued, stateWriting) {
 				continue
 			}
-			if err := w.write(o); err != nil {
-				return err
-			}
-			if o.onWritten != nil {
-				o.onWritten()
+			if o.frame != nil {
+				if err := w.write(o.frame); err != nil {
+					return err
+				}
+				o.frame = nil
 			}
+			w.endOrContinue(o)
+		}
+		if err := w.writePart(); err != nil {
+			return err
+		}
+		if len(w.bodies) > 0 && ctx.Err() != nil {
+			return ctx.Err()
 		}
 	}
 }
 
+// writePart writes the next part of the body whose turn it is.
+func (w *writer) writePart() error {
+	if len(w.bodies) == 0 {
+		return nil
+	}
+	o := w.bodies[0]
+	w.bodies = append(w.bodies[:0], w.bodies[1:]...)
+	if !o.dropped.Load() {
+		b, next, err := wire.EncodePart(o.stream, o.body, o.offset)
+		if err != nil {
+			return err
+		}
+		if err := w.write(b); err != nil {
+			return err
+		}
+		o.offset = next
+	}
+	w.endOrContinue(o)
+	return nil
+}
+
+// endOrContinue puts a message with parts left behind the other bodies, or ends it.
+func (w *writer) endOrContinue(o *outgoing) {
+	if o.offset < len(o.body) && !o.dropped.Load() {
+		w.bodies = append(w.bodies, o)
+		return
+	}
+	o.body = nil
+	if o.onWritten != nil {
+		o.onWritten()
+	}
+}
+
 func (w *writer) take() []*outgoing {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -95,19 +146,14 @@
 	return batch
 }
 
-func (w *writer) write(o *outgoing) error {
+func (w *writer) write(frame []byte) error {
 	w.lastWrite.setNow()
 	w.writing.Store(true)
 	defer w.writing.Store(false)
-	for _, b := range o.frames {
-		if err := w.conn.Write(context.Background(), b); err != nil {
-			return err
-		}
-	}
-	return nil
+	return w.conn.Write(context.Background(), frame)
 }
 
-// writeDuration returns how long the write of the current message has taken so far, zero if there is none.
+// writeDuration returns how long the write of the current frame has taken so far, zero if there is none.
 func (w *writer) writeDuration(now time.Time) time.Duration {
 	if !w.writing.Load() {
 		return 0
@@ -115,7 +161,7 @@
 	return now.Sub(w.lastWrite.load())
 }
 
-// sinceLastWrite returns the time since the last message's write began, or since the writer was created.
+// sinceLastWrite returns the time since the last frame's write began, or since the writer was created.
 func (w *writer) sinceLastWrite(now time.Time) time.Duration { return now.Sub(w.lastWrite.load()) }
 
 func (w *writer) close() {
--- a/internal/connection/targetconn/endless_test.go
+++ b/internal/connection/targetconn/endless_test.go
@@ -110,7 +110,7 @@
 		for range slots {
 			wg.Go(func() {
 				f := &fakeTarget{scripts: []func(net.Conn, *bufio.Reader){endless(a.start, a.repeated)}}
-				h := budget.NewReservation()
+				h := budget.NewReservation(memory.Responses)
 				defer h.Release()
 				x := exchange("a")
 				x.MaxBody, x.Memory = 16<<20, h
--- a/internal/connection/targetconn/targetconn.go
+++ b/internal/connection/targetconn/targetconn.go
@@ -30,7 +30,8 @@
 	// with a failure: a second copy of that response could not be told from the response to the second request. Empty: no ID.
 	ID     string
 	Method string
-	Bytes  []byte // the encoded request, header and body
+	Bytes  []byte // the encoded request
+	Body   []byte // rest of the body that Bytes does not contain
 	// Fresh excludes connections that were idle for maxFreshIdle or longer. The target may have closed such a connection
 	// unnoticed, and a request that was written to it has an unknown outcome and may not be retried.
 	Fresh bool
@@ -145,7 +146,7 @@
 		return nil, &Error{Err: fmt.Errorf("connect to target %s: %w", p.address, err)}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.Close() })
-	a, reusable, err := c.exchange(x)
+	a, reusable, err := c.exchange(ctx, x)
 	if !stop() {
 		err = errors.Join(ctx.Err(), err)
 		reusable = false
@@ -252,18 +253,22 @@
 
 // exchange writes the request and reads the response. It reports whether the connection can be reused, which requires that
 // both were transferred completely.
-func (c *conn) exchange(x *Exchange) (*Response, bool, error) {
+func (c *conn) exchange(ctx context.Context, x *Exchange) (*Response, bool, error) {
 	written := make(chan error, 1)
-	if len(x.Bytes) <= inlineWrite {
+	if len(x.Bytes) <= inlineWrite && len(x.Body) == 0 {
 		_, err := c.nc.Write(x.Bytes)
 		written <- err
 	} else {
 		go func() {
-			_, err := c.nc.Write(x.Bytes)
+			parts := net.Buffers{x.Bytes}
+			if len(x.Body) > 0 {
+				parts = append(parts, x.Body)
+			}
+			_, err := parts.WriteTo(c.nc)
 			written <- err
 		}()
 	}
-	a, reusable, err := c.readResponse(x)
+	a, reusable, err := c.readResponse(ctx, x)
 	if err != nil {
 		return nil, false, err
 	}
@@ -276,7 +281,7 @@
 }
 
 // readResponse reads the response to the request and skips responses to earlier ones.
-func (c *conn) readResponse(x *Exchange) (a *Response, reusable bool, err error) {
+func (c *conn) readResponse(ctx context.Context, x *Exchange) (a *Response, reusable bool, err error) {
 	req := &http.Request{Method: x.Method}
 	headBytes := maxHeadBytes // bytes left for heads and trailers
 	for skipped := 0; skipped <= maxSkipped; {
@@ -286,7 +291,7 @@
 		}
 		c.in.remaining = bodyAllowance(x.MaxBody) + headBytes
 		matches := x.Matches(resp.Header)
-		body, err := readBody(resp, x, matches)
+		body, err := readBody(ctx, resp, x, matches)
 		if err != nil {
 			return nil, false, err
 		}
@@ -338,14 +343,15 @@
 	return n, err
 }
 
-// readBody reads the body of a response. The body of a response to another request is discarded without being buffered.
-func readBody(resp *http.Response, x *Exchange, matches bool) ([]byte, error) {
+// readBody reads the body of a response. It waits for memory before it reads, so that a response for which there is no room stays at the
+// target. The body of a response to another request is discarded without being buffered.
+func readBody(ctx context.Context, resp *http.Response, x *Exchange, matches bool) ([]byte, error) {
 	defer resp.Body.Close()
 	if resp.Request.Method == http.MethodHead {
 		return nil, nil
 	}
 	if matches {
-		return x.Memory.ReadAll(resp.Body, resp.ContentLength, x.MaxBody)
+		return x.Memory.ReadAllWaiting(ctx, resp.Body, resp.ContentLength, x.MaxBody)
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, int64(x.MaxBody)+1))
 	if err == nil && n > int64(x.MaxBody) {
--- a/internal/process/event/catalogue.go
+++ b/internal/process/event/catalogue.go
@@ -46,7 +46,7 @@
 		CommandFailed,
 		ConfigApplied, ConfigConfirmed, ConfigUnconfirmed, ConfigRolledForward, ConfigConflict, ConfigUnusable, ConfigHeadRestored,
 		ChangeAccepted, ChangeRefused, ChangeTakenOver, ChangeSuperseded, AuditDropped,
-		RequestRefused, RequestUnknown, RequestRetried, RequestFailed, RequestSampled, LinesSuppressed, RequestRejected,
+		RequestRefused, RequestUnknown, RequestRetried, RequestFailed, RequestSampled, LinesSuppressed, RequestRejected, ResponseCut,
 		TargetReplaced, TargetChanged, TargetSilent, ReportRejected, PeerUnreachable, PeerReachable,
 		RoutesApplied, RoutesRejected, StoreLost, StoreRegained, NodeRegistered, SettingsReloaded, SettingsUnusable,
 		MemberChanged, PeerMessageFailed, TargetRefusesConnections, FollowerChanged, TargetFailing, TargetRecovered,
@@ -54,5 +54,6 @@
 		TargetEnded, SuspectHeld, SuspectTried, SuspectCleared, RowIgnored, LeavingUnrecorded,
 		KeysUnconfirmed, KeysConfirmed, OrganisationIgnored,
 		SuspectReleased,
+		MemoryShort, MemorySuffices,
 	}
 }
--- a/internal/process/event/mesh.go
+++ b/internal/process/event/mesh.go
@@ -10,6 +10,7 @@
 	RequestFailed   = Event{803, slog.LevelInfo, "target answered with a failure", "Look for calls of the same id that were refused or failed."}
 	RequestSampled  = Event{804, slog.LevelInfo, "request answered", ""}
 	RequestRejected = Event{806, slog.LevelWarn, "request cannot be served as it was sent", "Compare the limits of the configuration with what the caller sends."}
+	ResponseCut     = Event{807, slog.LevelWarn, "complete response cut off, its caller reads it too slowly", "Find the caller by the id; the request has run."}
 	LinesSuppressed = Event{805, slog.LevelWarn, "request lines left out to bound the volume", ""}
 )
 
@@ -43,6 +44,8 @@
 	SuspectHeld              = Event{875, slog.LevelWarn, "request is held, targets ended while they ran it", "Find what its callers send: lines with the same fingerprint name them."}
 	SuspectTried             = Event{876, slog.LevelInfo, "request that was held runs as a trial", ""}
 	RowIgnored               = Event{878, slog.LevelWarn, "row in the table of nodes cannot be that of a node, it is ignored", "Find out who writes to the table, and remove the row."}
+	MemoryShort              = Event{890, slog.LevelWarn, "memory is short, slow connections are closed", "See the metrics of held bytes for what takes the memory; look for callers that read or send slowly."}
+	MemorySuffices           = Event{891, slog.LevelInfo, "memory suffices again", ""}
 	LeavingUnrecorded        = Event{879, slog.LevelWarn, "target leaves, but the store has not recorded it, so it is not acknowledged", "Check the store. The target gets no requests from this process; it reports again."}
 	KeysUnconfirmed          = Event{880, slog.LevelWarn, "node does not know whether its configuration is the newest one, it accepts no keys", "Check whether this VM reaches the store or other nodes; callers with keys get 503 and may come back."}
 	KeysConfirmed            = Event{881, slog.LevelInfo, "node knows that its configuration is the newest one, it accepts keys", ""}
--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -20,11 +20,24 @@
 	entryWaitShare = 0.2
 )
 
+// RefuseBeforeBody returns the refusal of a request for the attached target whose body has not arrived, or nil if nothing is known
+// against it yet.
+func (p *Proxy) RefuseBeforeBody(req *message.Request) *message.Response {
+	if g := p.attachedTarget.Load(); g == nil || g.service != req.Service || g.instance != req.Instance {
+		return p.refuseUnattached(req)
+	}
+	return nil
+}
+
+func (p *Proxy) refuseUnattached(req *message.Request) *message.Response {
+	return p.refuse(message.ReasonLeaving, message.StepAdmit, shortRetryAfter(), "instance %q of service %q does not take work here", req.Instance, req.Service)
+}
+
 // Deliver runs a request at the attached target. Every request to that target, from this node or another, passes through it.
 func (p *Proxy) Deliver(ctx context.Context, req *message.Request) *message.Response {
 	g := p.attachedTarget.Load()
 	if g == nil || g.service != req.Service || g.instance != req.Instance {
-		return p.refuse(message.ReasonLeaving, message.StepAdmit, shortRetryAfter(), "instance %q of service %q does not take work here", req.Instance, req.Service)
+		return p.refuseUnattached(req)
 	}
 	p.removeIdentity(req)
 	p.restoreRate(g, req.RateLimit)
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -39,6 +39,17 @@
 	Confirmed            bool
 	ConfirmationAge      float64
 	InvalidConfirmations int64 // that were ignored because of an impossible age or moment
+	Memory               MemoryGauges
+}
+
+// MemoryGauges holds the values for memory and slow connections. It is empty for nodes that do not count them.
+type MemoryGauges struct {
+	Held         map[string]int64 // bytes by purpose
+	Budget       int64
+	Waiting      int64            // reservations that wait for room
+	Refused      int64            // reservations for which there was no room, since the start
+	Closed       map[string]int64 // connections of callers by reason, since the start
+	OldestUnread float64          // seconds for which a response has been unread, the longest
 }
 
 // Metrics holds the instruments of a node.
@@ -119,6 +130,10 @@
 	}
 	gauges = append(gauges, confirmationAge)
 	invalidConfirmations := gauge("wigeoncleat.configuration.invalid_confirmations", "Confirmations that were ignored because of an impossible age.")
+	observeMemory, err := registerMemoryGauges(meter, &gauges)
+	if err != nil {
+		return err
+	}
 	violations := gauge("wigeoncleat.invariant.violations", "Violations of an invariant since the start.")
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g := read()
@@ -136,6 +151,7 @@
 		if g.Confirmed {
 			o.ObserveFloat64(confirmationAge, g.ConfirmationAge)
 		}
+		observeMemory(o, g.Memory)
 		for name, n := range invariant.Counts() {
 			o.ObserveInt64(violations, n, metric.WithAttributes(attribute.String("invariant", string(name))))
 		}
@@ -147,6 +163,44 @@
 	return nil
 }
 
+// registerMemoryGauges adds the instruments for memory and slow connections and returns the function that observes them.
+func registerMemoryGauges(meter metric.Meter, all *[]metric.Observable) (func(metric.Observer, MemoryGauges), error) {
+	gauge := func(name, unit, text string) metric.Int64ObservableGauge {
+		g, err := meter.Int64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(text))
+		if err != nil {
+			panic(err) // cannot happen: the names are constant and valid
+		}
+		*all = append(*all, g)
+		return g
+	}
+	held := gauge("wigeoncleat.memory.held", "By", "Bytes held for others by purpose.")
+	budget := gauge("wigeoncleat.memory.budget", "By", "Bytes that may be held for others.")
+	waiting := gauge("wigeoncleat.memory.waiting", "{reservation}", "Bodies that wait for memory.")
+	refused := gauge("wigeoncleat.memory.refused", "{reservation}", "Reservations for which there was no memory, since the start.")
+	closed := gauge("wigeoncleat.connections.closed", "{connection}", "Connections of callers that were closed by reason, since the start.")
+	unread, err := meter.Float64ObservableGauge("wigeoncleat.response.unread", metric.WithUnit("s"),
+		metric.WithDescription("Time for which the oldest response has been unread."))
+	if err != nil {
+		return nil, fmt.Errorf("gauge of unread responses: %w", err)
+	}
+	*all = append(*all, unread)
+	return func(o metric.Observer, g MemoryGauges) {
+		if g.Budget == 0 {
+			return
+		}
+		o.ObserveInt64(budget, g.Budget)
+		o.ObserveInt64(waiting, g.Waiting)
+		o.ObserveInt64(refused, g.Refused)
+		o.ObserveFloat64(unread, g.OldestUnread)
+		for purpose, n := range g.Held {
+			o.ObserveInt64(held, n, metric.WithAttributes(attribute.String("purpose", purpose)))
+		}
+		for reason, n := range g.Closed {
+			o.ObserveInt64(closed, n, metric.WithAttributes(attribute.String("reason", reason)))
+		}
+	}, nil
+}
+
 // series is the set of attributes of one series of the request counter.
 type series struct{ iface, outcome, reason string }
 
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -49,3 +49,22 @@
 	require.Regexp(t, `requests_total\{organisation="other"[^}]*\} 402`, w.Body.String())
 	require.NotContains(t, w.Body.String(), "confirmation_age", "no confirmation is needed")
 }
+
+// Guards against operators who cannot see what takes the memory and which connections were closed.
+func TestMemoryGaugesAreExported(t *testing.T) {
+	m, err := New(func() Gauges {
+		return Gauges{Memory: MemoryGauges{
+			Held: map[string]int64{"requests": 7}, Budget: 100, Waiting: 2, Refused: 3, Closed: map[string]int64{"memory": 4}, OldestUnread: 1.5,
+		}}
+	})
+	require.NoError(t, err)
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for _, series := range []string{
+		`wigeoncleat_memory_held_bytes\{[^}]*purpose="requests"\} 7`, `wigeoncleat_memory_budget_bytes\{[^}]*\} 100`,
+		`wigeoncleat_memory_waiting\{[^}]*\} 2`, `wigeoncleat_memory_refused\{[^}]*\} 3`,
+		`wigeoncleat_connections_closed\{[^}]*reason="memory"\} 4`, `wigeoncleat_response_unread_seconds\{[^}]*\} 1.5`,
+	} {
+		require.Regexp(t, series, w.Body.String())
+	}
+}
--- a/internal/process/sidecar/handlers.go
+++ b/internal/process/sidecar/handlers.go
@@ -11,6 +11,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/link"
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
+	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
 )
@@ -35,14 +36,15 @@
 		}
 		return h.Reject(reject.Status, reject.Detail)
 	}
-	req.Memory = h.s.responseMemory.NewReservation()
+	req.Memory = h.s.memory.NewReservation(memory.Responses)
 	var resp *message.Response
 	if h.s.refusesNew(req) {
 		resp = message.Refuse(message.ReasonLeaving, message.Errorf(message.StepAccept, "", "the node stops"))
 		resp.RetryAfter = stopRetryAfter
-	} else {
+	} else if resp = reserveResponse(req); resp == nil || h.s.path.IsCall(req.Attempt) { // a refused call would waste its run
 		resp = h.s.path.Serve(ctx, req)
 	}
+	req.Memory.Shrink(int64(len(resp.Body)))
 	if resp.Reason == message.ReasonCancelled && errors.Is(context.Cause(ctx), message.ErrStopping) {
 		resp.Reason = message.ReasonLeaving
 	}
@@ -53,7 +55,7 @@
 	}
 	h.s.logRequest(req, resp, took)
 	a := h.s.opts.Codec.EncodeResponse(req, resp)
-	a.Memory = req.Memory
+	a.Memory, a.ID = req.Memory, req.Attempt
 	return a
 }
 
@@ -108,9 +110,11 @@
 	if from.Zone == h.s.settings.Zone {
 		h.s.recentCallers.record(from.Address, start)
 	}
-	req.Memory = h.s.responseMemory.NewReservation()
-	defer req.Memory.Release()
-	r := h.s.path.Deliver(ctx, req)
+	r := reserveResponse(req) // the link has made the reservation and releases it
+	if r == nil {
+		r = h.s.path.Deliver(ctx, req)
+	}
+	req.Memory.Shrink(int64(len(r.Body)))
 	h.s.metrics.Request(interfacePeer, r, time.Since(start))
 	return r
 }
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -46,7 +46,7 @@
 	event.Log(s.log, event.ProcessStarted, slog.String("node", s.settings.Node), slog.String("zone", s.settings.Zone),
 		slog.String("service", s.settings.Service), slog.String("peer_address", s.settings.PeerAddress))
 	s.background.Go(func() { pause.Watch(s.ctx) }) // detects when the process or its VM did not run for a time
-	for _, loop := range []func(){s.recordLeavings, s.register, s.maintainRegistry, s.followConfig, s.gossip, s.reconnect, s.watchTarget, s.notifyCallers} {
+	for _, loop := range []func(){s.recordLeavings, s.register, s.maintainRegistry, s.followConfig, s.gossip, s.reconnect, s.watchTarget, s.notifyCallers, s.logMemory} {
 		s.background.Go(loop)
 	}
 	if s.settings.Revocation.Strict {
@@ -126,6 +126,10 @@
 			return nil, fmt.Errorf("listen for %s: %w", i.name, err)
 		}
 		srv := httpserver.New(l, i.handler)
+		if i.name != "peers" { // links take no part in HTTP after their handshake, and nodes are few
+			httpserver.LimitConnections(srv, otherConnections(s.settings.Descriptors))
+		}
+		httpserver.LimitTimes(srv)
 		servers = append(servers, srv)
 		s.background.Go(func() {
 			if err := srv.Start(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/internal/process/sidecar/settings.go
+++ b/internal/process/sidecar/settings.go
@@ -26,6 +26,8 @@
 	StoreURL    string
 	MemoryBytes int64 // memory limit of the process
 	Descriptors int   // limit on open files
+	// StallTime is the time after which a connection is closed whose caller takes nothing of a response; zero: the default.
+	StallTime time.Duration
 
 	Grace             time.Duration    // from SIGTERM to SIGKILL
 	HeartbeatInterval time.Duration    // of the target's reports
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -45,8 +45,8 @@
 	RemoveIdentity(req *message.Request)
 	// EncodeResponse encodes the final response of a request.
 	EncodeResponse(req *message.Request, r *message.Response) *entry.Response
-	// EncodeRequest returns the request as it is written to the target at the given time.
-	EncodeRequest(req *message.Request, now time.Time) []byte
+	// EncodeRequest returns the request as it is written to the target at the given time, and the rest of its body.
+	EncodeRequest(req *message.Request, now time.Time) (text, rest []byte)
 	// Matches reports whether a response of the target with this header belongs to the request. A connection that is used
 	// again can still deliver the response to an earlier request; the header names the attempt that a response answers.
 	Matches(req *message.Request, h http.Header) bool
@@ -88,18 +88,18 @@
 	log      *slog.Logger
 	started  time.Time
 
-	routes         atomic.Pointer[routing.Table]
-	path           *mesh.Proxy
-	pool           *link.Pool
-	pickers        *balance.Set
-	directory      *directory.Directory
-	tracker        *report.Tracker
-	quarantine     *quarantine.Table
-	entry          *entry.Server
-	responseMemory *memory.Budget // budget for response bodies held by the node
-	metrics        *metrics.Metrics
-	failures       *event.Limiter // rate limit of the log lines listed at failuresPerSecond
-	samples        *event.Limiter // rate limit of the log lines for successful requests
+	routes     atomic.Pointer[routing.Table]
+	path       *mesh.Proxy
+	pool       *link.Pool
+	pickers    *balance.Set
+	directory  *directory.Directory
+	tracker    *report.Tracker
+	quarantine *quarantine.Table
+	entry      *entry.Server
+	memory     *memory.Budget // for all that the process holds for others
+	metrics    *metrics.Metrics
+	failures   *event.Limiter // rate limit of the log lines listed at failuresPerSecond
+	samples    *event.Limiter // rate limit of the log lines for successful requests
 
 	retryBurst        atomic.Pointer[float64]   // for all nodes together, see Settings
 	leaving           atomic.Bool               // a graceful stop has begun
@@ -147,18 +147,6 @@
 	// inboxSize bounds the queue of received control messages. A message that finds it full is dropped; the next
 	// comparison of directory digests with another node makes up for it.
 	inboxSize = 256
-	// descriptorShare is the share of the file descriptors for connections of callers. minDescriptors is used instead of
-	// a lower number in the settings.
-	descriptorShare = 0.6
-	minDescriptors  = 1000
-	// requestMemoryShare is the share of the memory for bodies of requests in flight. A body can be held by its
-	// connection, its encoded frame and the write to the target, so three times as much memory is used. minMemory is used
-	// instead of a lower limit in the settings.
-	requestMemoryShare = 0.15
-	minMemory          = 128 << 20
-	// responseMemoryShare is the share of the memory for response bodies. A response is held once as read and once in the
-	// frames or the buffer in which it is written, so twice as much memory is used, in addition to the requests.
-	responseMemoryShare = 0.1
 	// linkHeartbeatTimeout is the time without a frame after which a link with pending requests is closed. It has to be
 	// well below the one to two seconds within which requests have to be completed.
 	linkHeartbeatTimeout  = 600 * time.Millisecond
@@ -185,7 +173,7 @@
 	s.confirmations = newConfirmations(opts.Settings.Revocation.Limit)
 	s.connectTarget = func(address string) exchanger { return targetconn.NewPool(address) }
 	s.targetHasEnded = func() bool { return refusesConnections(opts.Settings.TargetAddress) }
-	s.responseMemory = memory.NewBudget(int64(responseMemoryShare * float64(max(s.settings.MemoryBytes, minMemory))))
+	s.memory = memory.NewBudget(budgetBytes(s.settings.MemoryBytes))
 	s.retryBurst.Store(&opts.Settings.RetryBurst)
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	incarnation := uint64(s.started.UnixMilli())
@@ -199,9 +187,10 @@
 	s.suspectNews = &suspectNews{send: s.broadcastSuspects}
 	s.leavings = newLeavingsRecord(opts.Nodes, s.settings.PeerAddress, s.log, s.restoreLeavings)
 	s.path = s.newPath()
-	s.entry = entry.NewServer(entryHandler{s},
-		int(descriptorShare*float64(max(s.settings.Descriptors, minDescriptors))),
-		int64(requestMemoryShare*float64(max(s.settings.MemoryBytes, minMemory))))
+	s.entry = entry.NewServer(entryHandler{s}, entry.Config{
+		MaxConnections: callerConnections(s.settings.Descriptors), Budget: s.memory, StallTime: s.settings.StallTime,
+	})
+	s.memory.MakeRoom = s.entry.CloseSlowest
 	var err error
 	if s.metrics, err = metrics.New(s.gauges); err != nil {
 		return nil, fmt.Errorf("sidecar: %w", err)
@@ -220,6 +209,7 @@
 		DialTimeout:       linkDialTimeout,
 		DialBackoff:       linkDialBackoff,
 		MaxBody:           maxForwardedBytes,
+		Budget:            s.memory,
 	}
 }
 
@@ -328,6 +318,7 @@
 		RateLimit: s.path.RateLimit(),
 		Epoch:     int64(s.storeEpoch.Load()),
 		Held:      int64(s.quarantine.HeldCount()),
+		Memory:    s.memoryGauges(),
 	}
 	if t := s.routes.Load(); t != nil {
 		g.Version = int64(t.Version)
--- a/internal/process/sidecar/stop_test.go
+++ b/internal/process/sidecar/stop_test.go
@@ -141,7 +141,7 @@
 		c.startReady(t, "a1")
 		h := &runHandler{work: 2 * time.Second, begun: map[string]bool{}}
 		s := c.nodes["a1"]
-		s.entry = entry.NewServer(h, 1000, 1<<20)
+		s.entry = entry.NewServer(h, entry.Config{MaxConnections: 1000})
 		l := &callers{waiting: make(chan net.Conn), done: make(chan struct{})}
 		go func() { _ = s.entry.Serve(l) }()
 		statuses := map[string]int{}
--- a/internal/process/sidecar/target.go
+++ b/internal/process/sidecar/target.go
@@ -44,10 +44,12 @@
 
 // Do implements mesh.Target.
 func (t *target) Do(ctx context.Context, req *message.Request) *message.Response {
+	text, rest := t.codec.EncodeRequest(req, time.Now())
 	a, err := t.pool.Do(ctx, &targetconn.Exchange{
 		ID:      req.Attempt,
 		Method:  req.Method,
-		Bytes:   t.codec.EncodeRequest(req, time.Now()),
+		Bytes:   text,
+		Body:    rest,
 		Fresh:   !req.Idempotent, // it cannot be retried if the target closed an idle connection unnoticed
 		Matches: func(h http.Header) bool { return t.codec.Matches(req, h) },
 		MaxBody: maxResponseBody,
--- a/internal/process/sidecar/target_test.go
+++ b/internal/process/sidecar/target_test.go
@@ -45,7 +45,7 @@
 
 type stubCodec struct{ Codec }
 
-func (stubCodec) EncodeRequest(*message.Request, time.Time) []byte { return nil }
+func (stubCodec) EncodeRequest(*message.Request, time.Time) ([]byte, []byte) { return nil, nil }
 
 // Guards against requests that are sent to a crashed target until its reports are overdue: refused connections detach
 // it, and the requests that met them count as not run.
--- a/internal/request/memory/memory_test.go
+++ b/internal/request/memory/memory_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"strings"
 	"sync"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -17,7 +20,7 @@
 	var wg sync.WaitGroup
 	for range 64 {
 		wg.Go(func() {
-			res := b.NewReservation()
+			res := b.NewReservation(Requests)
 			defer res.Release()
 			for range 10 {
 				res.Reserve(3 << 10)
@@ -32,7 +35,7 @@
 // Guards against a declared length that reserves memory before any byte of the body has arrived.
 func TestDeclaredLengthIsNotTrusted(t *testing.T) {
 	b := NewBudget(1 << 30)
-	_, err := b.NewReservation().ReadAll(strings.NewReader("short"), 16<<20, 16<<20)
+	_, err := b.NewReservation(Requests).ReadAll(strings.NewReader("short"), 16<<20, 16<<20)
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	require.LessOrEqual(t, b.Used(), int64(initialBuffer))
 }
@@ -55,7 +58,7 @@
 	_, err := (*Reservation)(nil).ReadAll(endless(), -1, 1<<20)
 	require.ErrorIs(t, err, ErrSize)
 	b := NewBudget(64 << 10)
-	res := b.NewReservation()
+	res := b.NewReservation(Requests)
 	_, err = res.ReadAll(endless(), -1, 1<<20)
 	require.ErrorIs(t, err, ErrBudget)
 	require.LessOrEqual(t, b.Used(), int64(64<<10))
@@ -68,3 +71,73 @@
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// Guards against large bodies that fill the budget so that ordinary requests find no room.
+func TestLargeReservationsLeaveRoomForSmallOnes(t *testing.T) {
+	b := NewBudget(100 << 20)
+	for n, p := range []Purpose{Forwarded, Responses} {
+		for b.NewReservation(p).Reserve(1 << 20) {
+			n++
+		}
+		require.Less(t, b.Used(), b.Limit()*96/100)
+	}
+	require.True(t, b.NewReservation(Responses).Reserve(16<<10))
+}
+
+// Guards against waiting reservations that are passed over, granted twice or lost, and against one that does not fit and holds up
+// those of another purpose.
+func TestWaitingReservationsAreGrantedInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(10 << 20)
+		first := b.NewReservation(Forwarded)
+		require.True(t, first.Reserve(6<<20))
+		var order []string
+		var mu sync.Mutex
+		acquire := func(name string, p Purpose, n int64) *Reservation {
+			res := b.NewReservation(p)
+			go func() {
+				if res.Acquire(t.Context(), n) == nil {
+					mu.Lock()
+					defer mu.Unlock()
+					order = append(order, name)
+				}
+			}()
+			synctest.Wait()
+			return res
+		}
+		large := acquire("large", Forwarded, 7<<20)
+		later := acquire("later", Forwarded, 2<<20)
+		other := acquire("response", Responses, 1<<20)
+		require.Equal(t, []string{"response"}, order)
+		first.Release()
+		synctest.Wait()
+		require.Equal(t, []string{"response", "large"}, order)
+		large.Release()
+		synctest.Wait()
+		require.Equal(t, []string{"response", "large", "later"}, order)
+		for _, res := range []*Reservation{later, other} {
+			res.Release()
+		}
+		require.Zero(t, b.Used())
+		require.Zero(t, b.Waiting())
+	})
+}
+
+// Guards against a reservation that waits for ever, or that is counted although its wait has ended.
+func TestWaitEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(1 << 20)
+		calls := 0
+		b.MakeRoom = func() { calls++ }
+		holder := b.NewReservation(Responses)
+		require.True(t, holder.Reserve(900<<10))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		res := b.NewReservation(Responses)
+		require.ErrorIs(t, res.Acquire(ctx, 200<<10), ErrBudget)
+		require.Greater(t, calls, 10)
+		require.ErrorIs(t, res.Acquire(t.Context(), 2<<20), ErrBudget, "it would never fit")
+		holder.Release()
+		require.Zero(t, b.Used())
+	})
+}
