link: test of requests that wait for room

Cause: nothing tested that a request whose body was never asked for is reported as not run when its wait ends.

Change: a test for a lost link, a caller that gives up and a wait that takes too long.

--- a/internal/connection/link/grant_test.go
+++ b/internal/connection/link/grant_test.go
@@ -217,3 +217,37 @@
 		require.Equal(t, body, r.Body)
 	})
 }
+
+// Guards against an order that is reported as in doubt although its body was never asked for, when its link is lost or its caller gives up
+// while it waits for room, and against room that is granted to it later.
+func TestRequestThatWaitsForRoomHasNotRun(t *testing.T) {
+	for name, end := range map[string]func(pr *pair, cancel func()){
+		"link lost":      func(pr *pair, _ func()) { pr.current().Close() },
+		"caller gone":    func(_ *pair, cancel func()) { cancel() },
+		"waits too long": func(*pair, func()) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := memory.NewBudget(4 << 20)
+				var ran atomic.Int64
+				pr := newBoundedPair(&testHandler{fn: func(ctx context.Context, req *message.Request) *message.Response {
+					ran.Add(1)
+					return echo(ctx, req)
+				}}, b)
+				defer pr.close()
+				holder := b.NewReservation(memory.Forwarded)
+				require.True(t, holder.Reserve(3<<20))
+				ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+				defer cancel()
+				time.AfterFunc(time.Second, func() { end(pr, cancel) })
+				r := pr.dialer.Send(ctx, "b", newRequest(make([]byte, 2<<20), 4*time.Second))
+				require.Equal(t, message.NotRun, r.Outcome, "%v", r.Err)
+				holder.Release()
+				time.Sleep(10 * time.Second)
+				require.Zero(t, ran.Load())
+				require.Zero(t, b.Used())
+				require.Zero(t, b.Waiting())
+			})
+		})
+	}
+}
