entry: notice a caller that leaves inside a request

Callers saw nothing; targets worked to the end for callers that had left.

Cause: the connection was read only while a request was wanted from it. A request cut in its first line, in the name of a field, in the size of a chunk or in a trailer is reported by the parser as malformed, and the rejection then waited for the earlier responses without reading. So did the rejections with 408, 413 and 431, and 100 Continue.

Change: what ended the stream is remembered where it is read, whatever a parser makes of it, and each wait for earlier responses reads the connection. 100 Continue is left out if the body comes before.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,9 +82,9 @@
 	for {
 		limits := c.srv.handler.Limits()
 		if err := c.awaitRequest(limits); errors.Is(err, errServerClosed) {
-			return c.watch()
+			return c.awaitAnswered()
 		} else if err != nil {
-			return err
+			return errCallerLeft
 		}
 		c.arrival.begin(c.srv)
 		r, err := c.readRequest(limits)
@@ -95,14 +94,13 @@
 		switch {
 		case errors.As(err, &reject):
 			c.held.Shrink(connectionBytes)
-			c.reject(reject)
-			return nil
+			return c.reject(reject)
 		case err != nil:
 			return errCallerLeft
 		}
 		last := r.Close
 		if !c.dispatch(r) || last {
-			return c.watch()
+			return c.awaitAnswered()
 		}
 		if err := c.throttle(); err != nil {
 			return err
@@ -111,7 +109,7 @@
 }
 
 // awaitRequest waits for the first byte of the next request. It returns errServerClosed if the connection accepts no further
-// request: a response has announced its end, or it was closed because it was idle.
+// request: a response has announced its end, or it was closed because it was idle. Otherwise an error is that of the connection.
 func (c *conn) awaitRequest(limits Limits) error {
 	c.in.remaining = -1
 	c.mu.Lock()
@@ -123,7 +121,7 @@
 	c.setIdleDeadline(limits.IdleTimeout)
 	c.mu.Unlock()
 	if _, err := c.br.Peek(1); err != nil {
-		return errCallerLeft
+		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -166,33 +164,6 @@
 	_ = c.nc.SetReadDeadline(deadline)
 }
 
-// watch waits until all requests are answered, or returns errCallerLeft if the caller disconnects before. It discards what
-// the caller sends meanwhile.
-func (c *conn) watch() error {
-	c.in.remaining = -1
-	c.mu.Lock()
-	lastDone := c.lastDone
-	if lastDone != nil {
-		_ = c.nc.SetReadDeadline(time.Time{})
-	}
-	c.mu.Unlock()
-	if lastDone == nil {
-		return nil
-	}
-	go func() {
-		<-lastDone
-		_ = c.nc.SetReadDeadline(time.Now())
-	}()
-	for {
-		if _, err := c.br.Discard(1); err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				return nil
-			}
-			return errCallerLeft
-		}
-	}
-}
-
 // throttle waits if the connection has maxPipelined pending requests, or more than maxUnread bytes of responses to write, or if it has
 // any while memory is short. Since it waits for the newest of them and responses are sent
 // in order, all of them are answered before the next request is read.
@@ -212,15 +183,14 @@
 	}
 }
 
-// sendContinue sends 100 Continue after the responses to earlier requests.
+// sendContinue sends 100 Continue after the responses to earlier requests, unless the caller sends the body before.
 func (c *conn) sendContinue() error {
-	c.mu.Lock()
-	lastDone := c.lastDone
-	c.mu.Unlock()
-	if lastDone != nil {
-		<-lastDone
+	answered, err := c.awaitInput()
+	c.in.expired = false
+	if !answered || err != nil || c.isLate() {
+		return err
 	}
-	_, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
+	_, err = io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	return err
 }
 
@@ -307,17 +277,18 @@
 	}
 }
 
-// reject responds to a request that cannot be served, after the responses to earlier ones, and ends the connection.
-func (c *conn) reject(e *RejectError) {
+// reject responds to a request that cannot be served, after the responses to earlier ones, and ends the connection. It returns
+// errCallerLeft if the caller leaves before.
+func (c *conn) reject(e *RejectError) error {
 	c.mu.Lock()
-	before := c.lastDone
 	c.closed = true
 	c.mu.Unlock()
-	if before != nil {
-		<-before
+	if err := c.awaitAnswered(); err != nil {
+		return err
 	}
 	_ = c.writeResponse(http.MethodGet, c.srv.handler.Reject(e.Status, e.Detail), true)
 	c.linger()
+	return nil
 }
 
 // lingerTime is how long the connection is read after its last response. Closing a connection with unread bytes resets it, and
--- a/internal/connection/entry/read.go
+++ b/internal/connection/entry/read.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -22,8 +21,11 @@
 	header    int  // bytes of the header that were read
 	lines     int  // lines of the header that were read
 	full      bool // a read failed with errHeaderMemory
-	held      *memory.Reservation
-	moved     *atomic.Int64
+	// failure is the error after which nothing more can be read, io.EOF if the caller has ended the stream. A parser can report that as
+	// malformed input too.
+	failure error
+	held    *memory.Reservation
+	moved   *atomic.Int64
 }
 
 var (
@@ -48,7 +50,12 @@
 			return 0, errHeaderMemory
 		}
 	}
-	l.expired = l.expired || errors.Is(err, os.ErrDeadlineExceeded)
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		l.expired = true
+	case err != nil && l.failure == nil:
+		l.failure = err
+	}
 	return n, err
 }
 
@@ -108,7 +115,7 @@
 		return &RejectError{http.StatusServiceUnavailable, errHeaderMemory.Error()}
 	case c.in.expired:
 		return c.lateError("header did not arrive in time")
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
+	case c.in.failure != nil:
 		return err
 	default:
 		return errHeaderMalformed
@@ -130,11 +137,6 @@
 	return &RejectError{http.StatusRequestTimeout, detail}
 }
 
-func isNetError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op)
-}
-
 // headerSize returns the size of a request header as it was sent, apart from optional white space.
 func headerSize(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + len("Host: ")
@@ -148,12 +150,12 @@
 
 func (c *conn) readBody(r *Request, limits Limits) error {
 	hr := r.Request
-	c.setArrivalDeadline(bodyTimeout)
 	if strings.EqualFold(hr.Header.Get("Expect"), "100-continue") {
 		if err := c.sendContinue(); err != nil {
 			return err
 		}
 	}
+	c.setArrivalDeadline(bodyTimeout)
 	body, err := r.memory.ReadAll(&bodyReader{Reader: hr.Body, c: c, armed: time.Now()}, hr.ContentLength, limits.BodyBytes)
 	switch {
 	case err == nil:
@@ -165,7 +167,7 @@
 		return &RejectError{http.StatusRequestEntityTooLarge, "body exceeds its limit"}
 	case c.in.expired:
 		return c.lateError("body did not arrive in time")
-	case isNetError(err), errors.Is(err, io.ErrUnexpectedEOF):
+	case c.in.failure != nil:
 		return err
 	default:
 		return errBodyMalformed
