entry: answer a caller that has only ended its sending

A caller that half-closes its connection and waits got no response: the end of the stream was taken for its departure, and its requests were cancelled.

Both look the same to a reader. A write tells them apart, because a closed connection answers it with a reset. The first bytes of the next response are sent ahead, one at a time: a caller that waits sees its response and nothing else, and one that has left is noticed a round trip after the first byte.

TestEndsOfConnectionsOverTCP shows closed, reset and half-closed connections over the kernel.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -33,6 +33,9 @@
 	unread   atomic.Int64                       // bytes of finished responses that were not written
 	reason   atomic.Int32                       // 1 + CloseReason; zero: not closed for one
 
+	writing   sync.Mutex // held while a response or a part of it is written
+	sentAhead int        // bytes of statusLineStart that were sent ahead of the next response; guarded by writing
+
 	mu        sync.Mutex
 	pending   int           // requests that were read and not answered yet
 	waiting   int           // pending requests whose response is not being written yet
@@ -84,7 +87,7 @@
 		if err := c.awaitRequest(limits); errors.Is(err, errServerClosed) {
 			return c.awaitAnswered()
 		} else if err != nil {
-			return errCallerLeft
+			return c.awaitGone()
 		}
 		c.arrival.begin(c.srv)
 		r, err := c.readRequest(limits)
@@ -96,7 +99,7 @@
 			c.held.Shrink(connectionBytes)
 			return c.reject(reject)
 		case err != nil:
-			return errCallerLeft
+			return c.awaitGone()
 		}
 		last := r.Close
 		if !c.dispatch(r) || last {
@@ -187,7 +190,7 @@
 func (c *conn) sendContinue() error {
 	answered, err := c.awaitInput()
 	c.in.expired = false
-	if !answered || err != nil || c.isLate() {
+	if !answered || err != nil || c.in.failure != nil || c.isLate() {
 		return err
 	}
 	_, err = io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
--- a/internal/connection/entry/disconnect.go
+++ b/internal/connection/entry/disconnect.go
@@ -2,10 +2,19 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 	"time"
 )
 
+// A caller that closes its connection and one that only ends its sending look the same to a reader: the stream ends. A write tells them
+// apart, as a closed connection answers it with a reset. All responses begin with the same bytes (statusLineStart), which are therefore
+// sent ahead, one at a time, as probes: a caller that still waits finds nothing unusual in its response.
+
+// firstProbeDelay is the time between the first two probes, which then doubles. A reset needs a round trip to arrive, and only the write
+// after that fails.
+const firstProbeDelay = 20 * time.Millisecond
+
 // newest returns a channel that is closed when all requests that were read are answered, or nil if there are none.
 func (c *conn) newest() <-chan struct{} {
 	c.mu.Lock()
@@ -43,7 +52,7 @@
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded):
 		case err != nil:
-			return true, errCallerLeft
+			return true, c.awaitGone()
 		case input():
 			return false, nil
 		}
@@ -82,3 +91,52 @@
 		return false
 	}
 }
+
+// awaitGone is called when the connection cannot be read any more. If its caller has only ended its sending, it waits until all requests
+// that were read are answered. If the caller has left, or leaves meanwhile, it returns errCallerLeft.
+func (c *conn) awaitGone() error {
+	if !errors.Is(c.in.failure, io.EOF) {
+		return errCallerLeft
+	}
+	done := c.newest()
+	if done == nil {
+		return nil
+	}
+	for delay := firstProbeDelay; ; delay *= 2 {
+		if c.probe() != nil {
+			return errCallerLeft
+		}
+		timer := time.NewTimer(delay)
+		select {
+		case <-done:
+			timer.Stop()
+			return nil
+		case <-c.ctx.Done():
+			timer.Stop()
+			return errCallerLeft
+		case <-timer.C:
+		}
+	}
+}
+
+// probe sends the next byte of statusLineStart ahead of the next response. It fails if the caller has left and an earlier write was
+// answered with a reset. While a response is being written, that fails instead.
+func (c *conn) probe() error {
+	if !c.writing.TryLock() {
+		return nil
+	}
+	defer c.writing.Unlock()
+	c.mu.Lock()
+	due := c.waiting > 0
+	c.mu.Unlock()
+	if !due || c.sentAhead == len(statusLineStart) {
+		return nil
+	}
+	_ = c.nc.SetWriteDeadline(time.Now().Add(firstProbeDelay)) // the buffer of the connection has room if no response is being written
+	n, err := io.WriteString(c.nc, statusLineStart[c.sentAhead:c.sentAhead+1])
+	c.sentAhead += n
+	if isTimeout(err) {
+		return nil
+	}
+	return err
+}
--- a/internal/connection/entry/disconnect_test.go
+++ b/internal/connection/entry/disconnect_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -65,6 +66,8 @@
 
 func (s *stream) SetWriteDeadline(t time.Time) error { return s.out.SetWriteDeadline(t) }
 
+func (s *stream) CloseWrite() error { return s.out.Close() }
+
 func (s *stream) Close() error { return s.close(false) }
 
 func (s *stream) close(reset bool) error {
@@ -144,7 +147,48 @@
 	}
 }
 
-// Guards against rules that hold for the streams of these tests, but not for those of the kernel.
+// Guards against a caller that has ended its sending, but still waits, and is taken for one that has left.
+func TestCallerThatOnlyEndsItsSendingIsAnswered(t *testing.T) {
+	for name, last := range lastBytes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, br, h, _ := connectStreams(t)
+				go func() { _, _ = io.WriteString(c, get("/5s/a")+get("/7s/b")+last); _ = c.CloseWrite() }()
+				for _, want := range []string{"/5s/a ", "/7s/b "} {
+					status, body, _ := read(t, br)
+					require.Equal(t, http.StatusOK, status)
+					require.Equal(t, want, body)
+				}
+				for _, err := br.Peek(1); err == nil; _, err = br.Peek(1) {
+					status, _, _ := read(t, br)
+					require.Contains(t, []int{http.StatusOK, http.StatusBadRequest, http.StatusRequestEntityTooLarge,
+						http.StatusRequestHeaderFieldsTooLarge}, status)
+				}
+				synctest.Wait()
+				require.Empty(t, h.cancelled)
+			})
+		})
+	}
+}
+
+// Guards against a caller that ends its sending, waits, and leaves without being noticed before its requests have run.
+func TestCallerThatLeavesAfterItHasEndedItsSendingIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, br, h, _ := connectStreams(t)
+		go func() { _, _ = io.Copy(io.Discard, br) }()
+		write(t, c, get("/20s/a"))
+		require.NoError(t, c.CloseWrite())
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.Empty(t, h.cancelled)
+		require.NoError(t, c.Close())
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		require.Equal(t, []string{"/20s/a"}, h.cancelled)
+	})
+}
+
+// Guards against rules for half-closed connections that hold for the streams of these tests, but not for those of the kernel.
 func TestEndsOfConnectionsOverTCP(t *testing.T) {
 	for name, leave := range map[string]func(*net.TCPConn) error{
 		"closed": (*net.TCPConn).Close,
@@ -154,6 +198,7 @@
 			}
 			return c.Close()
 		},
+		"half-closed": (*net.TCPConn).CloseWrite,
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := &handler{}
@@ -168,7 +213,15 @@
 			write(t, c, get("/2s/a")+get("/2s/b")+"GET /c HT")
 			require.Eventually(t, func() bool { return s.Active() == 2 }, time.Second, time.Millisecond)
 			require.NoError(t, leave(c))
-			require.Eventually(t, func() bool { return s.Active() == 0 }, time.Second, time.Millisecond)
+			if name == "half-closed" {
+				br := bufio.NewReader(c)
+				for _, want := range []string{"/2s/a ", "/2s/b "} {
+					_, body, _ := read(t, br)
+					require.Equal(t, want, body)
+				}
+			} else {
+				require.Eventually(t, func() bool { return s.Active() == 0 }, time.Second, time.Millisecond)
+			}
 			s.Close()
 		})
 	}
--- a/internal/connection/entry/write.go
+++ b/internal/connection/entry/write.go
@@ -18,6 +18,9 @@
 // response takes a single call of Write.
 const writePiece = 16 << 10
 
+// statusLineStart begins every response.
+const statusLineStart = "HTTP/1.1 "
+
 // writeResponse writes a response. If last is set, the response announces the end of the connection. It fails if the caller does not
 // take writePiece bytes within the stall time.
 func (c *conn) writeResponse(method string, a *Response, last bool) error {
@@ -28,7 +31,7 @@
 		}
 	}()
 	b.Reset()
-	b.WriteString("HTTP/1.1 ")
+	b.WriteString(statusLineStart)
 	b.Write(strconv.AppendInt(b.AvailableBuffer(), int64(a.Status), 10))
 	b.WriteByte(' ')
 	b.WriteString(http.StatusText(a.Status))
@@ -60,7 +63,10 @@
 		b.Write(a.Body[:first])
 		rest = a.Body[first:]
 	}
-	for piece := b.Bytes(); ; {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	piece := b.Bytes()[c.sentAhead:]
+	for c.sentAhead = 0; ; {
 		_ = c.nc.SetWriteDeadline(time.Now().Add(c.srv.stallTime))
 		n, err := c.nc.Write(piece)
 		c.out.moved.Add(int64(n))
