entry: requests that have just begun to arrive are not late in a stop

3 s after SIGTERM a node refuses the requests that are still arriving. A call of a run in progress that happened to begin to arrive in that moment was refused with them, and its run failed.

RefuseArriving leaves out requests that have been arriving for less than CloseDelay (50 ms). What a caller really sends slowly is refused a step later, at the latest when the node gives up.

TestRequestThatHasJustBegunToArriveIsNotRefused failed before and passes.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -314,11 +314,11 @@
 	c.closed = c.closed || c.waiting > 0 && !c.reading // a request that is arriving ends the connection in dispatch
 }
 
-// refuseArriving ends the wait for the rest of a request.
-func (c *conn) refuseArriving() {
+// refuseArriving ends the wait for the rest of a request that has been arriving for at least the given time.
+func (c *conn) refuseArriving(age time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reading {
+	if c.reading && c.arrival.duration(c.srv) >= age {
 		c.late = true
 		_ = c.nc.SetReadDeadline(time.Now())
 	}
--- a/internal/connection/entry/drain_test.go
+++ b/internal/connection/entry/drain_test.go
@@ -206,3 +206,20 @@
 		_ = c.Close()
 	})
 }
+
+// Guards against a call of a running request that is refused in a stop because it began to arrive just before the late requests were
+// refused.
+func TestRequestThatHasJustBegunToArriveIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, br, _, s := connect(t)
+		write(t, c, "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo")
+		time.Sleep(CloseDelay / 2)
+		s.DisableKeepAlives()
+		s.RefuseArriving()
+		time.Sleep(CloseDelay)
+		write(t, c, "dy")
+		status, body, _ := read(t, br)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, "/x body", body)
+	})
+}
--- a/internal/connection/entry/entry.go
+++ b/internal/connection/entry/entry.go
@@ -213,14 +213,19 @@
 	}
 }
 
-// RefuseArriving rejects the requests that have begun to arrive and are not complete, with status 503.
-func (s *Server) RefuseArriving() { s.forEach((*conn).refuseArriving) }
+// RefuseArriving rejects the requests that have been arriving for CloseDelay and are not complete, with status 503. Those that began
+// later may be complete in a moment.
+func (s *Server) RefuseArriving() {
+	s.forEach(func(c *conn) { c.refuseArriving(CloseDelay) })
+}
 
 // GiveUp cancels the context of all requests with the cause. Their responses are still written. Requests that have begun to arrive
 // and are not complete are rejected with status 503.
 func (s *Server) GiveUp(cause error) {
-	s.forEach(func(c *conn) { c.giveUp(cause) })
-	s.RefuseArriving()
+	s.forEach(func(c *conn) {
+		c.giveUp(cause)
+		c.refuseArriving(0)
+	})
 }
 
 // CloseIdle disables keep-alives and, after CloseDelay, stops accepting and closes the connections without pending requests.
--- a/internal/connection/entry/slow.go
+++ b/internal/connection/entry/slow.go
@@ -81,7 +81,7 @@
 	if began == 0 {
 		return 0
 	}
-	return time.Since(s.started) - time.Duration(began)
+	return max(0, time.Since(s.started)-time.Duration(began))
 }
 
 // slow returns how long a slow transfer has taken, zero if it is none.
