mesh, sidecar: a stopping node accepts what it can still finish

Cause: the steps of a stop let requests in by the time that had passed since its start, whatever they needed. So did new requests (2.5 s), requests of other nodes (1.5 s), and those that a slot or another target came late for; calls later than 4.5 s were refused, though most take some milliseconds.

Change: the node knows from the start of the stop when it gives up, and refuses at once, as not run, what is unlikely to be answered before. Calls are accepted until 0.25 s before the end.

--- a/internal/process/mesh/deliver.go
+++ b/internal/process/mesh/deliver.go
@@ -26,7 +26,8 @@
 	if g := p.attachedTarget.Load(); g == nil || g.service != req.Service || g.instance != req.Instance {
 		return p.refuseUnattached(req)
 	}
-	return nil
+	kind, _ := p.routeOf(req)
+	return p.refuseUndeliverable(req, kind)
 }
 
 func (p *Proxy) refuseUnattached(req *message.Request) *message.Response {
@@ -82,6 +83,9 @@
 // unlike the time-out, it does not end the request.
 func (p *Proxy) admitAndRun(ctx context.Context, g *attachedTarget, req *message.Request, kind string, w *window.Window, objective time.Duration) (*message.Response, window.RunStats) {
 	arrived := time.Now()
+	if refusal := p.refuseUndeliverable(req, kind); refusal != nil {
+		return refusal, window.RunStats{}
+	}
 	permit, err := g.control.Acquire(ctx, admission.Work{
 		Priority:   req.Priority,
 		Deadline:   req.Deadline,
@@ -91,11 +95,16 @@
 	if err != nil {
 		return p.refuseUnadmitted(err), window.RunStats{}
 	}
-	if refusal := p.refuseHeldAtTarget(req); refusal != nil {
+	refusal := p.refuseUndeliverable(req, kind) // the wait has used up some of the time
+	if refusal == nil {
+		refusal = p.refuseHeldAtTarget(req)
+	}
+	if refusal != nil {
 		permit.Release(admission.Result{Cancelled: true})
 		return refusal, window.RunStats{}
 	}
 	run := p.activeRuns.begin(g, req, w)
+	p.runTimes.Begin(kind, &run.duration)
 	start := time.Now()
 	r := g.target.Do(ctx, req)
 	took := time.Since(start)
@@ -112,6 +121,7 @@
 		Paused:    pause.Since(start),
 	})
 	p.activeRuns.end(run)
+	observeDuration(&run.duration, r)
 	r.Thresholds = run.thresholds.Thresholds()
 	r.Needs = p.finishChain(run, r)
 	callQueueTime := time.Duration(run.callQueueTime.Load())
--- a/internal/process/mesh/mesh.go
+++ b/internal/process/mesh/mesh.go
@@ -28,6 +28,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/pace"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/quarantine"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/ratelimit"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/responsetime"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/servicetime"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/window"
@@ -107,6 +108,10 @@
 	knownRates     knownRates
 	buckets        sync.Map     // map of service to *retry.RankedBucket
 	burst          atomic.Value // float64; set by SetRetryBurst
+
+	stopAt       atomic.Pointer[time.Time] // see StopAt; nil: the node does not stop
+	requestTimes responsetime.Tracker      // of the requests that this node forwards, by route
+	runTimes     responsetime.Tracker      // of the runs at the attached target, by route
 }
 
 // attachedTarget is the target of this node with its admission control and its measurements.
--- a/internal/process/mesh/runs.go
+++ b/internal/process/mesh/runs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/chain"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/responsetime"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/shed"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/window"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
@@ -28,6 +29,7 @@
 	window          *window.Window // nil if the run is itself a call
 	calls           chain.Calls    // by route
 	callClock       callClock
+	duration        responsetime.Request
 }
 
 // callClock measures the time in which at least one call of a run is in progress. Calls at the same time count once, unlike in
--- a/internal/process/mesh/serve.go
+++ b/internal/process/mesh/serve.go
@@ -10,6 +10,7 @@
 	"github.com/wigeoncleat/wigeoncleat/internal/process/balance"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
+	"github.com/wigeoncleat/wigeoncleat/internal/process/responsetime"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/organisation"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/routing"
@@ -76,7 +77,8 @@
 	callerLeft       time.Duration // until the caller's own deadline
 	callsBefore      int           // calls of the same route that the parent has made before
 	unlikely         bool          // refused because its chain is unlikely to complete
-	trialKey         uint64        // of a request that was held and may run once, see Picker.PickStable; zero for all others
+	duration         responsetime.Request
+	trialKey         uint64 // of a request that was held and may run once, see Picker.PickStable; zero for all others
 
 	last          *message.Response // of the latest attempt
 	targetFailure *message.Response // latest response for which failedByItself is true
@@ -132,7 +134,10 @@
 		f.parent.callClock.start()
 		defer f.parent.callClock.stop()
 	}
-	r := p.refuseHeld(f)
+	r := p.refuseUnforwardable(f)
+	if r == nil {
+		r = p.refuseHeld(f)
+	}
 	if r == nil {
 		r = p.admitQuota(f)
 	}
@@ -143,7 +148,9 @@
 		r = p.refuseUnlikely(f)
 	}
 	if r == nil {
+		p.requestTimes.Begin(f.route.Name, &f.duration)
 		r = p.tryTargets(ctx, f)
+		observeDuration(&f.duration, r)
 		if refusedByLimit(r) {
 			p.learnThresholds(f, r) // no other target had room either
 		}
@@ -281,6 +288,9 @@
 		if ctx.Err() != nil || !f.shouldRetry(r) || f.mayHaveRun && !p.mayRetrySuspect(f.req) {
 			return f.finalResponse()
 		}
+		if p.refuseUnforwardable(f) != nil {
+			return f.finalResponse()
+		}
 		if tookRetry = mayHaveArrived(r); tookRetry && !p.takeRetry(bucket, f) {
 			return f.finalResponse()
 		}
--- a/internal/process/sidecar/stop.go
+++ b/internal/process/sidecar/stop.go
@@ -20,12 +20,12 @@
 	// acceptPeriod is the time after the start of a graceful stop in which callers still connect: the platform checks
 	// readiness once a second and stops sending callers after two failed checks.
 	acceptPeriod = 2500 * time.Millisecond
-	// callPeriod is the time after the start of a graceful stop in which the calls are still accepted that the attached target makes for
-	// requests in progress: these fail without their calls. The rest of the grace period is for the calls to complete.
-	callPeriod = 4500 * time.Millisecond
 	// arrivalPeriod is the time after the start of a graceful stop within which a request has to arrive completely. A later one
 	// might not be answered before the process exits.
 	arrivalPeriod = 3 * time.Second
+	// callMargin is the time before the end of the stop until which connections are still accepted for the calls that the attached target
+	// makes for requests in progress: these fail without their calls.
+	callMargin = 250 * time.Millisecond
 	// exitMargin is the time before the end of the grace period at which the process exits even with requests in flight.
 	// It leaves time for giveUpTimeout, closeTimeout and for delays on a busy processor.
 	exitMargin = 800 * time.Millisecond
@@ -39,7 +39,7 @@
 	handover time.Duration // see handoverPeriod
 	closing  time.Duration // see acceptPeriod
 	arrival  time.Duration // see arrivalPeriod
-	calls    time.Duration // see callPeriod
+	calls    time.Duration // see callMargin
 	end      time.Duration // see exitMargin
 }
 
@@ -50,18 +50,20 @@
 	}
 	scale := min(1, float64(grace)/float64(defaultGrace))
 	scaled := func(d time.Duration) time.Duration { return time.Duration(scale * float64(d)) }
+	end := grace - scaled(exitMargin)
 	return stopSchedule{
-		handover: scaled(handoverPeriod), closing: scaled(acceptPeriod), arrival: scaled(arrivalPeriod), calls: scaled(callPeriod),
-		end: grace - scaled(exitMargin),
+		handover: scaled(handoverPeriod), closing: scaled(acceptPeriod), arrival: scaled(arrivalPeriod), calls: end - scaled(callMargin),
+		end: end,
 	}
 }
 
 // drain stops this node gracefully: callers are turned away, other nodes stop using the target, and requests in flight
-// complete. The drain of a target, by its report or notice, stops only the requests to that target.
+// complete. What is unlikely to complete before the end is refused at once. The drain of a target, by its report or notice, stops only the requests to that target.
 func (s *Sidecar) drain() {
 	start := time.Now()
 	schedule := newStopSchedule(s.settings.Grace)
 	event.Log(s.log, event.DrainStarted, s.inFlight()...)
+	s.path.StopAt(start.Add(schedule.end))
 	s.leaving.Store(true)
 	s.entry.DisableKeepAlives()
 	if s.tracker.State(start).Phase != report.PhaseReady {
--- a/internal/process/sidecar/stop_test.go
+++ b/internal/process/sidecar/stop_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"path"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -262,3 +263,132 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// chainTarget makes a call through its node for each request, 200 ms after that for the request before.
+type chainTarget struct {
+	l     *callers
+	start time.Time
+
+	mu    sync.Mutex
+	calls map[time.Duration]int // statuses of the calls by when they were sent, from start
+}
+
+func (g *chainTarget) Do(_ context.Context, x *targetconn.Exchange) (*targetconn.Response, error) {
+	var n int
+	_, _ = fmt.Sscanf(x.ID, "r%d", &n)
+	time.Sleep(time.Until(g.start.Add(2400*time.Millisecond + time.Duration(n)*200*time.Millisecond)))
+	sent := time.Since(g.start)
+	status := g.l.order("/store/"+x.ID+".1", 0)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.calls[sent.Round(time.Millisecond)] = status
+	return &targetconn.Response{Status: http.StatusOK}, nil
+}
+
+// workingTarget answers requests after a time and counts those that are broken off before.
+type workingTarget struct {
+	time      time.Duration
+	ran, lost atomic.Int32
+}
+
+func (g *workingTarget) Do(ctx context.Context, _ *targetconn.Exchange) (*targetconn.Response, error) {
+	g.ran.Add(1)
+	select {
+	case <-time.After(g.time):
+		return &targetconn.Response{Status: http.StatusOK}, nil
+	case <-ctx.Done():
+		g.lost.Add(1)
+		return nil, &targetconn.Error{Sent: true, Err: ctx.Err()}
+	}
+}
+
+// Guards against calls that a stopping node accepts for its target's requests, passes on, and breaks off when its grace period is over,
+// and against calls that it refuses although calls like it were answered in the time that is left.
+func TestStoppingNodeAnswersTheCallsThatItAccepts(t *testing.T) {
+	for name, c := range map[string]struct {
+		work  time.Duration // of a call
+		known bool          // such calls were made before the stop
+	}{
+		"long":         {2200 * time.Millisecond, false},
+		"long known":   {2200 * time.Millisecond, true},
+		"medium":       {1200 * time.Millisecond, false},
+		"medium known": {1200 * time.Millisecond, true},
+		"short":        {15 * time.Millisecond, false},
+		"short known":  {15 * time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, func(t *testing.T, cl *cluster) {
+				calls, store := stopDuringCalls(t, cl, c.work, c.known)
+				require.Len(t, calls, 8)
+				answered := 0
+				for sent, status := range calls {
+					fits := sent+c.work < newStopSchedule(0).end
+					if status == http.StatusOK {
+						answered++
+					} else {
+						require.Equal(t, http.StatusServiceUnavailable, status, "call sent at %v", sent)
+						require.False(t, fits && c.known, "call sent at %v was refused", sent)
+					}
+				}
+				require.NotZero(t, answered)
+				require.EqualValues(t, answered, store.ran.Load())
+				require.Zero(t, store.lost.Load())
+			})
+		})
+	}
+}
+
+// stopDuringCalls stops a node whose target runs eight requests, each of which makes a call 2.4 to 3.8 s after the start of the stop. It
+// returns the statuses of the calls by when they were sent, and the target that they went to.
+func stopDuringCalls(t *testing.T, cl *cluster, work time.Duration, known bool) (map[time.Duration]int, *workingTarget) {
+	table, err := routing.New(9, []*routing.Route{
+		{Name: "menu", Host: "x", Prefix: "/menu/", Idempotent: true, Timeout: 10 * time.Second, Objective: 4 * time.Second, MaxAttempts: 1,
+			Split: []routing.WeightedService{{Service: "menu", Weight: 1}}},
+		{Name: "store", Host: "x", Prefix: "/store/", Idempotent: true, Timeout: 2500 * time.Millisecond, Objective: 2400 * time.Millisecond,
+			MaxAttempts: 1, Split: []routing.WeightedService{{Service: "store", Weight: 1}}},
+	}, []routing.Service{{Name: "menu"}, {Name: "store"}}, routing.DefaultLimits())
+	require.NoError(t, err)
+	table.Source([]byte{9}, 1)
+	l := &callers{waiting: make(chan net.Conn), done: make(chan struct{})}
+	chain, store := &chainTarget{l: l, calls: map[time.Duration]int{}}, &workingTarget{time: work}
+	targets := map[string]exchanger{"a": chain, "m": store}
+	cl.configure = func(s *Sidecar) {
+		s.routes.Store(table)
+		s.opts.Codec = callCodec{}
+		s.connectTarget = func(string) exchanger { return targets[s.settings.PeerAddress] }
+	}
+	a, m := cl.start("a", "menu"), cl.start("m", "store")
+	time.Sleep(time.Second)
+	require.NoError(t, a.reportReady(1))
+	require.NoError(t, m.reportReady(1))
+	time.Sleep(100 * time.Millisecond)
+	go func() { _ = a.entry.Serve(l) }()
+	request := func(service, id string) *message.Request {
+		return &message.Request{Host: "x", Path: "/" + service + "/" + id, Attempt: id, Arrived: time.Now()}
+	}
+	if known {
+		require.Equal(t, message.Answered, a.path.Serve(t.Context(), request("store", "before")).Outcome)
+		store.ran.Store(0)
+	}
+	chain.start = time.Now().Add(100 * time.Millisecond)
+	var runs sync.WaitGroup
+	for i := range 8 {
+		runs.Go(func() {
+			_ = m.path.Serve(t.Context(), request("menu", fmt.Sprintf("r%d", i)))
+		})
+	}
+	time.Sleep(time.Until(chain.start))
+	stopped := make(chan struct{})
+	go func() {
+		a.drain()
+		a.entry.Close()
+		a.pool.Close()
+		close(stopped)
+	}()
+	time.Sleep(2 * time.Second)
+	require.NoError(t, m.reportReady(2))
+	runs.Wait()
+	<-stopped
+	time.Sleep(time.Second)
+	return chain.calls, store
+}
