entry: notice a caller that leaves behind requests that are not read

The kernel tells whether the stream has ended without reading what comes before (POLLRDHUP). The bytes stay with the kernel, so that the memory budget bounds what is read as before.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -173,15 +173,13 @@
 func (c *conn) throttle() error {
 	for {
 		c.mu.Lock()
-		full, lastDone := c.pending >= maxPipelined || c.pending > 0 && (c.unread.Load() > maxUnread || c.srv.budget.Short()), c.lastDone
+		full := c.pending >= maxPipelined || c.pending > 0 && (c.unread.Load() > maxUnread || c.srv.budget.Short())
 		c.mu.Unlock()
 		if !full {
 			return nil
 		}
-		select {
-		case <-lastDone:
-		case <-c.ctx.Done():
-			return context.Cause(c.ctx)
+		if err := c.awaitAnsweredUnread(); err != nil {
+			return err
 		}
 	}
 }
--- a/internal/connection/entry/disconnect.go
+++ b/internal/connection/entry/disconnect.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"os"
+	"syscall"
 	"time"
 )
 
@@ -60,6 +62,43 @@
 	return true, nil
 }
 
+// awaitAnsweredUnread waits until all requests that were read are answered, and leaves what the caller sends meanwhile with the kernel. If
+// the caller leaves, it returns errCallerLeft at once.
+func (c *conn) awaitAnsweredUnread() error {
+	done := c.newest()
+	if done == nil {
+		return nil
+	}
+	raw, ok := rawConn(c.nc)
+	if !ok {
+		select {
+		case <-done:
+			return nil
+		case <-c.ctx.Done():
+			return errCallerLeft
+		}
+	}
+	defer c.interruptRead(done)()
+	for !c.clearReadDeadline(done) {
+		switch err := raw.Read(streamEnded); {
+		case err == nil:
+			return c.probeUntil(done)
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return errCallerLeft
+		}
+	}
+	return nil
+}
+
+func rawConn(nc net.Conn) (syscall.RawConn, bool) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil, false
+	}
+	raw, err := sc.SyscallConn()
+	return raw, err == nil
+}
+
 // interruptRead lets the current read fail when done is closed, until the returned function is called.
 func (c *conn) interruptRead(done <-chan struct{}) (stop func()) {
 	stopped, ended := make(chan struct{}), make(chan struct{})
@@ -102,6 +141,11 @@
 	if done == nil {
 		return nil
 	}
+	return c.probeUntil(done)
+}
+
+// probeUntil probes a connection whose caller sends nothing more until done is closed. If the caller has left, it returns errCallerLeft.
+func (c *conn) probeUntil(done <-chan struct{}) error {
 	for delay := firstProbeDelay; ; delay *= 2 {
 		if c.probe() != nil {
 			return errCallerLeft
--- a/internal/connection/entry/disconnect_test.go
+++ b/internal/connection/entry/disconnect_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
 )
 
 // stream is one end of a connection in memory. Like those of TCP, its two directions end separately, and a write after the other end
@@ -226,3 +228,47 @@
 		})
 	}
 }
+
+// Guards against a caller that leaves unnoticed while the server reads no further request, because as many are in progress as a connection
+// may have, or while memory is short: the end of its stream is behind bytes that were not read.
+func TestCallerThatLeavesBehindUnreadRequestsIsNoticed(t *testing.T) {
+	long := "/1ms/" + strings.Repeat("b", 500)
+	for name, c := range map[string]struct {
+		requests int
+		budget   int64
+	}{
+		"many requests": {maxPipelined, 4 << 20},
+		"shortage":      {1, connectionBytes * 5 / 4},
+	} {
+		for _, half := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, half-closed %v", name, half), func(t *testing.T) {
+				s := NewServer(&handler{}, Config{MaxConnections: 10, Budget: memory.NewBudget(c.budget)})
+				defer s.Close()
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				go func() { _ = s.Serve(l) }()
+				nc, err := net.Dial("tcp", l.Addr().String())
+				require.NoError(t, err)
+				defer nc.Close()
+				write(t, nc, strings.Repeat(get("/2s/a"), c.requests))
+				require.Eventually(t, func() bool { return s.Active() == c.requests }, time.Second, time.Millisecond)
+				write(t, nc, strings.Repeat(get(long), 20)) // more than the read buffer holds
+				if !half {
+					require.NoError(t, nc.Close())
+					require.Eventually(t, func() bool { return s.Active() == 0 }, time.Second, time.Millisecond)
+					return
+				}
+				require.NoError(t, nc.(*net.TCPConn).CloseWrite())
+				br := bufio.NewReader(nc)
+				for range c.requests {
+					_, body, _ := read(t, br)
+					require.Equal(t, "/2s/a ", body)
+				}
+				for range 20 {
+					_, body, _ := read(t, br)
+					require.Equal(t, long+" ", body)
+				}
+			})
+		}
+	}
+}
