targetconn: bytes behind a response cost at most one further request

Cause: the connection was used again before the bytes arrived, and the next request got them for its response. What a connection had shown was forgotten with it.

Change: after bytes that are no response, idle connections to the target are closed, and each connection carries one request for 10 s. The kernel's receive buffer of a connection is bounded, as a target can fill those of idle ones.

--- a/internal/connection/targetconn/endless_test.go
+++ b/internal/connection/targetconn/endless_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime"
 	"runtime/metrics"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -74,6 +75,90 @@
 	}
 }
 
+// serveTCP accepts connections on loopback and runs the script on each.
+func serveTCP(t *testing.T, script func(net.Conn, *bufio.Reader)) *Pool {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			go func() {
+				defer c.Close()
+				script(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return NewPool(l.Addr().String())
+}
+
+// Guards against a response that is lost, or read on without end, because the target sends bytes behind it, and against other requests
+// that get those bytes for their response because the connection is used again before they arrive.
+func TestBytesWithoutEndBehindAResponse(t *testing.T) {
+	for name, repeated := range map[string]string{"no protocol": "x", "lines": "X: y\r\n", "zeros": "\x00"} {
+		for _, delay := range []time.Duration{0, 100 * time.Microsecond, 3 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s after %v", name, delay), func(t *testing.T) {
+				p := serveTCP(t, func(c net.Conn, br *bufio.Reader) {
+					_, err := io.WriteString(c, response(readOne(t, br), "ok"))
+					time.Sleep(delay)
+					for rest := strings.Repeat(repeated, 1<<10); err == nil; {
+						_, err = io.WriteString(c, rest)
+					}
+				})
+				lost := 0
+				for i := range 40 {
+					if a, err := do(t, p, strconv.Itoa(i)); err != nil {
+						lost++
+					} else {
+						require.Equal(t, "ok", string(a.Body))
+					}
+				}
+				require.LessOrEqual(t, lost, 1, "only one request can be sent before the bytes arrive")
+				require.Empty(t, p.idle)
+			})
+		}
+	}
+}
+
+// Guards against connections that are never used again because a target once sent bytes behind a response.
+func TestConnectionsAreUsedAgainAfterStrayBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		good := func(c net.Conn, br *bufio.Reader) {
+			for id := readOne(t, br); id != ""; id = readOne(t, br) {
+				_, _ = io.WriteString(c, response(id, "ok"))
+			}
+		}
+		f := &fakeTarget{scripts: []func(net.Conn, *bufio.Reader){func(c net.Conn, br *bufio.Reader) {
+			_, _ = io.WriteString(c, response(readOne(t, br), "ok")+"xx")
+		}, good, good}}
+		p := f.pool()
+		for i := range 2 {
+			_, err := do(t, p, strconv.Itoa(i))
+			require.NoError(t, err)
+		}
+		time.Sleep(strayTime)
+		for i := range 5 {
+			_, err := do(t, p, strconv.Itoa(10+i))
+			require.NoError(t, err)
+		}
+		require.Equal(t, 3, p.Opened())
+		p.Close()
+	})
+}
+
+// Guards against responses to other requests, which are skipped, that make a target lose its connections.
+func TestSecondResponseIsNoStray(t *testing.T) {
+	for _, bytes := range []string{response("0", "again"), "HTTP/1.1 ", "HT"} {
+		c := &conn{br: bufio.NewReader(strings.NewReader(bytes))}
+		_, _ = c.br.Peek(1)
+		require.False(t, c.strayBuffered(), bytes)
+	}
+	for _, bytes := range []string{"x", "HTML", "\r\n"} {
+		c := &conn{br: bufio.NewReader(strings.NewReader(bytes))}
+		_, _ = c.br.Peek(1)
+		require.True(t, c.strayBuffered(), bytes)
+	}
+}
+
 // Guards against a response that arrives byte by byte, so that no size limit is reached in time. The deadline ends the exchange.
 func TestDripFeedEndsAtTheDeadline(t *testing.T) {
 	for name, start := range map[string]string{
--- a/internal/connection/targetconn/targetconn.go
+++ b/internal/connection/targetconn/targetconn.go
@@ -83,6 +83,14 @@
 	// HTTP servers commonly accept heads of 8 to 32 KiB, so 32 KiB suffices for common heads. It is not larger because a head of
 	// short lines takes ten times its encoded size in memory once it is parsed.
 	maxHeadBytes = 32 << 10
+	// strayTime is the time in which connections are not used again after the target has sent bytes that are no response. A request on a
+	// connection that is used again at once is sent before they arrive, and gets them for its response. A new connection costs about 1 ms.
+	strayTime = 10 * time.Second
+	// socketBuffer is the size in bytes of the kernel's receive buffer, of which the kernel takes twice as much. A target can fill those of
+	// idle connections.
+	socketBuffer = 64 << 10
+	// responseStart begins every response.
+	responseStart = "HTTP/"
 )
 
 // Causes of failed exchanges.
@@ -91,6 +99,7 @@
 	ErrUnmatchedResponse = errors.New("received only responses to other requests")
 
 	errInformational = errors.New("too many informational responses")
+	errStrayBytes    = errors.New("received bytes that are no response")
 )
 
 // Pool is a pool of connections to one target.
@@ -98,17 +107,22 @@
 	address string
 	dial    func(ctx context.Context) (net.Conn, error)
 
-	mu     sync.Mutex
-	idle   []*conn // most recently used last
-	closed bool
-	opened int
+	mu      sync.Mutex
+	idle    []*conn // most recently used last
+	closed  bool
+	opened  int
+	strayAt time.Time // when the target last sent bytes that are no response; zero: never
 }
 
 // NewPool returns a pool for the target at the address.
 func NewPool(address string) *Pool {
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &Pool{address: address, dial: func(ctx context.Context) (net.Conn, error) {
-		return d.DialContext(ctx, "tcp", address)
+		nc, err := d.DialContext(ctx, "tcp", address)
+		if tcp, ok := nc.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(socketBuffer)
+		}
+		return nc, err
 	}}
 }
 
@@ -147,6 +161,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.Close() })
 	a, reusable, err := c.exchange(ctx, x)
+	if errors.Is(err, errStrayBytes) || c.strayBuffered() {
+		p.recordStray()
+	}
 	if !stop() {
 		err = errors.Join(ctx.Err(), err)
 		reusable = false
@@ -183,8 +200,14 @@
 			break
 		}
 		idle := now.Sub(c.idleSince)
-		if idle < c.idleLimit && (!x.Fresh || idle < maxFreshIdle) && c.usable() {
-			return c, nil
+		if idle < c.idleLimit && (!x.Fresh || idle < maxFreshIdle) {
+			usable, stray := c.check()
+			if usable {
+				return c, nil
+			}
+			if stray {
+				p.recordStray()
+			}
 		}
 		_ = c.nc.Close()
 	}
@@ -217,7 +240,7 @@
 	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.strayLocked() {
 		_ = c.nc.Close()
 		return
 	}
@@ -228,27 +251,46 @@
 	p.idle = append(p.idle, c)
 }
 
-// usable reports whether the target has neither sent bytes on an idle connection nor closed it.
-func (c *conn) usable() bool {
+// recordStray closes the idle connections, because the target may have sent such bytes on all of them.
+func (p *Pool) recordStray() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.strayAt = time.Now()
+	for _, c := range p.idle {
+		_ = c.nc.Close()
+	}
+	p.idle = nil
+}
+
+func (p *Pool) strayLocked() bool { return !p.strayAt.IsZero() && time.Since(p.strayAt) < strayTime }
+
+// check reports whether an idle connection is usable, which it is if the target has neither sent bytes on it nor closed it, and whether
+// such bytes are no response.
+func (c *conn) check() (usable, stray bool) {
 	if c.br.Buffered() > 0 {
-		return false
+		return false, c.strayBuffered()
 	}
 	sc, ok := c.nc.(syscall.Conn)
 	if !ok {
-		return true
+		return true, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	noData := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
-		noData = errors.Is(err, syscall.EAGAIN)
+		n, err := syscall.Read(int(fd), b[:])
+		usable, stray = errors.Is(err, syscall.EAGAIN), n > 0 && b[0] != responseStart[0]
 		return true
 	})
-	return err == nil && noData
+	return err == nil && usable, stray
+}
+
+// strayBuffered reports whether bytes were read from the connection that do not begin a response.
+func (c *conn) strayBuffered() bool {
+	b, _ := c.br.Peek(min(len(responseStart), c.br.Buffered())) // does not fail, as it reads nothing
+	return !strings.HasPrefix(responseStart, string(b))
 }
 
 // exchange writes the request and reads the response. It reports whether the connection can be reused, which requires that
@@ -316,6 +358,9 @@
 func (c *conn) readFinal(req *http.Request, headBytes *int) (*http.Response, error) {
 	for range maxInformational {
 		c.in.remaining = max(0, *headBytes-c.br.Buffered()) // the buffered bytes may already contain the whole head
+		if b, err := c.br.Peek(len(responseStart)); err == nil && string(b) != responseStart {
+			return nil, errStrayBytes
+		}
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
 			return nil, err
