targetconn: the rest of a malformed response is no stray

A response whose body is malformed leaves bytes in the buffer, which were taken for bytes behind a response: the connections to its target were not used again for 10 s because of one garbled response.

Only what follows a complete response counts. TestRestOfAMalformedResponseIsNoStray failed before and passes.

--- a/internal/connection/targetconn/endless_test.go
+++ b/internal/connection/targetconn/endless_test.go
@@ -145,6 +145,21 @@
 	})
 }
 
+// Guards against a single response with a malformed body after which the target's connections are not used again: its rest says nothing of
+// the bytes behind other responses.
+func TestRestOfAMalformedResponseIsNoStray(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeTarget{scripts: []func(net.Conn, *bufio.Reader){func(c net.Conn, br *bufio.Reader) {
+			readOne(t, br)
+			_, _ = io.WriteString(c, matchingHead+"Transfer-Encoding: chunked\r\n\r\nzz\r\nrest")
+		}}}
+		p := f.pool()
+		_, err := do(t, p, "a")
+		require.Error(t, err)
+		require.Zero(t, p.strayAt)
+	})
+}
+
 // Guards against responses to other requests, which are skipped, that make a target lose its connections.
 func TestSecondResponseIsNoStray(t *testing.T) {
 	for _, bytes := range []string{response("0", "again"), "HTTP/1.1 ", "HT"} {
--- a/internal/connection/targetconn/targetconn.go
+++ b/internal/connection/targetconn/targetconn.go
@@ -161,7 +161,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.Close() })
 	a, reusable, err := c.exchange(ctx, x)
-	if errors.Is(err, errStrayBytes) || c.strayBuffered() {
+	if errors.Is(err, errStrayBytes) || a != nil && c.strayBuffered() {
 		p.recordStray()
 	}
 	if !stop() {
