entry, sidecar: names, and a write deadline that a probe may have left

100 Continue was written with the deadline of the last probe, which may have passed: a caller that has ended its sending behind more requests than a connection may have in progress, one of them with an expected body, would be cut off. Found by reading; no run showed it.

--- a/internal/connection/entry/conn.go
+++ b/internal/connection/entry/conn.go
@@ -87,7 +87,7 @@
 		if err := c.awaitRequest(limits); errors.Is(err, errServerClosed) {
 			return c.awaitAnswered()
 		} else if err != nil {
-			return c.awaitGone()
+			return c.readFailed()
 		}
 		c.arrival.begin(c.srv)
 		r, err := c.readRequest(limits)
@@ -99,7 +99,7 @@
 			c.held.Shrink(connectionBytes)
 			return c.reject(reject)
 		case err != nil:
-			return c.awaitGone()
+			return c.readFailed()
 		}
 		last := r.Close
 		if !c.dispatch(r) || last {
@@ -191,6 +191,7 @@
 	if !answered || err != nil || c.in.failure != nil || c.isLate() {
 		return err
 	}
+	_ = c.nc.SetWriteDeadline(time.Now().Add(c.srv.stallTime)) // a probe may have left one that has passed
 	_, err = io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	return err
 }
--- a/internal/connection/entry/disconnect.go
+++ b/internal/connection/entry/disconnect.go
@@ -17,8 +17,8 @@
 // after that fails.
 const firstProbeDelay = 20 * time.Millisecond
 
-// newest returns a channel that is closed when all requests that were read are answered, or nil if there are none.
-func (c *conn) newest() <-chan struct{} {
+// allAnswered returns a channel that is closed when all requests that were read are answered, or nil if there are none.
+func (c *conn) allAnswered() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.lastDone
@@ -44,7 +44,7 @@
 // awaitAnsweredOr waits until all requests that were read are answered, which it reports, or until the function, which it calls whenever
 // there is input, returns true. It changes the read deadline.
 func (c *conn) awaitAnsweredOr(input func() bool) (answered bool, err error) {
-	done := c.newest()
+	done := c.allAnswered()
 	if done == nil {
 		return true, nil
 	}
@@ -54,7 +54,7 @@
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded):
 		case err != nil:
-			return true, c.awaitGone()
+			return true, c.readFailed()
 		case input():
 			return false, nil
 		}
@@ -65,7 +65,7 @@
 // awaitAnsweredUnread waits until all requests that were read are answered, and leaves what the caller sends meanwhile with the kernel. If
 // the caller leaves, it returns errCallerLeft at once.
 func (c *conn) awaitAnsweredUnread() error {
-	done := c.newest()
+	done := c.allAnswered()
 	if done == nil {
 		return nil
 	}
@@ -131,13 +131,13 @@
 	}
 }
 
-// awaitGone is called when the connection cannot be read any more. If its caller has only ended its sending, it waits until all requests
+// readFailed is called when the connection cannot be read any more. If its caller has only ended its sending, it waits until all requests
 // that were read are answered. If the caller has left, or leaves meanwhile, it returns errCallerLeft.
-func (c *conn) awaitGone() error {
+func (c *conn) readFailed() error {
 	if !errors.Is(c.in.failure, io.EOF) {
 		return errCallerLeft
 	}
-	done := c.newest()
+	done := c.allAnswered()
 	if done == nil {
 		return nil
 	}
--- a/internal/process/sidecar/stop.go
+++ b/internal/process/sidecar/stop.go
@@ -58,7 +58,8 @@
 }
 
 // drain stops this node gracefully: callers are turned away, other nodes stop using the target, and requests in flight
-// complete. What is unlikely to complete before the end is refused at once. The drain of a target, by its report or notice, stops only the requests to that target.
+// complete. What is unlikely to complete before the end is refused at once. The drain of a target, by its report or notice, stops
+// only the requests to that target.
 func (s *Sidecar) drain() {
 	start := time.Now()
 	schedule := newStopSchedule(s.settings.Grace)
