targetconn, responsecheck: malformed fields make no response

Callers got responses of a faulty target in whose head the name of a field holds a blank: with that line passed on ("Bad Name: x"), or with another body than the target's ("Content-Length : 1" and "Transfer-Encoding : chunked" look like the end of the body and are none).

Cause: the heads are parsed by net/http, which keeps a name with blanks as it stands. The other malformed names (tabs, control bytes, an empty name) are errors there and ended with 502 already, as do malformed values, a folded first line and contradicting lengths.

Package responsecheck checks the bytes of a connection before net/http parses them: names and values of fields (by httpguts), in heads, interim heads and trailers, and the length of each response, where it must agree with net/http. A read ends with the response, so that bytes behind it are told apart without looking into the buffer of the parser.

TestSecondResponseIsNoStray called a function that is gone.

--- /dev/null
+++ b/internal/connection/responsecheck/rules.go
@@ -0,0 +1,50 @@
+// Package responsecheck decides which HTTP/1.1 responses are accepted by the clients of this project. It owns the rules on fields
+// and lengths of responses (RFC 9110, section 5; RFC 9112, sections 4 to 7). The responses are parsed by net/http, which is more
+// lenient: it passes on field names with blanks.
+package responsecheck
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// Errors of reads from a Conn.
+var (
+	ErrMalformed  = errors.New("malformed response")
+	ErrNoResponse = errors.New("received bytes that are no response")
+)
+
+// responseStart begins every response.
+const responseStart = "HTTP/"
+
+// StartsResponse reports whether a response can begin with the bytes.
+func StartsResponse(b []byte) bool {
+	n := min(len(b), len(responseStart))
+	return string(b[:n]) == responseStart[:n]
+}
+
+// CheckHeader returns an error if a response cannot have the header.
+func CheckHeader(h http.Header) error {
+	for name, values := range h {
+		for _, value := range values {
+			if err := checkField(name, value); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// checkField returns an error that does not quote the field, as values can be confidential.
+func checkField(name, value string) error {
+	switch {
+	case !httpguts.ValidHeaderFieldName(name):
+		return fmt.Errorf("%w: invalid name of a field", ErrMalformed)
+	case !httpguts.ValidHeaderFieldValue(value):
+		return fmt.Errorf("%w: invalid value of a field", ErrMalformed)
+	}
+	return nil
+}
--- a/internal/connection/targetconn/endless_test.go
+++ b/internal/connection/targetconn/endless_test.go
@@ -162,15 +162,19 @@
 
 // Guards against responses to other requests, which are skipped, that make a target lose its connections.
 func TestSecondResponseIsNoStray(t *testing.T) {
-	for _, bytes := range []string{response("0", "again"), "HTTP/1.1 ", "HT"} {
-		c := &conn{br: bufio.NewReader(strings.NewReader(bytes))}
-		_, _ = c.br.Peek(1)
-		require.False(t, c.strayBuffered(), bytes)
-	}
-	for _, bytes := range []string{"x", "HTML", "\r\n"} {
-		c := &conn{br: bufio.NewReader(strings.NewReader(bytes))}
-		_, _ = c.br.Peek(1)
-		require.True(t, c.strayBuffered(), bytes)
+	for behind, stray := range map[string]bool{
+		response("0", "again"): false, "HTTP/1.1 ": false, "HT": false, "x": true, "HTML": true, "\r\n": true,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakeTarget{scripts: []func(net.Conn, *bufio.Reader){func(c net.Conn, br *bufio.Reader) {
+				_, _ = io.WriteString(c, response(readOne(t, br), "ok")+behind)
+			}}}
+			p := f.pool()
+			_, err := do(t, p, "a")
+			require.NoError(t, err)
+			require.Equal(t, stray, !p.strayAt.IsZero(), "%q", behind)
+			require.Empty(t, p.idle)
+		})
 	}
 }
 
--- a/internal/connection/targetconn/targetconn.go
+++ b/internal/connection/targetconn/targetconn.go
@@ -21,6 +21,7 @@
 	"syscall"
 	"time"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/responsecheck"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/memory"
 )
 
@@ -89,8 +90,6 @@
 	// socketBuffer is the size in bytes of the kernel's receive buffer, of which the kernel takes twice as much. A target can fill those of
 	// idle connections.
 	socketBuffer = 64 << 10
-	// responseStart begins every response.
-	responseStart = "HTTP/"
 )
 
 // Causes of failed exchanges.
@@ -99,7 +98,6 @@
 	ErrUnmatchedResponse = errors.New("received only responses to other requests")
 
 	errInformational = errors.New("too many informational responses")
-	errStrayBytes    = errors.New("received bytes that are no response")
 )
 
 // Pool is a pool of connections to one target.
@@ -145,7 +143,7 @@
 }
 
 type conn struct {
-	nc        net.Conn
+	nc        *responsecheck.Conn
 	in        limitedReader
 	br        *bufio.Reader
 	failed    []string      // IDs of the requests that were answered with a failure
@@ -161,7 +159,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.Close() })
 	a, reusable, err := c.exchange(ctx, x)
-	if errors.Is(err, errStrayBytes) || a != nil && c.strayBuffered() {
+	if errors.Is(err, responsecheck.ErrNoResponse) || a != nil && c.nc.StraysBehind() {
 		p.recordStray()
 	}
 	if !stop() {
@@ -218,9 +216,14 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	c := &conn{nc: nc, in: limitedReader{r: nc}, idleLimit: maxIdle}
+	return newConn(nc), nil
+}
+
+func newConn(nc net.Conn) *conn {
+	c := &conn{nc: responsecheck.NewConn(nc), idleLimit: maxIdle}
+	c.in = limitedReader{r: c.nc}
 	c.br = bufio.NewReaderSize(&c.in, readBuffer)
-	return c, nil
+	return c
 }
 
 // pop removes the most recently used idle connection that has not answered a request of the given ID with a failure.
@@ -267,10 +270,7 @@
 // check reports whether an idle connection is usable, which it is if the target has neither sent bytes on it nor closed it, and whether
 // such bytes are no response.
 func (c *conn) check() (usable, stray bool) {
-	if c.br.Buffered() > 0 {
-		return false, c.strayBuffered()
-	}
-	sc, ok := c.nc.(syscall.Conn)
+	sc, ok := c.nc.NetConn().(syscall.Conn)
 	if !ok {
 		return true, false
 	}
@@ -281,21 +281,17 @@
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		n, err := syscall.Read(int(fd), b[:])
-		usable, stray = errors.Is(err, syscall.EAGAIN), n > 0 && b[0] != responseStart[0]
+		usable, stray = errors.Is(err, syscall.EAGAIN), n > 0 && !responsecheck.StartsResponse(b[:])
 		return true
 	})
 	return err == nil && usable, stray
 }
 
-// strayBuffered reports whether bytes were read from the connection that do not begin a response.
-func (c *conn) strayBuffered() bool {
-	b, _ := c.br.Peek(min(len(responseStart), c.br.Buffered())) // does not fail, as it reads nothing
-	return !strings.HasPrefix(responseStart, string(b))
-}
-
 // exchange writes the request and reads the response. It reports whether the connection can be reused, which requires that
 // both were transferred completely.
 func (c *conn) exchange(ctx context.Context, x *Exchange) (*Response, bool, error) {
+	req := &http.Request{Method: x.Method}
+	c.nc.Begin(req)
 	written := make(chan error, 1)
 	if len(x.Bytes) <= inlineWrite && len(x.Body) == 0 {
 		_, err := c.nc.Write(x.Bytes)
@@ -306,25 +302,24 @@
 			if len(x.Body) > 0 {
 				parts = append(parts, x.Body)
 			}
-			_, err := parts.WriteTo(c.nc)
+			_, err := parts.WriteTo(c.nc.NetConn())
 			written <- err
 		}()
 	}
-	a, reusable, err := c.readResponse(ctx, x)
+	a, reusable, err := c.readResponse(ctx, req, x)
 	if err != nil {
 		return nil, false, err
 	}
 	select {
 	case err := <-written:
-		return a, reusable && err == nil && c.br.Buffered() == 0, nil
+		return a, reusable && err == nil && c.br.Buffered() == 0 && len(c.nc.Behind()) == 0, nil
 	default:
 		return a, false, nil // the target responded before it had read the request
 	}
 }
 
 // readResponse reads the response to the request and skips responses to earlier ones.
-func (c *conn) readResponse(ctx context.Context, x *Exchange) (a *Response, reusable bool, err error) {
-	req := &http.Request{Method: x.Method}
+func (c *conn) readResponse(ctx context.Context, req *http.Request, x *Exchange) (a *Response, reusable bool, err error) {
 	headBytes := maxHeadBytes // bytes left for heads and trailers
 	for skipped := 0; skipped <= maxSkipped; {
 		resp, err := c.readFinal(req, &headBytes)
@@ -358,9 +353,6 @@
 func (c *conn) readFinal(req *http.Request, headBytes *int) (*http.Response, error) {
 	for range maxInformational {
 		c.in.remaining = max(0, *headBytes-c.br.Buffered()) // the buffered bytes may already contain the whole head
-		if b, err := c.br.Peek(len(responseStart)); err == nil && string(b) != responseStart {
-			return nil, errStrayBytes
-		}
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
 			return nil, err
