targetconn, responsecheck: a response that is reset on the way is incomplete

Callers got a part of a response as a complete 200. The target had answered a long upload at once, without a length, and reset the connection while the upload was still being written.

Cause: a response without length ends with its connection, and the end of the stream was all that was looked at. The kernel reports a reset once. If the writer of the request gets it, the reader gets the end of the stream; and behind an end of the stream a reader never gets it.

At the end of such a response, Conn looks for a reset that was reported to a write, and for one that the kernel has not reported (SO_ERROR). While the request is being written or not acknowledged (SIOCOUTQ), it goes on to look for up to 200 ms, as the reset is the answer of the other end to bytes that nobody reads. Without one, the response is complete as before. Responses with a length or in chunks are not affected, whatever happens to the rest of the request.

TestWholeResponseDuringAnUpload passes before and after.

--- a/internal/connection/responsecheck/rules.go
+++ b/internal/connection/responsecheck/rules.go
@@ -1,6 +1,7 @@
 // Package responsecheck decides which HTTP/1.1 responses are accepted by the clients of this project. It owns the rules on status lines,
-// fields and lengths of responses (RFC 9110, section 5; RFC 9112, sections 4 to 7). The responses are parsed by net/http, which is more
-// lenient: it passes on field names with blanks and statuses below 100.
+// fields and ends of responses (RFC 9110, section 5; RFC 9112, sections 4 to 8). The responses are parsed by net/http, which is more
+// lenient: it passes on field names with blanks and statuses below 100, and a response that ends with its connection is complete for it
+// also if the connection was reset and the kernel has told only the writer of the request.
 package responsecheck
 
 import (
@@ -15,6 +16,8 @@
 var (
 	ErrMalformed  = errors.New("malformed response")
 	ErrNoResponse = errors.New("received bytes that are no response")
+	// ErrIncomplete says that a response which ends with its connection may lack its end.
+	ErrIncomplete = errors.New("response is incomplete: its connection was reset")
 )
 
 // responseStart begins every response.
--- a/internal/connection/targetconn/targetconn.go
+++ b/internal/connection/targetconn/targetconn.go
@@ -302,8 +302,7 @@
 			if len(x.Body) > 0 {
 				parts = append(parts, x.Body)
 			}
-			_, err := parts.WriteTo(c.nc.NetConn())
-			written <- err
+			written <- c.nc.WriteBuffers(parts)
 		}()
 	}
 	a, reusable, err := c.readResponse(ctx, req, x)
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -53,6 +53,12 @@
 	return err == nil
 }
 
+// Reset closes the connection with a reset, as the kernel does for a process that has not read all that it was sent.
+func Reset(c *net.TCPConn) {
+	_ = c.SetLinger(0) // fails if the connection is closed
+	_ = c.Close()
+}
+
 // lines of a head that are no fields (RFC 9110, section 5).
 var malformedLines = map[string]string{
 	"blank in the name":               "Bad Name: x",
