responsecheck, node: targets of the product's own interface

A node answered its callers with malformed responses of its target: with a line whose name holds a blank, and with heads in another version of HTTP.

Cause: http.Transport parses as targetconn did. Statuses below 200, folded first lines and responses without length were refused there already, so that a response that is cut during an upload could not be passed on.

Transport checks the connections of an http.Transport with the same Conn. The check of the status in the target client is no longer needed.

--- a/internal/connection/targetconn/broken_test.go
+++ b/internal/connection/targetconn/broken_test.go
@@ -51,7 +51,7 @@
 			})
 			a, err := do(t, p, "a")
 			require.NoError(t, err)
-			require.Equal(t, "ok", string(a.Body))
+			require.Equal(t, rawserver.Body, string(a.Body))
 			for _, values := range a.Header {
 				require.NotContains(t, values[0], "\n")
 			}
--- a/internal/process/node/target.go
+++ b/internal/process/node/target.go
@@ -53,11 +53,6 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	restoreLocation(resp.Header)
-	if resp.StatusCode < http.StatusOK {
-		// A 1xx status is not a final response: 101 ends HTTP on the connection. A status below 100 cannot be forwarded.
-		return message.UnknownOutcome(message.ReasonConnection,
-			message.Errorf(message.StepRun, address, "status %d is not final", resp.StatusCode))
-	}
 	body, err := t.readBody(req.Method, resp)
 	if err != nil {
 		return message.UnknownOutcome(message.ReasonConnection, message.Errorf(message.StepRun, address, "read response: %v", err))
--- a/internal/process/node/target_test.go
+++ b/internal/process/node/target_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
+	"github.com/wigeoncleat/wigeoncleat/internal/standin/rawserver"
 	"github.com/wigeoncleat/wigeoncleat/internal/version/policy"
 )
 
@@ -138,3 +139,28 @@
 	require.Equal(t, []any{message.Unknown, message.ReasonCancelled}, []any{r.Outcome, r.Reason})
 	require.ErrorIs(t, <-gone, io.EOF)
 }
+
+// Guards against a malformed response that is passed on, and against one that another request pays for.
+func TestMalformedResponseIsNoAnswer(t *testing.T) {
+	for name, text := range rawserver.Malformed("") {
+		t.Run(name, func(t *testing.T) {
+			c := startTarget(t, func(n int, conn net.Conn, in *bufio.Reader) {
+				if _, err := http.ReadRequest(in); err != nil {
+					return
+				}
+				if n > 1 {
+					text = completeResponse
+				}
+				_, _ = io.WriteString(conn, text)
+				_, _ = in.ReadByte() // until the connection is closed
+				_ = conn.Close()
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			r := c.Do(ctx, targetRequest(http.MethodPost, nil))
+			require.Equal(t, []any{message.Unknown, message.ReasonConnection}, []any{r.Outcome, r.Reason}, "%+v", r)
+			r = c.Do(ctx, targetRequest(http.MethodPost, nil))
+			require.Equal(t, "good", string(r.Body))
+		})
+	}
+}
--- a/internal/process/node/targettransport.go
+++ b/internal/process/node/targettransport.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/responsecheck"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
@@ -31,18 +32,18 @@
 	errDeclinedTwice       = errors.New("second response on one connection that declines a request")
 )
 
-// targetTransport is an http.Transport with additional checks. It hides the Location header of redirects, because the
+// targetTransport is a responsecheck.Transport with additional checks. It hides the Location header of redirects, because the
 // client would follow them: each step would be an attempt that the retry budget of the request does not count, and the
 // kratos client has no option to turn this off. It also rejects a response that was received before its request was sent:
 // the target sent more than one response to the previous request, and http.Transport notices that only if it reads the
 // extra response before the next request is sent. It closes a connection after a response that declines a request.
 type targetTransport struct {
-	transport http.Transport
+	transport *responsecheck.Transport
 }
 
 func newTargetTransport() *targetTransport {
 	dialer := &net.Dialer{Timeout: targetDialTimeout}
-	return &targetTransport{http.Transport{
+	return &targetTransport{responsecheck.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -55,7 +56,7 @@
 		DisableCompression:  true, // bodies pass unchanged
 		// The default of http.Transport is 10 MiB for each response.
 		MaxResponseHeaderBytes: maxResponseHead,
-	}}
+	})}
 }
 
 // closingBody closes the connection of a response with its body.
@@ -71,7 +72,8 @@
 	var conn *targetConn
 	var reads int64
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, _ = info.Conn.(*targetConn); conn != nil {
+		if checked, ok := info.Conn.(*responsecheck.Conn); ok {
+			conn = checked.NetConn().(*targetConn)
 			reads = conn.reads.Load()
 		}
 	}}
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -59,7 +59,10 @@
 	_ = c.Close()
 }
 
-// lines of a head that are no fields (RFC 9110, section 5).
+// Body is the body of the responses that Malformed and Unusual return: an empty JSON object.
+const Body = "{}"
+
+// malformedLines are lines of a head that are no fields (RFC 9110, section 5).
 var malformedLines = map[string]string{
 	"blank in the name":               "Bad Name: x",
 	"blank behind the name":           "Bad : x",
@@ -89,7 +92,7 @@
 // Malformed returns malformed responses, by what is wrong with them. Each contains a complete response with the given fields, each of
 // which ends with CRLF, to a reader that passes over that.
 func Malformed(fields string) map[string]string {
-	const start, end = "HTTP/1.1 200 OK\r\n", "\r\nok"
+	const start, end = "HTTP/1.1 200 OK\r\n", "\r\n" + Body
 	length := "Content-Length: 2\r\n"
 	valid := start + fields + length + end
 	all := map[string]string{
@@ -98,8 +101,8 @@
 		"two lengths":                start + fields + length + "Content-Length: 1\r\n" + end,
 		"signed length":              start + fields + "Content-Length: +2\r\n" + end,
 		"unknown encoding":           start + fields + "Transfer-Encoding: x\r\n" + end,
-		"encoding in HTTP/1.0":       "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
-		"signed chunk size":          start + fields + "Transfer-Encoding: chunked\r\n\r\n+2\r\nok\r\n0\r\n\r\n",
+		"encoding in HTTP/1.0":       "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n2\r\n" + Body + "\r\n0\r\n\r\n",
+		"signed chunk size":          start + fields + "Transfer-Encoding: chunked\r\n\r\n+2\r\n" + Body + "\r\n0\r\n\r\n",
 	}
 	for name, line := range malformedLines {
 		line += "\r\n"
@@ -107,7 +110,7 @@
 		all[name+", in the middle"] = start + fields + line + length + end
 		all[name+", last"] = start + fields + length + line + end
 		all[name+", interim"] = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n" + valid
-		all[name+", trailer"] = start + fields + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line + "\r\n"
+		all[name+", trailer"] = start + fields + "Transfer-Encoding: chunked\r\n\r\n2\r\n" + Body + "\r\n0\r\n" + line + "\r\n"
 	}
 	for _, line := range malformedStatusLines {
 		all[line+", alone"] = line + "\r\n" + fields + length + end
@@ -117,19 +120,19 @@
 	return all
 }
 
-// Unusual returns responses that are unusual and valid, with the body "ok".
+// Unusual returns responses that are unusual and valid, with the same body.
 func Unusual(fields string) map[string]string {
-	const length, end = "Content-Length: 2\r\n", "\r\nok"
+	const length, end = "Content-Length: 2\r\n", "\r\n" + Body
 	return map[string]string{
 		"no reason":         "HTTP/1.1 200\r\n" + fields + length + end,
-		"line feeds":        strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+fields+length+"\r\n", "\r\n", "\n") + "ok",
+		"line feeds":        strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+fields+length+end, "\r\n", "\n"),
 		"folded line":       "HTTP/1.1 200 OK\r\n" + fields + "Folded: a\r\n b\r\n" + length + end,
 		"bytes above ASCII": "HTTP/1.1 200 Schön\r\n" + fields + "X: sch\xf6n\tund\r\n" + length + end,
 		"token":             "HTTP/1.1 200 OK\r\n" + fields + "!#$%&'*+-.^_`|~9z: x\r\n" + length + end,
 		"empty value":       "HTTP/1.1 200 OK\r\nX:\r\n" + fields + length + end,
 		"length twice":      "HTTP/1.1 200 OK\r\n" + fields + length + length + end,
 		"interim":           "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + length + end,
-		"chunks":            "HTTP/1.1 200 OK\r\n" + fields + "transfer-encoding: Chunked\r\n\r\n1;x=y\r\no\r\n01\r\nk\r\n0\r\nX: y\r\n\r\n",
+		"chunks":            "HTTP/1.1 200 OK\r\n" + fields + "transfer-encoding: Chunked\r\n\r\n1;x=y\r\n{\r\n01\r\n}\r\n0\r\nX: y\r\n\r\n",
 		"HTTP/1.0":          "HTTP/1.0 200 OK\r\n" + fields + length + end,
 		"status 299":        "HTTP/1.1 299 Odd\r\n" + fields + length + end,
 	}
