client: malformed responses have an unknown outcome

The client library returned malformed responses as answers: with a status below 100, 101 or "+20", and with names of fields that hold a blank. Responses without length were refused already.

Its transport is checked by responsecheck. The outcome is unknown, as for a response that is cut.

--- a/client/node.go
+++ b/client/node.go
@@ -15,6 +15,7 @@
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/responsecheck"
 	"github.com/wigeoncleat/wigeoncleat/internal/request/message"
 )
 
@@ -31,7 +32,7 @@
 type node struct {
 	address   string
 	opts      Options
-	transport *http.Transport
+	transport *responsecheck.Transport
 	http      *khttp.Client
 	downUntil atomic.Int64 // Unix time in nanoseconds
 	keys      keyPool
@@ -44,10 +45,10 @@
 	dialer := &net.Dialer{Timeout: opts.DialTimeout}
 	n := &node{
 		address: address, opts: opts, keys: newKeyPool(),
-		transport: &http.Transport{
+		transport: responsecheck.NewTransport(&http.Transport{
 			DialContext: dialer.DialContext, DisableCompression: true,
 			MaxIdleConns: opts.IdleConnections, MaxIdleConnsPerHost: opts.IdleConnections, IdleConnTimeout: idleTimeout,
-		},
+		}),
 	}
 	var err error
 	n.http, err = khttp.NewClient(context.Background(),
