platform: malformed and cut responses leave a write in doubt

The client of the platform's services took a malformed response for the result of a write, and a part of a response without length for the whole if the connection was reset while a large body was being written. The value of a row is not checked otherwise, so that a part of it could be read.

Its transport is checked by responsecheck.

--- a/internal/process/platform/client.go
+++ b/internal/process/platform/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/responsecheck"
 )
 
 const (
@@ -31,7 +33,7 @@
 type Client struct {
 	base        string
 	http        *khttp.Client
-	transport   *http.Transport
+	transport   *responsecheck.Transport
 	epochHeader string
 	newest      *NewestEpoch
 }
@@ -57,17 +59,18 @@
 		Protocols: new(http.Protocols),
 	}
 	t.Protocols.SetHTTP1(true)
+	transport := responsecheck.NewTransport(t)
 	c, err := khttp.NewClient(context.Background(),
 		khttp.WithEndpoint(baseURL),
 		khttp.WithTimeout(timeout),
-		khttp.WithTransport(noRedirect{t}),
+		khttp.WithTransport(noRedirect{transport}),
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
 	)
 	if err != nil {
 		return nil, fmt.Errorf("platform client for %s: %w", baseURL, err)
 	}
 	return &Client{
-		base: strings.TrimSuffix(baseURL, "/"), http: c, transport: t, epochHeader: epochHeader, newest: newest,
+		base: strings.TrimSuffix(baseURL, "/"), http: c, transport: transport, epochHeader: epochHeader, newest: newest,
 	}, nil
 }
 
