wigeonctl: malformed responses fail the command

Commands reported what a malformed response contained as the state of the node. Their transport is checked by responsecheck.

--- a/cmd/wigeonctl/admin.go
+++ b/cmd/wigeonctl/admin.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/urfave/cli/v3"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/responsecheck"
 )
 
 const (
@@ -41,11 +44,10 @@
 	}
 	var failures error
 	for _, address := range addresses {
-		client, err := khttp.NewClient(ctx, khttp.WithEndpoint(address), khttp.WithTimeout(c.Duration(flagTimeout)))
+		a, err := newAdmin(ctx, address, c.Duration(flagTimeout))
 		if err != nil {
 			return nil, withExitFailed(fmt.Errorf("node %s: %w", address, err))
 		}
-		a := &admin{address: address, client: client}
 		probe, cancel := context.WithTimeout(ctx, healthTimeout)
 		err = a.call(probe, "GET", "/status", nil, new(struct{}))
 		cancel()
@@ -57,6 +59,16 @@
 	return nil, withExitFailed(failures)
 }
 
+// newAdmin returns a client of the node at the address. It opens no connection.
+func newAdmin(ctx context.Context, address string, timeout time.Duration) (*admin, error) {
+	client, err := khttp.NewClient(ctx, khttp.WithEndpoint(address), khttp.WithTimeout(timeout),
+		khttp.WithTransport(responsecheck.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})))
+	if err != nil {
+		return nil, err
+	}
+	return &admin{address: address, client: client}, nil
+}
+
 // call sends a request with a JSON body and decodes the JSON response.
 func (a *admin) call(ctx context.Context, method, path string, body, into any) error {
 	if err := a.client.Invoke(ctx, method, path, body, into); err != nil {
--- a/cmd/wigeonctl/quarantine.go
+++ b/cmd/wigeonctl/quarantine.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strings"
 
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/urfave/cli/v3"
 
 	"github.com/wigeoncleat/wigeoncleat/internal/process/quarantine"
@@ -77,9 +76,9 @@
 	}
 	var failures error
 	for _, address := range addresses {
-		client, err := khttp.NewClient(ctx, khttp.WithEndpoint(address), khttp.WithTimeout(c.Duration(flagTimeout)))
+		a, err := newAdmin(ctx, address, c.Duration(flagTimeout))
 		if err == nil {
-			err = (&admin{address: address, client: client}).call(ctx, method, path, nil, into)
+			err = a.call(ctx, method, path, nil, into)
 		}
 		if err == nil {
 			return nil
