link: a handshake with a malformed head fails

A link was opened to what accepts the handshake with names of fields that hold a blank, which no node sends.

The dialer makes its own client, checked by responsecheck, with the bound on the header that only the sidecar's had.

--- a/internal/connection/link/capacity_test.go
+++ b/internal/connection/link/capacity_test.go
@@ -37,7 +37,7 @@
 		t.Cleanup(func() { _ = srv.Close() })
 	}
 	before := memoryInUse()
-	dialer := NewPool(Config{Self: Peer{Address: "dialer"}, DialTimeout: 10 * time.Second}, WebSocketDialer(http.DefaultClient), handler, log)
+	dialer := NewPool(Config{Self: Peer{Address: "dialer"}, DialTimeout: 10 * time.Second}, WebSocketDialer(), handler, log)
 	for _, a := range addresses {
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		r := dialer.Send(ctx, a, newRequest([]byte("x"), 10*time.Second))
--- a/internal/connection/link/dial.go
+++ b/internal/connection/link/dial.go
@@ -6,13 +6,21 @@
 	"net/http"
 
 	"github.com/coder/websocket"
+
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/responsecheck"
 )
 
 // Path is the URL path of the peer interface.
 const Path = "/-/peer"
 
-// WebSocketDialer returns a Dialer that opens WebSocket connections with the client.
-func WebSocketDialer(client *http.Client) Dialer {
+// maxHandshakeBytes bounds the header with which a peer accepts a link. What answers at the address may be no node.
+const maxHandshakeBytes = 16 << 10
+
+// WebSocketDialer returns a Dialer that opens WebSocket connections.
+func WebSocketDialer() Dialer {
+	client := &http.Client{Transport: responsecheck.NewTransport(&http.Transport{
+		Proxy: nil, DisableCompression: true, MaxResponseHeaderBytes: maxHandshakeBytes,
+	})}
 	return func(ctx context.Context, address string) (Conn, error) {
 		c, _, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{HTTPClient: client})
 		if err != nil {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -15,7 +15,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,7 +107,7 @@
 		HeartbeatTimeout:  s.Link.HeartbeatTimeout,
 		IdleTimeout:       s.Link.IdleTimeout,
 		MaxLinks:          s.Link.MaxLinks,
-	}, link.WebSocketDialer(http.DefaultClient), n, n.log)
+	}, link.WebSocketDialer(), n, n.log)
 	n.binder = newBinder(keys, opts.Table)
 	n.engine = engine.New(engine.Config{
 		Address:   s.Node.PeerAddress,
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -156,8 +156,6 @@
 	linkDialTimeout       = 400 * time.Millisecond
 	linkDialBackoff       = 200 * time.Millisecond
 	maxForwardedBytes     = 64 << 20 // body of one request or response between nodes
-	// maxHandshakeBytes bounds the header with which another node accepts a link. What answers at the address may be no node.
-	maxHandshakeBytes = 16 << 10
 )
 
 // New assembles the process; Run starts it.
@@ -186,8 +184,7 @@
 		Address: s.settings.PeerAddress, Zone: s.settings.Zone, Service: s.settings.Service, Incarnation: incarnation,
 	})
 	s.pickers = balance.NewSet(s.settings.Zone, policy.New().Balance)
-	client := &http.Client{Transport: &http.Transport{Proxy: nil, DisableCompression: true, MaxResponseHeaderBytes: maxHandshakeBytes}}
-	s.pool = link.NewPool(s.linkConfig(), link.WebSocketDialer(client), linkHandler{s}, s.log)
+	s.pool = link.NewPool(s.linkConfig(), link.WebSocketDialer(), linkHandler{s}, s.log)
 	s.quarantine.SetPlace(quarantine.Place{Self: s.settings.PeerAddress, Targets: s.absences.targets})
 	s.suspectNews = &suspectNews{send: s.broadcastSuspects}
 	s.leavings = newLeavingsRecord(opts.Nodes, s.settings.PeerAddress, s.log, s.restoreLeavings)
