link: malformed answers that a peer passes on have an unknown outcome

In a deployment with nodes of two releases, a node passed on what a node of an earlier release had taken from its target: statuses below 100 and names and values of fields that break the head that callers get, or that end the connection of the caller because net/http cannot write them.

Otherwise its request has an unknown outcome; the link and the other requests on it go on.

--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -348,6 +349,47 @@
 	})
 }
 
+// Guards against a malformed response of a target that a node of an earlier release passes on, and against one that other requests on the
+// link pay for.
+func TestMalformedAnswerIsRefused(t *testing.T) {
+	for name, answer := range map[string]message.Response{
+		"no status":               {},
+		"negative status":         {Status: -1},
+		"interim status":          {Status: 103},
+		"status of four digits":   {Status: 1000},
+		"blank in a name":         {Status: 200, Header: http.Header{"Bad Name": {"x"}}},
+		"empty name":              {Status: 200, Header: http.Header{"": {"x"}}},
+		"line feed in a value":    {Status: 200, Header: http.Header{"X": {"x\r\nY: z"}}},
+		"body that is announced":  {Status: 0, Body: make([]byte, 1<<20)},
+		"control byte in a value": {Status: 200, Header: http.Header{"X": {"x", "\x01"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				answer.Outcome = message.Answered
+				pr := newPair(&testHandler{fn: func(ctx context.Context, req *message.Request) *message.Response {
+					if req.Path == "/malformed" {
+						return &answer
+					}
+					time.Sleep(time.Second)
+					return echo(ctx, req)
+				}})
+				defer pr.close()
+				var other sync.WaitGroup
+				other.Go(func() {
+					r := pr.dialer.Send(t.Context(), "b", newRequest([]byte("x"), time.Minute))
+					require.Equal(t, "x", string(r.Body))
+				})
+				req := newRequest(nil, time.Minute)
+				req.Path = "/malformed"
+				r := pr.dialer.Send(t.Context(), "b", req)
+				require.Equal(t, []any{message.Unknown, message.ReasonConnection}, []any{r.Outcome, r.Reason})
+				other.Wait()
+				require.Equal(t, 1, pr.dials)
+			})
+		})
+	}
+}
+
 // Guards against a node of another release whose protocol this node would misread: the request must fail as not run, with step
 // and peer in the error, and later requests must fail in the same way.
 func TestOtherProtocolVersionIsRefused(t *testing.T) {
--- a/internal/connection/link/outbound.go
+++ b/internal/connection/link/outbound.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wigeoncleat/wigeoncleat/internal/connection/responsecheck"
 	"github.com/wigeoncleat/wigeoncleat/internal/connection/wire"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/event"
 	"github.com/wigeoncleat/wigeoncleat/internal/process/invariant"
@@ -358,6 +359,11 @@
 		o.refuse(f.Stream, fmt.Errorf("%w: response to request %s on the stream of request %s", errProtocol, message.ID(f.ID), c.id))
 		return
 	}
+	if err := checkAnswer(f); err != nil {
+		o.post(&wire.Cancel{Stream: f.Stream})
+		o.refuse(f.Stream, err)
+		return
+	}
 	if announced(f.BodySize, f.Part) && f.BodySize <= uint64(o.cfg.MaxBody) {
 		go o.awaitRoom(c, f) // ends with the call or the link
 		return
@@ -376,6 +382,14 @@
 	o.finish(f.Stream, c)
 }
 
+// checkAnswer returns an error if the response of a target cannot be one. Nodes of earlier releases pass on malformed ones.
+func checkAnswer(f *wire.Response) error {
+	if message.Outcome(f.Outcome) != message.Answered {
+		return nil
+	}
+	return responsecheck.CheckFinal(f.Status, f.Header)
+}
+
 func (o *outbound) handleBody(f *wire.Body) {
 	o.mu.Lock()
 	c, ok := o.calls[f.Stream]
--- a/internal/connection/responsecheck/rules.go
+++ b/internal/connection/responsecheck/rules.go
@@ -34,16 +34,18 @@
 	maxStatus = 999
 )
 
-// CheckStatus returns an error if a response cannot have the status.
-func CheckStatus(status int) error {
-	if status < minStatus || status > maxStatus {
+func checkStatus(status, lowest int) error {
+	if status < lowest || status > maxStatus {
 		return fmt.Errorf("%w: status %d", ErrMalformed, status)
 	}
 	return nil
 }
 
-// CheckHeader returns an error if a response cannot have the header.
-func CheckHeader(h http.Header) error {
+// CheckFinal returns an error if a final response cannot have the status and the header. It is for responses that do not arrive in HTTP/1.1.
+func CheckFinal(status int, h http.Header) error {
+	if err := checkStatus(status, http.StatusOK); err != nil {
+		return err
+	}
 	for name, values := range h {
 		for _, value := range values {
 			if err := checkField(name, value); err != nil {
--- a/internal/connection/responsecheck/scanner.go
+++ b/internal/connection/responsecheck/scanner.go
@@ -152,7 +152,7 @@
 	}
 	s.minor, s.length, s.chunked = int(minor[0]-'0'), -1, false
 	s.status, _ = strconv.Atoi(status) // has three digits
-	return CheckStatus(s.status)
+	return checkStatus(s.status, minStatus)
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
