--- a/test/sidecar/site_test.go
+++ b/test/sidecar/site_test.go
@@ -394,6 +394,7 @@
 	standin.Result
 	attempt string
 	order   bool
+	padding int // of the body, in bytes
 	took    time.Duration
 	unread  bool // sent behind a response that announces the end of the connection
 }
--- a/test/sidecar/soak_test.go
+++ b/test/sidecar/soak_test.go
@@ -48,6 +48,9 @@
 	configBound = 7 * time.Second
 	// returnBound is the operators' limit on the time until what the store has lost of the nodes is back.
 	returnBound = 2 * time.Second
+	// maxUpload bounds the body of orders, of which one in uploadEvery is large. Connections with an upload of 1 MB or more are reset while
+	// it is being written.
+	maxUpload, uploadEvery = 4 << 20, 10
 	// memoryLimit is the memory limit in the nodes' settings, in bytes.
 	memoryLimit = 284 << 20
 	// maxHeldShare bounds the share of requests that are held because they were in progress when targets ended.
@@ -73,7 +76,7 @@
 }
 
 func soak(t *testing.T, seed uint64) {
-	s := newSite(t, *soakVMs)
+	s := newLimitedSite(t, *soakVMs, limits{memoryMB: memoryLimit >> 20, descriptors: defaultLimits.descriptors, bodyBytes: maxUpload + 1<<10})
 	s.killsAll = seed%plannedSeeds == 1
 	stop := make(chan struct{})
 	var mu sync.Mutex
@@ -172,7 +175,12 @@
 	if rng.IntN(3) == 0 {
 		path, body = "/order/x", "order of "+attempt
 	}
-	r := send(v.ip, attempt, path, body)
+	padding := 0
+	if body != "" && rng.IntN(uploadEvery) == 0 {
+		padding = maxUpload/8 + rng.IntN(maxUpload*7/8)
+	}
+	r := send(v.ip, attempt, path, body+strings.Repeat(" ", padding))
+	r.padding = padding
 	s.told.record(v.number, r.Result)
 	return r
 }
@@ -318,9 +326,9 @@
 	})
 }
 
-// faultOfTarget crashes the target of a VM, lets it send endless responses or harms its connections.
+// faultOfTarget crashes the target of a VM, lets it send endless or broken responses or harms its connections.
 func (s *site) faultOfTarget(rng *rand.Rand, v *vm) {
-	switch rng.IntN(6) {
+	switch rng.IntN(7) {
 	case 0: // another instance replaces it
 		v.replaceTarget(randomDuration(rng, time.Second))
 	case 1:
@@ -328,6 +336,10 @@
 		time.Sleep(randomDuration(rng, 2*time.Second))
 		assert.LessOrEqual(s.t, v.residentMemory(), int64(memoryLimit), "resident memory of %s", v.ip)
 	case 2:
+		d := randomDuration(rng, 2*time.Second)
+		v.currentTarget().SendBroken(d)
+		time.Sleep(d)
+	case 3:
 		disturb(rng, v.targetProxy, randomDuration(rng, time.Second))
 	default:
 		s.replaceOrLimitTarget(rng, v)
@@ -427,7 +439,7 @@
 		if r.Status == http.StatusOK {
 			want := r.attempt + " /menu/x "
 			if r.order {
-				want = r.attempt + " /order/x order of " + r.attempt
+				want = r.attempt + " /order/x " + standin.Echo("order of "+r.attempt+strings.Repeat(" ", r.padding))
 			}
 			assert.Equal(s.t, want, r.Body)
 			assert.NotEmpty(s.t, r.Stamp, "success without the stamp of a target")
