--- a/client/malformed_test.go
+++ b/client/malformed_test.go
@@ -1,9 +1,6 @@
 package client
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -17,11 +14,7 @@
 func TestMalformedResponseHasAnUnknownOutcome(t *testing.T) {
 	for name, text := range rawserver.Malformed(message.HeaderOutcome + ": " + message.Answered.String() + "\r\n") {
 		t.Run(name, func(t *testing.T) {
-			s := rawserver.Start(func(c *net.TCPConn, br *bufio.Reader) {
-				rawserver.ReadHead(br)
-				_, _ = io.WriteString(c, text)
-				_, _ = br.ReadByte() // until the connection is closed
-			})
+			s := rawserver.Start(rawserver.Respond(text))
 			t.Cleanup(s.Close)
 			c, err := New(Options{Zones: []Zone{{Addresses: []string{s.Address()}}}, Attempts: 1})
 			require.NoError(t, err)
--- a/cmd/wigeonctl/malformed_test.go
+++ b/cmd/wigeonctl/malformed_test.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
-	"io"
-	"net"
 	"strings"
 	"testing"
 
@@ -17,11 +14,7 @@
 func TestMalformedResponseFailsTheCommand(t *testing.T) {
 	for name, text := range rawserver.Malformed("Content-Type: application/json\r\n") {
 		t.Run(name, func(t *testing.T) {
-			s := rawserver.Start(func(c *net.TCPConn, br *bufio.Reader) {
-				rawserver.ReadHead(br)
-				_, _ = io.WriteString(c, text)
-				_, _ = br.ReadByte() // until the connection is closed
-			})
+			s := rawserver.Start(rawserver.Respond(text))
 			t.Cleanup(s.Close)
 			for _, command := range []string{"status", "quarantine list"} {
 				var out, errs bytes.Buffer
--- a/internal/connection/targetconn/broken_test.go
+++ b/internal/connection/targetconn/broken_test.go
@@ -26,11 +26,7 @@
 func TestMalformedResponseIsAnError(t *testing.T) {
 	for name, text := range rawserver.Malformed("Id: a\r\n") {
 		t.Run(name, func(t *testing.T) {
-			p := start(t, func(c *net.TCPConn, br *bufio.Reader) {
-				rawserver.ReadHead(br)
-				_, _ = io.WriteString(c, text)
-				_, _ = br.ReadByte() // until the connection is closed
-			})
+			p := start(t, rawserver.Respond(text))
 			a, err := do(t, p, "a")
 			var failed *Error
 			require.ErrorAs(t, err, &failed, "%+v", a)
@@ -45,10 +41,7 @@
 func TestUnusualResponseIsPassedOn(t *testing.T) {
 	for name, text := range rawserver.Unusual("Id: a\r\n") {
 		t.Run(name, func(t *testing.T) {
-			p := start(t, func(c *net.TCPConn, br *bufio.Reader) {
-				rawserver.ReadHead(br)
-				_, _ = io.WriteString(c, text)
-			})
+			p := start(t, rawserver.Respond(text))
 			a, err := do(t, p, "a")
 			require.NoError(t, err)
 			require.Equal(t, rawserver.Body, string(a.Body))
--- a/internal/process/platform/malformed_test.go
+++ b/internal/process/platform/malformed_test.go
@@ -26,11 +26,7 @@
 func TestMalformedResponseLeavesAWriteInDoubt(t *testing.T) {
 	for name, text := range rawserver.Malformed("Etag: \"1\"\r\n") {
 		t.Run(name, func(t *testing.T) {
-			c := startRaw(t, func(c *net.TCPConn, br *bufio.Reader) {
-				rawserver.ReadHead(br)
-				_, _ = io.WriteString(c, text)
-				_, _ = br.ReadByte() // until the connection is closed
-			})
+			c := startRaw(t, rawserver.Respond(text))
 			r, err := c.Do(t.Context(), Request{Method: http.MethodPut, Path: "/", Body: []byte("x"), Write: true})
 			require.ErrorIs(t, err, ErrInDoubt, "%+v", r)
 			require.NotContains(t, err.Error(), "deadline")
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -53,6 +54,16 @@
 	return err == nil
 }
 
+// Respond returns a handler that answers the first request with the text and waits until the connection is closed.
+func Respond(text string) Handler {
+	return func(c *net.TCPConn, br *bufio.Reader) {
+		if ReadHead(br) {
+			_, _ = io.WriteString(c, text) // fails if the client has closed the connection
+			_, _ = br.ReadByte()
+		}
+	}
+}
+
 // Reset closes the connection with a reset, as the kernel does for a process that has not read all that it was sent.
 func Reset(c *net.TCPConn) {
 	_ = c.SetLinger(0) // fails if the connection is closed
