--- a/test/sidecar/soak_test.go
+++ b/test/sidecar/soak_test.go
@@ -48,8 +48,8 @@
 	configBound = 7 * time.Second
 	// returnBound is the operators' limit on the time until what the store has lost of the nodes is back.
 	returnBound = 2 * time.Second
-	// maxUpload bounds the body of orders, of which one in uploadEvery is large. Connections with an upload of 1 MB or more are reset while
-	// it is being written.
+	// maxUpload bounds the body of orders, of which one in uploadEvery is large. A body of 1 MB or more is often still being written when a
+	// target resets the connection at once.
 	maxUpload, uploadEvery = 4 << 20, 10
 	// memoryLimit is the memory limit in the nodes' settings, in bytes.
 	memoryLimit = 284 << 20
