--- a/review/lab-3/backend.go
+++ b/review/lab-3/backend.go
@@ -22,7 +22,8 @@
 	work     func(*http.Request) time.Duration
 	size     func(*http.Request) int // bytes of the answer's body
 	run      func(w http.ResponseWriter, r *http.Request) bool
-	quiet    bool // runs are not recorded one by one
+	quiet    bool                 // runs are not recorded one by one
+	onBegin  func(attempt string) // called when a run begins; nil: nothing
 
 	mu       sync.Mutex
 	phase    string
@@ -88,6 +89,18 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+func (b *backend) setOnBegin(f func(attempt string)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.onBegin = f
+}
+
+func (b *backend) setPhase(phase string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.phase = phase
+}
+
 // ServeHTTP implements http.Handler.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/healthz" {
@@ -105,6 +118,12 @@
 		return
 	}
 	b.count(b.began, attempt)
+	b.mu.Lock()
+	onBegin := b.onBegin
+	b.mu.Unlock()
+	if onBegin != nil {
+		onBegin(attempt)
+	}
 	if !b.quiet {
 		b.l.note("backend %s begins %s %s", b.n.service, attempt, r.URL.Path)
 	}
--- a/review/lab-3/caller.go
+++ b/review/lab-3/caller.go
@@ -87,6 +87,6 @@
 	i := 0
 	return await(15*time.Second, "node "+n.ip+" serves "+path, func() bool {
 		i++
-		return n.ready() && l.get(n, path, fmt.Sprintf("warm%s%d", n.service, i), 2*time.Second).status == http.StatusOK
+		return n.ready() && l.get(n, path, fmt.Sprintf("warm-%s-%d", n.ip, i), 2*time.Second).status == http.StatusOK
 	})
 }
--- a/review/lab-3/foreign.go
+++ b/review/lab-3/foreign.go
@@ -5,69 +5,102 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 )
 
-// foreign sends a node one status report of another writer, with a field missing and another of another type, which therefore names no
-// back end to use. The back end of the machine goes on reporting.
+// drainTime is drain_s of the settings.
+const drainTime = 2 * time.Second
+
+// foreign drains one of two back ends. After the acknowledgement, its node gets one status report of another writer, with a field missing
+// and another of another type, which therefore names no back end to use. The back end goes on reporting that it drains.
 func foreign(l *lab, trouble bool) (bool, error) {
-	if err := l.begin(configuration(4, []any{
-		route("board", "/board/", "idempotent", "board", 5), route("desk", "/desk/", "idempotent", "desk", 5),
-	}, "board", "desk")); err != nil {
-		return false, err
-	}
-	desk, err := l.addNode(1, "desk", "z1")
-	if err != nil {
-		return false, err
-	}
-	board, err := l.addNode(2, "board", "z1")
-	if err != nil {
+	if err := l.begin(configuration(4, []any{route("board", "/board/", "idempotent", "board", 5)}, "board", "desk")); err != nil {
 		return false, err
 	}
-	backends := map[*node]*backend{}
-	for _, n := range []*node{desk, board} {
+	var nodes []*node
+	var backends []*backend
+	for i, service := range []string{"desk", "board", "board"} {
+		n, err := l.addNode(1+i, service, "z1")
+		if err != nil {
+			return false, err
+		}
 		b := &backend{slots: 36, quiet: true}
-		backends[n] = b
 		if err := n.startBackend(b); err != nil {
 			return false, err
 		}
 		if err := n.start(); err != nil {
 			return false, err
 		}
+		nodes, backends = append(nodes, n), append(backends, b)
 	}
-	for _, path := range []string{"/board/warm", "/desk/warm"} {
-		if err := l.awaitServed(desk, path); err != nil {
+	desk, leaving := nodes[0], backends[1]
+	for _, n := range nodes {
+		if err := l.awaitServed(n, "/board/warm"); err != nil {
 			return false, err
 		}
 	}
 	time.Sleep(4 * time.Second) // longer than the window after a start
-	if trouble {
-		body, _ := json.Marshal(map[string]any{
-			"address": at(board.ip, portTarget), "born": time.Now().UnixMilli(),
-			"info":   map[string]any{"service": "board", "zone": 7, "capacity": 36},
-			"status": map[string]any{"phase": "ready", "sequence": 1, "warmup_left_s": 0},
-		})
-		l.note("another writer reports to node %s: %s", board.ip, body)
-		resp, err := http.Post("http://"+at(board.ip, portControl)+names["heartbeat"]+"i-other", "application/json", bytes.NewReader(body))
-		if err != nil {
-			return false, err
-		}
-		_ = resp.Body.Close()
-		l.note("node %s answers %d", board.ip, resp.StatusCode)
+	var mu sync.Mutex
+	var runs []time.Time // at the back end that leaves
+	leaving.setOnBegin(func(attempt string) {
+		l.note("back end %s begins %s", leaving.instance, attempt)
+		mu.Lock()
+		defer mu.Unlock()
+		runs = append(runs, time.Now())
+	})
+	leaving.setPhase("draining")
+	var acknowledged time.Time
+	if err := await(4*time.Second, "the drain is acknowledged", func() bool {
+		ok := leaving.beat()
+		acknowledged = time.Now()
+		return ok
+	}); err != nil {
+		return false, err
 	}
-	const rounds = 40
-	served := map[string]int{}
-	for i := range rounds {
-		for _, kind := range []string{"board", "desk"} {
-			if a := l.get(desk, "/"+kind+"/read", fmt.Sprintf("%s%d", kind, i), 3*time.Second); a.status == http.StatusOK {
-				served[kind]++
+	l.note("node %s has acknowledged that its back end drains", leaving.n.ip)
+	failed := 0
+	reported := false
+	for i := 0; time.Since(acknowledged) < 10*time.Second; i++ {
+		if trouble && !reported && time.Since(acknowledged) > time.Second {
+			reported = true
+			if err := leaving.reportOfOther(); err != nil {
+				return false, err
 			}
 		}
-		time.Sleep(500 * time.Millisecond)
+		if a := l.get(desk, "/board/read", fmt.Sprintf("read%d", i), 3*time.Second); a.status != http.StatusOK {
+			failed++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	late := 0
+	for _, at := range runs {
+		if at.Sub(acknowledged) > drainTime {
+			late++
+		}
+	}
+	l.note("%d requests began at the back end that leaves later than %v after the acknowledgement; %d requests failed", late, drainTime, failed)
+	return late > 0, nil
+}
+
+// reportOfOther sends the node a report that names this back end, with a zone of another type and without a version.
+func (b *backend) reportOfOther() error {
+	body, err := json.Marshal(map[string]any{
+		"address": at(b.n.ip, portTarget), "born": b.born,
+		"info":   map[string]any{"service": b.n.service, "zone": 7, "capacity": b.slots},
+		"status": map[string]any{"phase": "ready", "sequence": 100000, "warmup_left_s": 0},
+	})
+	if err != nil {
+		return err
+	}
+	b.l.note("another writer reports to node %s of %s: %s", b.n.ip, b.instance, body)
+	resp, err := http.Post("http://"+at(b.n.ip, portControl)+names["heartbeat"]+b.instance, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
 	}
-	all := float64(served["board"]+served["desk"]) / (2 * rounds)
-	share := float64(served["board"]) / rounds
-	l.note("served: board %d of %d, desk %d of %d; the back end of board reports still: %v", served["board"], rounds, served["desk"], rounds,
-		backends[board].beat())
-	return share < all/4, nil
+	_ = resp.Body.Close()
+	b.l.note("node %s answers %d", b.n.ip, resp.StatusCode)
+	return nil
 }
