--- a/review/lab-3/backend.go
+++ b/review/lab-3/backend.go
@@ -60,13 +60,21 @@
 	})
 }
 
+const (
+	reportInterval = 1500 * time.Millisecond // heartbeat_s of the settings
+	reportRetry    = 300 * time.Millisecond  // after a report that was not acknowledged
+)
+
 func (b *backend) report() {
 	for {
-		b.beat()
+		pause := reportRetry
+		if b.beat() {
+			pause = reportInterval
+		}
 		select {
 		case <-b.stop:
 			return
-		case <-time.After(500 * time.Millisecond):
+		case <-time.After(pause):
 		}
 	}
 }
